--- /dev/null
+++ b/src/cmake/Compiler.cmake
@@ -0,0 +1,17 @@
+# Warnings, and the compiler cache where it is installed.
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+option(NUTMEG_SANITIZE "build with the address and undefined sanitizers" OFF)
+add_library(nutmeg_options INTERFACE)
+target_compile_options(nutmeg_options INTERFACE -Wall -Wextra -Werror -Wno-psabi
+  -Wno-missing-field-initializers)
+target_include_directories(nutmeg_options INTERFACE
+  ${CMAKE_SOURCE_DIR}/src/include ${CMAKE_SOURCE_DIR}/src)
+if(NUTMEG_SANITIZE)
+  target_compile_options(nutmeg_options INTERFACE
+    -fsanitize=address,undefined -fno-omit-frame-pointer)
+  target_link_options(nutmeg_options INTERFACE -fsanitize=address,undefined)
+endif()
--- /dev/null
+++ b/src/cmake/Dependencies.cmake
@@ -0,0 +1,21 @@
+# Libraries from the Debian registry; see src/build-scripts/install-deps.sh.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(CURL REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+find_package(fmt REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(gflags REQUIRED)
+pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+
+find_library(LIBEV_LIBRARY ev REQUIRED)
+find_path(LIBEV_INCLUDE_DIR ev.h REQUIRED)
+add_library(nutmeg_libev INTERFACE)
+target_include_directories(nutmeg_libev SYSTEM INTERFACE ${LIBEV_INCLUDE_DIR})
+target_link_libraries(nutmeg_libev INTERFACE ${LIBEV_LIBRARY})
+
+pkg_check_modules(CAPNP REQUIRED IMPORTED_TARGET capnp)
+pkg_check_modules(CAPNP_RPC REQUIRED IMPORTED_TARGET capnp-rpc)
--- /dev/null
+++ b/src/cmake/Targets.cmake
@@ -0,0 +1,40 @@
+include(GoogleTest)
+
+# Adds a static library of the sources in the current folder, and a test
+# program of its *_test.cpp files.
+function(nutmeg_add_library name)
+  cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp *.c++)
+  file(GLOB tests CONFIGURE_DEPENDS *_test.cpp)
+  file(GLOB benchmarks CONFIGURE_DEPENDS *_bench.cpp)
+  if(tests)
+    list(REMOVE_ITEM sources ${tests})
+  endif()
+  if(benchmarks)
+    list(REMOVE_ITEM sources ${benchmarks})
+  endif()
+  add_library(${name} STATIC ${sources})
+  target_link_libraries(${name} PUBLIC nutmeg_options ${ARG_LIBRARIES})
+  nutmeg_add_tests(${name} ${tests})
+  if(benchmarks)
+    add_executable(${name}_bench ${benchmarks})
+    target_link_libraries(${name}_bench PRIVATE ${name} benchmark::benchmark_main)
+  endif()
+endfunction()
+
+# Adds the GoogleTest program of a library.
+function(nutmeg_add_tests library)
+  if(NOT ARGN)
+    return()
+  endif()
+  add_executable(${library}_test ${ARGN})
+  target_link_libraries(${library}_test PRIVATE ${library} GTest::gtest_main)
+  gtest_discover_tests(${library}_test DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
+endfunction()
+
+# Adds a program of the given sources.
+function(nutmeg_add_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE nutmeg_options ${ARG_LIBRARIES})
+endfunction()
--- /dev/null
+++ b/src/include/nutmeghollow/requests.h
@@ -0,0 +1,155 @@
+/// @file
+/// Table of the requests in progress on this instance.
+#pragma once
+
+#include <array>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// Whether a request is a chat completion or a call to a plain service.
+enum class RequestKind { kChat, kService };
+
+/// Stage of a request. Each system works on the requests in its phases.
+enum class RequestPhase {
+  kArrived,     ///< Entered the table; not yet checked.
+  kClaiming,    ///< Waits for its claim in the table service.
+  kQueued,      ///< Waits in the fair queue of its route.
+  kAdmitted,    ///< May be placed now.
+  kReserving,   ///< Waits for the owner of an engine to answer.
+  kPlaced,      ///< Has an upstream; not yet handed to the network.
+  kDispatched,  ///< Handed to the network; no byte of the request sent.
+  kSent,        ///< A byte of the request may have reached the upstream.
+  kStreaming,   ///< A byte of the answer arrived.
+  kRecording,   ///< The answer is whole; its outcome is being recorded.
+  kDone,        ///< Answered or abandoned; removed at the end of the tick.
+  kCount,
+};
+
+/// What the caller is told about the request's effect.
+enum class Outcome {
+  kCompleted,  ///< The upstream ran it and the answer is whole.
+  kNotRun,     ///< It is certain that no upstream ran it.
+  kUnknown,    ///< An upstream may have run it.
+};
+
+/// Why a request ended without an upstream's answer.
+enum class Refusal {
+  kNone,
+  kUnknownRoute,      ///< 404
+  kUnknownService,    ///< 404
+  kNotReady,          ///< 503, the instance has no configuration
+  kIsolated,          ///< 503, the instance reaches nobody
+  kQueueFull,         ///< 429
+  kQueueDeadline,     ///< 429
+  kCustomerLimit,     ///< 429
+  kNoUpstream,        ///< 503
+  kStoreUnavailable,  ///< 503, no claim could be made
+  kKeyReused,         ///< 422, same key with another body
+  kKeyInProgress,     ///< 409, the first request is still running
+  kKeyUnknown,        ///< 409, the first request's outcome is unknown
+  kQuarantined,       ///< 422, the request crashed upstreams
+  kUpstreamFailed,    ///< 502
+  kUpstreamTimeout,   ///< 504
+  kDraining,          ///< 503
+  kCallerGone,        ///< nobody is left to answer
+};
+
+/// A request as the caller adapter hands it in.
+struct NewRequest {
+  RequestId m_id;
+  PublicRequestId m_public_id;
+  RequestKind m_kind = RequestKind::kChat;
+  CustomerId m_customer;
+  RouteId m_route;      ///< For chats.
+  ServiceId m_service;  ///< For plain services.
+  std::string m_method;
+  std::string m_path;  ///< Path inside the service.
+  ChatKey m_chat;
+  RequestDigest m_digest;
+  IdempotencyKey m_idempotency_key;  ///< Empty when the caller sent none.
+  bool m_streamed = false;
+  Bytes m_body_size;
+  Duration m_timeout = std::chrono::seconds(120);  ///< From arrival.
+};
+
+/// One request in progress.
+struct RequestRow {
+  NewRequest m_request;
+  RequestPhase m_phase = RequestPhase::kArrived;
+  TimePoint m_arrived_at{};
+  TimePoint m_phase_since{};
+  TimePoint m_deadline{};
+  UpstreamId m_upstream;  ///< Set from kPlaced on.
+  AttemptId m_attempt;    ///< The current attempt.
+  int m_attempts = 0;     ///< Attempts handed to the network.
+  /// True once any attempt may have reached an upstream.
+  bool m_may_have_run = false;
+  std::int64_t m_bytes_received = 0;  ///< Answer bytes from the upstream.
+  std::int64_t m_bytes_relayed = 0;   ///< Answer bytes to the caller.
+  std::set<UpstreamId> m_tried;       ///< Upstreams that refused or failed.
+};
+
+/// Requests by id, with an index by phase in order of arrival.
+class RequestTable {
+ public:
+  /// Adds a request in phase kArrived. @return its row.
+  RequestRow& Add(const NewRequest& request, TimePoint now);
+  /// @return the row of a request, or null.
+  RequestRow* Find(RequestId id);
+  const RequestRow* Find(RequestId id) const;
+  /// Moves a request into a phase and notes the time.
+  void SetPhase(RequestRow& row, RequestPhase phase, TimePoint now);
+  /// Removes a request; it must be in phase kDone.
+  void Remove(RequestId id);
+  /// @return the requests in a phase, oldest first. Copy before moving any.
+  const std::set<RequestId>& InPhase(RequestPhase phase) const;
+  std::size_t size() const { return m_rows.size(); }
+  const std::map<RequestId, RequestRow>& Rows() const { return m_rows; }
+
+ private:
+  std::map<RequestId, RequestRow> m_rows;
+  std::array<std::set<RequestId>, static_cast<int>(RequestPhase::kCount)>
+      m_by_phase;
+};
+
+/// What happened to an attempt at an upstream.
+enum class AttemptEventKind {
+  kBytesSent,       ///< The first byte of the request left this instance.
+  kHeaders,         ///< Status and headers of the answer arrived.
+  kAnswerBytes,     ///< A part of the answer arrived and was relayed.
+  kComplete,        ///< The answer is whole, with its end marker.
+  kConnectFailed,   ///< No connection; no byte of the request was sent.
+  kRefused,         ///< The upstream refused before running it.
+  kBroken,          ///< The connection ended before the answer was whole.
+  kTimeout,         ///< Silence for longer than the limit.
+  kWrongRequestId,  ///< The answer names another request.
+};
+
+/// One event of an attempt, written by the upstream adapter.
+struct AttemptEvent {
+  RequestId m_request;
+  AttemptId m_attempt;
+  AttemptEventKind m_kind = AttemptEventKind::kBroken;
+  int m_status = 0;          ///< HTTP status, with kHeaders and kRefused.
+  std::int64_t m_bytes = 0;  ///< With kAnswerBytes.
+  Duration m_retry_after{};  ///< With kRefused; zero when none was given.
+  /// With kComplete of a plain service: the answer, to be recorded.
+  std::string m_content_type;
+  std::string m_body;
+};
+
+/// What adapters report about requests; request flow empties it each tick.
+struct RequestInbox {
+  std::vector<NewRequest> m_new;
+  std::vector<AttemptEvent> m_attempts;
+  std::vector<RequestId> m_callers_gone;
+};
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/include/nutmeghollow/world.h
@@ -0,0 +1,77 @@
+/// @file
+/// All tables of one instance, and the order in which systems run over them.
+///
+/// Adapters put input records into the inboxes, call Tick, and carry out the
+/// actions that the systems appended. Nothing in here reads a clock, opens a
+/// socket or draws a random number by itself.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "nutmeghollow/actions.h"
+#include "nutmeghollow/check.h"
+#include "nutmeghollow/configuration.h"
+#include "nutmeghollow/instances.h"
+#include "nutmeghollow/peers.h"
+#include "nutmeghollow/requests.h"
+#include "nutmeghollow/routes.h"
+#include "nutmeghollow/store.h"
+#include "nutmeghollow/types.h"
+#include "nutmeghollow/upstreams.h"
+
+namespace nutmeghollow {
+
+/// Behaviour that comes in from outside.
+struct WorldHooks {
+  /// Draws 64 random bits.
+  std::function<std::uint64_t()> m_random;
+  /// Tells the civil time.
+  std::function<WallTime()> m_wall_time;
+};
+
+/// All state of one instance.
+struct World {
+  WorldHooks m_hooks;
+
+  InstanceTable m_instances;
+  UpstreamTable m_upstreams;
+  RouteTable m_routes;
+  ServiceTable m_services;
+  PriorityTable m_priorities;
+  CustomerTable m_customers;
+  RequestTable m_requests;
+  ConfigurationTable m_configuration;
+  PeerTable m_peers;
+  SuspectTable m_suspects;
+
+  RequestInbox m_request_inbox;
+  ConfigurationInbox m_configuration_inbox;
+  /// Ends of table service operations, by the system that asked.
+  std::array<std::vector<StoreResult>, static_cast<int>(StorePurpose::kCount)>
+      m_store_results;
+
+  std::vector<Action> m_actions;
+  /// A system sets it when another tick should follow at once.
+  bool m_tick_again = false;
+  /// True from the start of a planned stop.
+  bool m_draining = false;
+
+  /// @return an id that no earlier store operation of this process had.
+  StoreOperationId NewStoreOperation();
+  /// @return an id that no earlier attempt of this process had.
+  AttemptId NewAttempt();
+
+  std::uint64_t m_last_store_operation = 0;
+  std::uint64_t m_last_attempt = 0;
+};
+
+/// Runs every system once, in the fixed order.
+/// @param now current time; never earlier than at the tick before.
+/// @return the actions to carry out, in order.
+std::vector<Action> Tick(World& world, TimePoint now);
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/libnet/event_loop.h
@@ -0,0 +1,96 @@
+/// @file
+/// The libev loop, its timers and deferred calls.
+#pragma once
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow::net {
+
+/// Runs a function after a delay, once or repeatedly. Destroying it cancels.
+class Timer {
+ public:
+  Timer(struct ev_loop* loop, std::function<void()> callback);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  /// Runs the callback once after `delay`; replaces an earlier start.
+  void Start(Duration delay);
+  /// Runs the callback every `period`.
+  void StartRepeating(Duration period);
+  void Stop();
+  bool active() const;
+
+ private:
+  static void OnTimer(struct ev_loop* loop, ev_timer* watcher, int events);
+
+  struct ev_loop* m_loop;
+  ev_timer m_watcher{};
+  std::function<void()> m_callback;
+};
+
+/// Calls a function whenever a descriptor is ready. Destroying it stops.
+class DescriptorWatcher {
+ public:
+  DescriptorWatcher(struct ev_loop* loop,
+                    int descriptor,
+                    int events,
+                    std::function<void(int events)> callback);
+  ~DescriptorWatcher();
+  DescriptorWatcher(const DescriptorWatcher&) = delete;
+  DescriptorWatcher& operator=(const DescriptorWatcher&) = delete;
+
+ private:
+  static void OnReady(struct ev_loop* loop, ev_io* watcher, int events);
+
+  struct ev_loop* m_loop;
+  ev_io m_watcher{};
+  std::function<void(int)> m_callback;
+};
+
+/// Calls a function when the process receives a signal.
+class SignalWatcher {
+ public:
+  SignalWatcher(struct ev_loop* loop,
+                int signal_number,
+                std::function<void()> callback);
+  ~SignalWatcher();
+  SignalWatcher(const SignalWatcher&) = delete;
+  SignalWatcher& operator=(const SignalWatcher&) = delete;
+
+ private:
+  static void OnSignal(struct ev_loop* loop, ev_signal* watcher, int events);
+
+  struct ev_loop* m_loop;
+  ev_signal m_watcher{};
+  std::function<void()> m_callback;
+};
+
+/// Calls a function once in each pass of the loop, before it sleeps.
+class BeforeSleep {
+ public:
+  BeforeSleep(struct ev_loop* loop, std::function<void()> callback);
+  ~BeforeSleep();
+  BeforeSleep(const BeforeSleep&) = delete;
+  BeforeSleep& operator=(const BeforeSleep&) = delete;
+
+ private:
+  static void OnPrepare(struct ev_loop* loop, ev_prepare* watcher, int events);
+
+  struct ev_loop* m_loop;
+  ev_prepare m_watcher{};
+  std::function<void()> m_callback;
+};
+
+/// @return the time of CLOCK_BOOTTIME, which counts while suspended.
+TimePoint BootTime();
+
+/// @return the civil time.
+WallTime CivilTime();
+
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnutmeg/configuration_objects.cpp
@@ -0,0 +1,27 @@
+#include <array>
+
+#include "nutmeghollow/configuration.h"
+
+namespace nutmeghollow {
+namespace {
+
+constexpr std::array<const char*, static_cast<int>(ObjectKind::kCount)>
+    kKindNames{"customer", "route",    "upstream",
+               "service",  "priority", "change"};
+
+}  // namespace
+
+const char* ObjectKindName(ObjectKind kind) {
+  return kKindNames[static_cast<int>(kind)];
+}
+
+std::optional<ObjectKind> ParseObjectKind(std::string_view word) {
+  for (int index = 0; index < static_cast<int>(ObjectKind::kCount); ++index) {
+    if (word == kKindNames[index]) {
+      return static_cast<ObjectKind>(index);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/libnutmeg/world.cpp
@@ -0,0 +1,22 @@
+#include "nutmeghollow/world.h"
+
+#include <utility>
+
+namespace nutmeghollow {
+
+StoreOperationId World::NewStoreOperation() {
+  return StoreOperationId(++m_last_store_operation);
+}
+
+AttemptId World::NewAttempt() {
+  return AttemptId(++m_last_attempt);
+}
+
+std::vector<Action> Tick(World& world, TimePoint /*now*/) {
+  // The call of each system goes here, in this order: control budget,
+  // membership, probing, configuration, lease, orders, quarantine, claims,
+  // admission, placement, request flow, drain.
+  return std::exchange(world.m_actions, {});
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/placeholder.cpp
@@ -0,0 +1,1 @@
+// Placeholder until the first source of this folder lands.
