--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -3,13 +3,23 @@
 set -euo pipefail
 
 build_dir=${1:-build}
-mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp')
+
+# Lists files that match the patterns and exist, without generated code.
+list_files() {
+  git ls-files -co --exclude-standard "$@" | grep -v '\.capnp\.' |
+    while read -r file; do
+      [ -e "$file" ] && echo "$file"
+    done
+  return 0
+}
+
+mapfile -t sources < <(list_files 'src/*.h' 'src/*.cpp')
 clang-format --dry-run --Werror "${sources[@]}"
 
-mapfile -t scripts < <(git ls-files -co --exclude-standard '*.sh' '.ci/run')
+mapfile -t scripts < <(list_files '*.sh' '.ci/run')
 shellcheck "${scripts[@]}"
 
-mapfile -t units < <(git ls-files -co --exclude-standard 'src/*.cpp')
+mapfile -t units < <(list_files 'src/*.cpp')
 absolute=()
 for unit in "${units[@]}"; do
   absolute+=("$PWD/$unit")
--- a/src/libnet/event_loop.h
+++ b/src/libnet/event_loop.h
@@ -24,7 +24,7 @@
   /// Runs the callback every `period`.
   void StartRepeating(Duration period);
   void Stop();
-  bool active() const;
+  bool Active() const;
 
  private:
   static void OnTimer(struct ev_loop* loop, ev_timer* watcher, int events);
--- /dev/null
+++ b/src/libnet/http_exchange.cpp
@@ -0,0 +1,271 @@
+#include "libnet/http_exchange.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <utility>
+
+namespace nutmeghollow::net {
+namespace {
+
+/// Bytes that the library asks for at once from a stream.
+constexpr std::size_t kStreamBlockSize = 16 << 10;
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+MHD_Result CollectHeader(void* target,
+                         MHD_ValueKind /*kind*/,
+                         const char* key,
+                         const char* value) {
+  static_cast<HeaderMap*>(target)->emplace(LowerCase(key),
+                                           value == nullptr ? "" : value);
+  return MHD_YES;
+}
+
+MHD_Result CollectQuery(void* target,
+                        MHD_ValueKind /*kind*/,
+                        const char* key,
+                        const char* value) {
+  auto& query = *static_cast<std::map<std::string, std::string>*>(target);
+  query[key] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+ssize_t ReadStreamCallback(void* exchange,
+                           std::uint64_t /*position*/,
+                           char* target,
+                           std::size_t size) {
+  return static_cast<detail::MhdExchange*>(exchange)->ReadStream(target, size);
+}
+
+}  // namespace
+
+std::string HeaderValue(const HeaderMap& headers, const std::string& name) {
+  auto found = headers.find(name);
+  return found == headers.end() ? std::string() : found->second;
+}
+
+namespace detail {
+
+MhdExchange::MhdExchange(std::shared_ptr<ServerLink> link,
+                         MHD_Connection* connection)
+    : m_link(std::move(link)), m_connection(connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info != nullptr) {
+    m_descriptor = info->connect_fd;
+  }
+}
+
+std::size_t MhdExchange::ReadHeader(const char* method, const char* url) {
+  m_request.m_method = method;
+  m_request.m_path = url;
+  MHD_get_connection_values(m_connection, MHD_HEADER_KIND, CollectHeader,
+                            &m_request.m_headers);
+  MHD_get_connection_values(m_connection, MHD_GET_ARGUMENT_KIND, CollectQuery,
+                            &m_request.m_query);
+  std::size_t size = m_request.m_path.size();
+  for (const auto& [name, value] : m_request.m_headers) {
+    size += name.size() + value.size() + 4;
+  }
+  return size;
+}
+
+bool MhdExchange::AppendBody(std::string_view data) {
+  const auto limit =
+      static_cast<std::size_t>(m_link->m_options.m_body_limit.value());
+  if (m_body_too_large || m_request.m_body.size() + data.size() > limit) {
+    m_body_too_large = true;
+    m_request.m_body.clear();
+    m_request.m_body.shrink_to_fit();
+    return false;
+  }
+  m_request.m_body.append(data);
+  return true;
+}
+
+MHD_Result MhdExchange::Proceed() {
+  if (m_gone || (m_aborted && !m_queued)) {
+    return MHD_NO;  // Closes the connection.
+  }
+  if (m_queued) {
+    return MHD_YES;
+  }
+  if (!m_ready) {
+    Suspend();
+    return MHD_YES;
+  }
+  MHD_Response* response =
+      m_streamed ? MHD_create_response_from_callback(
+                       MHD_SIZE_UNKNOWN, kStreamBlockSize, ReadStreamCallback,
+                       this, nullptr)
+                 : MHD_create_response_from_buffer(
+                       m_buffer.size(), m_buffer.data(), MHD_RESPMEM_MUST_COPY);
+  return Queue(response);
+}
+
+MHD_Result MhdExchange::QueueError(int status, const std::string& detail) {
+  HttpErrorAnswer answer;
+  if (m_link->m_options.m_error_hook) {
+    answer = m_link->m_options.m_error_hook(status, detail);
+  } else {
+    answer.m_headers = {{"Content-Type", "text/plain"}};
+    answer.m_body = detail + "\n";
+  }
+  m_dispatched = true;
+  m_ready = true;
+  m_status = status;
+  m_headers = std::move(answer.m_headers);
+  m_buffer = std::move(answer.m_body);
+  return Proceed();
+}
+
+MHD_Result MhdExchange::Queue(MHD_Response* response) {
+  if (response == nullptr) {
+    return MHD_NO;
+  }
+  AddHeaders(response);
+  m_queued = true;
+  const MHD_Result result = MHD_queue_response(
+      m_connection, static_cast<unsigned int>(m_status), response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+void MhdExchange::AddHeaders(MHD_Response* response) const {
+  for (const auto& [name, value] : m_headers) {
+    MHD_add_response_header(response, name.c_str(), value.c_str());
+  }
+  if (m_link->m_close_after_answers) {
+    MHD_add_response_header(response, "Connection", "close");
+  }
+}
+
+void MhdExchange::Respond(int status,
+                          const HeaderList& headers,
+                          std::string body) {
+  if (m_ready || m_connection == nullptr) {
+    return;
+  }
+  m_ready = true;
+  m_status = status;
+  m_headers = headers;
+  m_buffer = std::move(body);
+  Wake();
+}
+
+void MhdExchange::BeginStream(int status, const HeaderList& headers) {
+  if (m_ready || m_connection == nullptr) {
+    return;
+  }
+  m_ready = true;
+  m_streamed = true;
+  m_status = status;
+  m_headers = headers;
+  Wake();
+}
+
+bool MhdExchange::Write(std::string_view data) {
+  if (m_connection == nullptr || m_ended || m_aborted) {
+    return true;
+  }
+  if (m_sent == m_buffer.size()) {
+    m_buffer.clear();
+    m_sent = 0;
+  }
+  m_buffer.append(data);
+  Wake();
+  const auto high_water =
+      static_cast<std::size_t>(m_link->m_options.m_stream_high_water.value());
+  m_above_high_water = Buffered() >= high_water;
+  return !m_above_high_water;
+}
+
+void MhdExchange::EndStream() {
+  m_ended = true;
+  Wake();
+}
+
+void MhdExchange::AbortStream() {
+  m_aborted = true;
+  Wake();
+}
+
+ssize_t MhdExchange::ReadStream(char* target, std::size_t size) {
+  if (m_aborted || m_gone) {
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  }
+  const std::size_t count = std::min(size, Buffered());
+  if (count == 0) {
+    if (m_ended) {
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    Suspend();
+    return 0;
+  }
+  std::memcpy(target, m_buffer.data() + m_sent, count);
+  m_sent += count;
+  const auto low_water =
+      static_cast<std::size_t>(m_link->m_options.m_stream_high_water.value()) /
+      2;
+  if (m_above_high_water && Buffered() <= low_water) {
+    m_above_high_water = false;
+    m_buffer.erase(0, m_sent);
+    m_sent = 0;
+    if (m_on_drained) {
+      m_on_drained();
+    }
+  }
+  return static_cast<ssize_t>(count);
+}
+
+void MhdExchange::OnGone(std::function<void()> callback) {
+  m_on_gone = std::move(callback);
+}
+
+void MhdExchange::OnDrained(std::function<void()> callback) {
+  m_on_drained = std::move(callback);
+}
+
+void MhdExchange::ReportGone() {
+  if (m_gone) {
+    return;
+  }
+  m_gone = true;
+  const std::function<void()> callback = std::exchange(m_on_gone, nullptr);
+  if (callback) {
+    callback();
+  }
+}
+
+void MhdExchange::Detach(bool complete) {
+  m_connection = nullptr;
+  m_suspended = false;
+  if (!complete) {
+    ReportGone();
+  }
+  m_on_gone = nullptr;
+  m_on_drained = nullptr;
+}
+
+void MhdExchange::Suspend() {
+  m_suspended = true;
+  MHD_suspend_connection(m_connection);
+}
+
+void MhdExchange::Wake() {
+  if (!m_suspended || m_connection == nullptr) {
+    return;
+  }
+  m_suspended = false;
+  m_link->m_needs_run = true;
+  MHD_resume_connection(m_connection);
+}
+
+}  // namespace detail
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnet/http_server.cpp
@@ -0,0 +1,308 @@
+#include "libnet/http_server.h"
+
+#include <microhttpd.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <charconv>
+#include <stdexcept>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "libnet/event_loop.h"
+#include "libnet/http_exchange.h"
+#include "libnet/socket_address.h"
+
+namespace nutmeghollow::net {
+
+using detail::MhdExchange;
+using detail::ServerLink;
+
+namespace {
+
+/// How often suspended connections are checked for callers that closed.
+constexpr Duration kGoneCheckPeriod = std::chrono::milliseconds(250);
+/// Passes of the library in a row before other watchers get their turn.
+constexpr int kRunPasses = 8;
+/// The library's memory for a connection, beyond the header limit.
+constexpr std::size_t kConnectionMemory = 48 << 10;
+/// A declared body above this is refused without reading it.
+constexpr std::int64_t kDiscardLimit = 64 << 20;
+
+std::int64_t DeclaredLength(const HttpRequest& request) {
+  const std::string text = HeaderValue(request.m_headers, "content-length");
+  std::int64_t length = 0;
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  return length;
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(struct ev_loop* loop,
+       const Endpoint& endpoint,
+       const HttpServerOptions& options,
+       HttpHandler handler);
+  ~Impl();
+
+  void StopListening();
+  void CloseAfterAnswers() { m_link->m_close_after_answers = true; }
+  int Connections() const;
+  int Port() const { return m_port; }
+
+ private:
+  using ExchangeHandle = std::shared_ptr<MhdExchange>;
+
+  static MHD_Result OnAccess(void* server,
+                             MHD_Connection* connection,
+                             const char* url,
+                             const char* method,
+                             const char* version,
+                             const char* upload_data,
+                             std::size_t* upload_size,
+                             void** state);
+  static void OnCompleted(void* server,
+                          MHD_Connection* connection,
+                          void** state,
+                          MHD_RequestTerminationCode code);
+  MHD_Result StartRequest(MHD_Connection* connection,
+                          const char* url,
+                          const char* method,
+                          void** state);
+  MHD_Result ContinueRequest(const ExchangeHandle& exchange,
+                             const char* upload_data,
+                             std::size_t* upload_size);
+  void Run();
+  void CheckSuspended();
+
+  std::shared_ptr<ServerLink> m_link;
+  HttpHandler m_handler;
+  MHD_Daemon* m_daemon = nullptr;
+  int m_listen_descriptor = -1;
+  int m_port = 0;
+  std::unordered_set<MhdExchange*> m_exchanges;
+  std::unique_ptr<DescriptorWatcher> m_epoll_watcher;
+  std::unique_ptr<BeforeSleep> m_before_sleep;
+  std::unique_ptr<Timer> m_gone_timer;
+  std::unique_ptr<Timer> m_soon;
+};
+
+HttpServer::Impl::Impl(struct ev_loop* loop,
+                       const Endpoint& endpoint,
+                       const HttpServerOptions& options,
+                       HttpHandler handler)
+    : m_link(std::make_shared<ServerLink>()), m_handler(std::move(handler)) {
+  m_link->m_options = options;
+  m_listen_descriptor = BindSocket(endpoint, SOCK_STREAM);
+  SocketAddress bound;
+  bound.m_size = sizeof(bound.m_storage);
+  getsockname(m_listen_descriptor,
+              reinterpret_cast<sockaddr*>(&bound.m_storage), &bound.m_size);
+  const std::string written = FormatEndpoint(bound).str();
+  m_port = std::stoi(written.substr(written.rfind(':') + 1));
+
+  const auto idle_seconds = static_cast<unsigned int>(
+      std::chrono::ceil<std::chrono::seconds>(options.m_idle_timeout).count());
+  const std::size_t memory =
+      kConnectionMemory +
+      static_cast<std::size_t>(options.m_header_limit.value());
+  m_daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listen_descriptor,
+      MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
+      MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned int>(options.m_connection_limit),
+      MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory, MHD_OPTION_END);
+  if (m_daemon == nullptr) {
+    close(m_listen_descriptor);
+    throw std::runtime_error(endpoint.str() + ": HTTP server did not start");
+  }
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  m_epoll_watcher = std::make_unique<DescriptorWatcher>(
+      loop, info->epoll_fd, EV_READ, [this](int) { Run(); });
+  m_before_sleep = std::make_unique<BeforeSleep>(loop, [this] {
+    if (m_link->m_needs_run) {
+      Run();
+    }
+  });
+  m_gone_timer = std::make_unique<Timer>(loop, [this] {
+    CheckSuspended();
+    Run();
+  });
+  m_gone_timer->StartRepeating(kGoneCheckPeriod);
+  m_soon = std::make_unique<Timer>(loop, [this] { Run(); });
+}
+
+HttpServer::Impl::~Impl() {
+  m_epoll_watcher.reset();
+  m_before_sleep.reset();
+  for (MhdExchange* exchange : m_exchanges) {
+    exchange->AbortStream();
+  }
+  // Suspended connections must have gone on before the library stops.
+  MHD_run(m_daemon);
+  MHD_stop_daemon(m_daemon);
+  if (m_listen_descriptor >= 0) {
+    close(m_listen_descriptor);
+  }
+}
+
+void HttpServer::Impl::StopListening() {
+  if (m_listen_descriptor < 0) {
+    return;
+  }
+  MHD_quiesce_daemon(m_daemon);
+  close(m_listen_descriptor);
+  m_listen_descriptor = -1;
+}
+
+int HttpServer::Impl::Connections() const {
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return static_cast<int>(info->num_connections);
+}
+
+MHD_Result HttpServer::Impl::OnAccess(void* server,
+                                      MHD_Connection* connection,
+                                      const char* url,
+                                      const char* method,
+                                      const char* /*version*/,
+                                      const char* upload_data,
+                                      std::size_t* upload_size,
+                                      void** state) {
+  auto* self = static_cast<Impl*>(server);
+  if (*state == nullptr) {
+    return self->StartRequest(connection, url, method, state);
+  }
+  // A copy, since the handler may end the request meanwhile.
+  const ExchangeHandle exchange = *static_cast<ExchangeHandle*>(*state);
+  return self->ContinueRequest(exchange, upload_data, upload_size);
+}
+
+MHD_Result HttpServer::Impl::StartRequest(MHD_Connection* connection,
+                                          const char* url,
+                                          const char* method,
+                                          void** state) {
+  auto exchange = std::make_shared<MhdExchange>(m_link, connection);
+  m_exchanges.insert(exchange.get());
+  *state = new ExchangeHandle(exchange);
+  const std::size_t header_size = exchange->ReadHeader(method, url);
+  const auto header_limit =
+      static_cast<std::size_t>(m_link->m_options.m_header_limit.value());
+  if (header_size > header_limit) {
+    return exchange->QueueError(431, "the request header is too large");
+  }
+  const HttpRequest& request = exchange->Request();
+  const std::int64_t length = DeclaredLength(request);
+  const bool waits_for_continue = request.m_headers.count("expect") > 0;
+  if (length > m_link->m_options.m_body_limit.value() &&
+      (length > kDiscardLimit || waits_for_continue)) {
+    return exchange->QueueError(413, "the request body is too large");
+  }
+  return MHD_YES;
+}
+
+MHD_Result HttpServer::Impl::ContinueRequest(const ExchangeHandle& exchange,
+                                             const char* upload_data,
+                                             std::size_t* upload_size) {
+  if (*upload_size > 0) {
+    exchange->AppendBody({upload_data, *upload_size});
+    *upload_size = 0;
+    return MHD_YES;
+  }
+  if (exchange->m_body_too_large && !exchange->m_dispatched) {
+    return exchange->QueueError(413, "the request body is too large");
+  }
+  if (!exchange->m_dispatched) {
+    exchange->m_dispatched = true;
+    m_handler(exchange);
+  }
+  return exchange->Proceed();
+}
+
+void HttpServer::Impl::OnCompleted(void* server,
+                                   MHD_Connection* /*connection*/,
+                                   void** state,
+                                   MHD_RequestTerminationCode code) {
+  if (*state == nullptr) {
+    return;
+  }
+  auto* handle = static_cast<ExchangeHandle*>(*state);
+  const ExchangeHandle exchange = *handle;
+  delete handle;
+  *state = nullptr;
+  static_cast<Impl*>(server)->m_exchanges.erase(exchange.get());
+  exchange->Detach(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+}
+
+void HttpServer::Impl::Run() {
+  for (int pass = 0; pass < kRunPasses; ++pass) {
+    m_link->m_needs_run = false;
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG timeout = 1;
+    const bool more =
+        MHD_get_timeout(m_daemon, &timeout) == MHD_YES && timeout == 0;
+    if (!more && !m_link->m_needs_run) {
+      return;
+    }
+  }
+  m_soon->Start(Duration(0));
+}
+
+void HttpServer::Impl::CheckSuspended() {
+  std::vector<pollfd> descriptors;
+  std::vector<MhdExchange*> owners;
+  for (MhdExchange* exchange : m_exchanges) {
+    if (exchange->Suspended()) {
+      descriptors.push_back({exchange->Descriptor(), POLLRDHUP, 0});
+      owners.push_back(exchange);
+    }
+  }
+  if (descriptors.empty() ||
+      poll(descriptors.data(), descriptors.size(), 0) <= 0) {
+    return;
+  }
+  std::vector<ExchangeHandle> gone;
+  for (std::size_t index = 0; index < owners.size(); ++index) {
+    if ((descriptors[index].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+      gone.push_back(owners[index]->shared_from_this());
+    }
+  }
+  for (const ExchangeHandle& exchange : gone) {
+    exchange->ReportGone();
+    exchange->Wake();
+  }
+}
+
+HttpServer::HttpServer(struct ev_loop* loop,
+                       const Endpoint& endpoint,
+                       const HttpServerOptions& options,
+                       HttpHandler handler)
+    : m_impl(
+          std::make_unique<Impl>(loop, endpoint, options, std::move(handler))) {
+}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::StopListening() {
+  m_impl->StopListening();
+}
+
+void HttpServer::CloseAfterAnswers() {
+  m_impl->CloseAfterAnswers();
+}
+
+int HttpServer::Connections() const {
+  return m_impl->Connections();
+}
+
+int HttpServer::Port() const {
+  return m_impl->Port();
+}
+
+}  // namespace nutmeghollow::net
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -71,21 +71,31 @@
   virtual void OnDrained(std::function<void()> callback) = 0;
 };
 
+/// An error that the server answers by itself, such as 413.
+struct HttpErrorAnswer {
+  HeaderList m_headers;
+  std::string m_body;
+};
+
+/// Makes the answer to an error that the server itself finds.
+/// @param status HTTP status. @param detail one sentence for the caller.
+using HttpErrorHook =
+    std::function<HttpErrorAnswer(int status, const std::string& detail)>;
+
 /// Limits of a server.
 struct HttpServerOptions {
   Bytes m_body_limit{8 << 20};           ///< Larger bodies get 413.
   Bytes m_header_limit{32 << 10};        ///< Memory for a request's header.
   Bytes m_stream_high_water{256 << 10};  ///< Unsent bytes that stop a writer.
   int m_connection_limit = 20000;
+  /// Longest silence of a caller whose answer is not being prepared.
   Duration m_idle_timeout = std::chrono::seconds(120);
+  HttpErrorHook m_error_hook;  ///< Plain text bodies when empty.
 };
 
 /// Called for each request once its body is complete.
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-/// Makes the body and headers of an error that the server itself answers.
-using HttpErrorHook = std::function<std::string(int status)>;
-
 /// Listens on one endpoint.
 class HttpServer {
  public:
@@ -100,6 +110,8 @@
 
   /// Refuses new connections; open ones go on.
   void StopListening();
+  /// Makes each further answer the last one of its connection.
+  void CloseAfterAnswers();
   /// @return open connections.
   int Connections() const;
   /// @return the port listened on, useful after asking for port 0.
