--- a/src/libnet/event_loop.cpp
+++ b/src/libnet/event_loop.cpp
@@ -71,6 +71,14 @@
   ev_io_stop(m_loop, &m_watcher);
 }
 
+void DescriptorWatcher::SetEvents(int events) {
+  ev_io_stop(m_loop, &m_watcher);
+  ev_io_set(&m_watcher, m_watcher.fd, events);
+  if (events != 0) {
+    ev_io_start(m_loop, &m_watcher);
+  }
+}
+
 void DescriptorWatcher::OnReady(struct ev_loop* /*loop*/,
                                 ev_io* watcher,
                                 int events) {
--- a/src/libnet/event_loop.h
+++ b/src/libnet/event_loop.h
@@ -45,6 +45,9 @@
   DescriptorWatcher(const DescriptorWatcher&) = delete;
   DescriptorWatcher& operator=(const DescriptorWatcher&) = delete;
 
+  /// Changes what is waited for; 0 waits for nothing.
+  void SetEvents(int events);
+
  private:
   static void OnReady(struct ev_loop* loop, ev_io* watcher, int events);
 
--- a/src/standins/main/fault_proxy.cpp
+++ b/src/standins/main/fault_proxy.cpp
@@ -1,3 +1,18 @@
-int main() {
+/// @file
+/// Proxy that injects faults; see docs/design/050-bench.md.
+#include <gflags/gflags.h>
+
+#include "standins/program.h"
+#include "standins/proxy.h"
+
+DEFINE_string(listen, "127.0.0.1:0", "address of the control interface");
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  struct ev_loop* loop = EV_DEFAULT;
+  nutmeghollow::standins::FaultProxy proxy(loop);
+  nutmeghollow::standins::Serve(
+      loop, FLAGS_listen,
+      [&proxy](const auto& exchange) { proxy.Handle(exchange); });
   return 0;
 }
