Add the settings file with findings reported together

Cause: every instance learns its addresses, data centre and limits from TOML. Change: typed settings by section; each fault is collected with file, line and key and all are reported at once; unknown keys and sections are faults too.

--- a/src/nutmegd/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder until the first source of this folder lands.
--- /dev/null
+++ b/src/nutmegd/settings.cpp
@@ -0,0 +1,399 @@
+#include "nutmegd/settings.h"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "libnet/socket_address.h"
+
+namespace nutmeghollow {
+namespace {
+
+constexpr std::size_t kDigestHexLength = 64;
+constexpr std::size_t kSmallestKeyHexLength = 64;
+
+bool IsHex(const std::string& text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+/// Reads one table of the file and collects the findings.
+class SectionReader {
+ public:
+  SectionReader(const toml::table& root,
+                std::string section,
+                std::string file,
+                std::vector<SettingsFinding>* findings)
+      : m_section(std::move(section)),
+        m_file(std::move(file)),
+        m_findings(findings) {
+    const toml::node* node = root.get(m_section);
+    if (node == nullptr) {
+      return;
+    }
+    m_table = node->as_table();
+    if (m_table == nullptr) {
+      AddFinding(node, "", "must be a table");
+    }
+  }
+
+  /// Reports keys of the section that nothing asked for.
+  ~SectionReader() {
+    if (m_table == nullptr) {
+      return;
+    }
+    for (const auto& [key, node] : *m_table) {
+      if (m_known.count(std::string(key.str())) == 0) {
+        AddFinding(&node, std::string(key.str()), "unknown key");
+      }
+    }
+  }
+  SectionReader(const SectionReader&) = delete;
+  SectionReader& operator=(const SectionReader&) = delete;
+
+  template <typename Tag>
+  void Read(const char* key, Name<Tag>* target, bool required = false) {
+    std::string text = target->str();
+    Read(key, &text, required);
+    *target = Name<Tag>(text);
+  }
+
+  void Read(const char* key, std::string* target, bool required = false) {
+    const toml::node* node = Take(key, required);
+    if (node == nullptr) {
+      return;
+    }
+    const std::optional<std::string> value = node->value_exact<std::string>();
+    if (!value || value->empty()) {
+      AddFinding(node, key, "must be a text that is not empty");
+      return;
+    }
+    *target = *value;
+  }
+
+  void ReadEndpoint(const char* key, Endpoint* target, bool required = false) {
+    Read(key, target, required);
+    if (!target->empty() && !net::ParseEndpoint(*target)) {
+      AddFinding(m_table->get(key), key, "must be \"IP:PORT\"");
+    }
+  }
+
+  /// Reads a whole number within limits.
+  std::optional<std::int64_t> ReadNumber(const char* key,
+                                         std::int64_t least,
+                                         std::int64_t greatest) {
+    const toml::node* node = Take(key, false);
+    if (node == nullptr) {
+      return std::nullopt;
+    }
+    const std::optional<std::int64_t> value = node->value_exact<std::int64_t>();
+    if (!value || *value < least || *value > greatest) {
+      AddFinding(
+          node, key,
+          fmt::format("must be a whole number from {} to {}", least, greatest));
+      return std::nullopt;
+    }
+    return value;
+  }
+
+  void ReadMilliseconds(const char* key,
+                        Duration* target,
+                        std::int64_t least = 1) {
+    constexpr std::int64_t kGreatest = 86'400'000;
+    if (const auto value = ReadNumber(key, least, kGreatest)) {
+      *target = std::chrono::milliseconds(*value);
+    }
+  }
+
+  void ReadBytes(const char* key, Bytes* target, std::int64_t least) {
+    constexpr std::int64_t kGreatest = 1 << 30;
+    if (const auto value = ReadNumber(key, least, kGreatest)) {
+      *target = Bytes(*value);
+    }
+  }
+
+  void ReadEndpoints(const char* key, std::vector<Endpoint>* target) {
+    const toml::node* node = Take(key, false);
+    if (node == nullptr) {
+      return;
+    }
+    const toml::array* array = node->as_array();
+    if (array == nullptr) {
+      AddFinding(node, key, "must be a list of \"IP:PORT\"");
+      return;
+    }
+    for (const toml::node& item : *array) {
+      const Endpoint endpoint(item.value_or(std::string()));
+      if (!net::ParseEndpoint(endpoint)) {
+        AddFinding(&item, key, "must be \"IP:PORT\"");
+        continue;
+      }
+      target->push_back(endpoint);
+    }
+  }
+
+  /// Calls a function for each key, which then counts as known.
+  void ForEachText(
+      const std::function<void(const std::string& key,
+                               const std::string& value,
+                               const toml::node& node)>& callback) {
+    if (m_table == nullptr) {
+      return;
+    }
+    for (const auto& [key, node] : *m_table) {
+      const std::string name(key.str());
+      m_known.insert(name);
+      callback(name, node.value_exact<std::string>().value_or(""), node);
+    }
+  }
+
+  void AddFinding(const toml::node* node,
+                  const std::string& key,
+                  const std::string& message) {
+    SettingsFinding finding;
+    finding.m_file = m_file;
+    finding.m_line =
+        node == nullptr ? 0 : static_cast<int>(node->source().begin.line);
+    finding.m_key = key.empty() ? m_section : m_section + "." + key;
+    finding.m_message = message;
+    m_findings->push_back(std::move(finding));
+  }
+
+  const toml::node* Node(const char* key) const {
+    return m_table == nullptr ? nullptr : m_table->get(key);
+  }
+
+ private:
+  const toml::node* Take(const char* key, bool required) {
+    m_known.insert(key);
+    const toml::node* node = Node(key);
+    if (node == nullptr && required) {
+      AddFinding(nullptr, key, "is required");
+    }
+    return node;
+  }
+
+  std::string m_section;
+  std::string m_file;
+  std::vector<SettingsFinding>* m_findings;
+  const toml::table* m_table = nullptr;
+  std::set<std::string> m_known;
+};
+
+/// Reads each section of a parsed file.
+class SettingsReader {
+ public:
+  SettingsReader(const toml::table& root, std::string file)
+      : m_root(root), m_file(std::move(file)) {}
+
+  Settings Read() {
+    ReadInstance();
+    ReadFleet();
+    ReadPlatform();
+    ReadPlacement();
+    ReadDrain();
+    ReadCallers();
+    ReadUpstreams();
+    ReadOperators();
+    ReadLog();
+    FindUnknownSections();
+    return std::move(m_settings);
+  }
+
+  std::vector<SettingsFinding> TakeFindings() { return std::move(m_findings); }
+
+ private:
+  SectionReader Open(const char* section) {
+    m_known_sections.insert(section);
+    return SectionReader(m_root, section, m_file, &m_findings);
+  }
+
+  void ReadInstance() {
+    InstanceSettings& target = m_settings.m_instance;
+    SectionReader reader = Open("instance");
+    reader.Read("id", &target.m_id, true);
+    reader.Read("data_centre", &target.m_data_centre, true);
+    reader.Read("region", &target.m_region, true);
+    reader.ReadEndpoint("caller_address", &target.m_caller_address, true);
+    reader.ReadEndpoint("operator_address", &target.m_operator_address, true);
+    reader.ReadEndpoint("peer_address", &target.m_peer_address, true);
+    target.m_advertised_caller_address = target.m_caller_address;
+    target.m_advertised_peer_address = target.m_peer_address;
+    reader.ReadEndpoint("advertised_caller_address",
+                        &target.m_advertised_caller_address);
+    reader.ReadEndpoint("advertised_peer_address",
+                        &target.m_advertised_peer_address);
+  }
+
+  void ReadFleet() {
+    FleetSettings& target = m_settings.m_fleet;
+    SectionReader reader = Open("fleet");
+    reader.Read("key_file", &target.m_key_file, true);
+    ReadKey(&reader);
+    reader.ReadEndpoints("seeds", &target.m_seeds);
+    reader.ReadMilliseconds("isolation_limit_ms", &target.m_isolation_limit);
+    reader.ReadBytes("control_bytes_per_second",
+                     &target.m_control_bytes_per_second, 500);
+    reader.ReadMilliseconds("exchange_period_ms", &target.m_exchange_period,
+                            10);
+  }
+
+  void ReadKey(SectionReader* reader) {
+    FleetSettings& target = m_settings.m_fleet;
+    if (target.m_key_file.empty()) {
+      return;
+    }
+    std::ifstream file(target.m_key_file);
+    if (!(file >> target.m_key)) {
+      reader->AddFinding(reader->Node("key_file"), "key_file",
+                         "the file cannot be read");
+    } else if (!IsHex(target.m_key) ||
+               target.m_key.size() < kSmallestKeyHexLength) {
+      reader->AddFinding(reader->Node("key_file"), "key_file",
+                         "the file must hold at least 64 hex digits");
+    }
+  }
+
+  void ReadPlatform() {
+    PlatformSettings& target = m_settings.m_platform;
+    SectionReader reader = Open("platform");
+    reader.ReadEndpoint("address", &target.m_address, true);
+    reader.ReadMilliseconds("poll_ms", &target.m_poll, 50);
+    reader.ReadMilliseconds("list_poll_ms", &target.m_list_poll, 50);
+    reader.ReadMilliseconds("timeout_ms", &target.m_timeout);
+  }
+
+  void ReadPlacement() {
+    static const std::set<std::string> policies{
+        "bounded", "random", "least_loaded", "two_choices", "local_only"};
+    SectionReader reader = Open("placement");
+    reader.Read("policy", &m_settings.m_placement.m_policy);
+    if (policies.count(m_settings.m_placement.m_policy) == 0) {
+      reader.AddFinding(
+          reader.Node("policy"), "policy",
+          fmt::format("must be one of {}", fmt::join(policies, ", ")));
+    }
+  }
+
+  void ReadDrain() {
+    DrainSettings& target = m_settings.m_drain;
+    SectionReader reader = Open("drain");
+    reader.ReadMilliseconds("keep_ms", &target.m_keep);
+    reader.ReadMilliseconds("limit_ms", &target.m_limit);
+  }
+
+  void ReadCallers() {
+    CallerSettings& target = m_settings.m_callers;
+    SectionReader reader = Open("callers");
+    reader.ReadBytes("body_limit_bytes", &target.m_body_limit, 1024);
+    reader.ReadBytes("header_limit_bytes", &target.m_header_limit, 1024);
+    reader.ReadBytes("stream_buffer_bytes", &target.m_stream_buffer, 1024);
+    reader.ReadMilliseconds("request_timeout_ms", &target.m_request_timeout);
+    if (const auto limit = reader.ReadNumber("connection_limit", 1, 1 << 20)) {
+      target.m_connection_limit = static_cast<int>(*limit);
+    }
+  }
+
+  void ReadUpstreams() {
+    UpstreamSettings& target = m_settings.m_upstreams;
+    SectionReader reader = Open("upstreams");
+    reader.ReadMilliseconds("connect_timeout_ms", &target.m_connect_timeout);
+    reader.ReadMilliseconds("first_byte_timeout_ms",
+                            &target.m_first_byte_timeout);
+    reader.ReadMilliseconds("idle_timeout_ms", &target.m_idle_timeout);
+  }
+
+  void ReadOperators() {
+    SectionReader reader = Open("operators");
+    reader.ForEachText([&](const std::string& name, const std::string& digest,
+                           const toml::node& node) {
+      if (digest.size() != kDigestHexLength || !IsHex(digest)) {
+        reader.AddFinding(&node, name, "must be a SHA-256 in hex");
+        return;
+      }
+      m_settings.m_operators[OperatorId(name)] = digest;
+    });
+  }
+
+  void ReadLog() {
+    SectionReader reader = Open("log");
+    std::string word = "info";
+    reader.Read("level", &word);
+    if (const auto level = net::ParseLogLevel(word)) {
+      m_settings.m_log_level = *level;
+    } else {
+      reader.AddFinding(reader.Node("level"), "level",
+                        "must be debug, info, warning or error");
+    }
+  }
+
+  void FindUnknownSections() {
+    for (const auto& [key, node] : m_root) {
+      const std::string name(key.str());
+      if (m_known_sections.count(name) == 0) {
+        m_findings.push_back({m_file,
+                              static_cast<int>(node.source().begin.line), name,
+                              "unknown section"});
+      }
+    }
+  }
+
+  const toml::table& m_root;
+  std::string m_file;
+  Settings m_settings;
+  std::set<std::string> m_known_sections;
+  std::vector<SettingsFinding> m_findings;
+};
+
+}  // namespace
+
+boost::leaf::result<Settings> ParseSettings(const std::string& text,
+                                            const std::string& file) {
+  toml::table root;
+  try {
+    root = toml::parse(text, file);
+  } catch (const toml::parse_error& error) {
+    const auto line = static_cast<int>(error.source().begin.line);
+    return boost::leaf::new_error(
+        SettingsFindings{{{file, line, "", std::string(error.description())}}});
+  }
+  SettingsReader reader(root, file);
+  Settings settings = reader.Read();
+  std::vector<SettingsFinding> findings = reader.TakeFindings();
+  if (findings.empty()) {
+    return settings;
+  }
+  std::stable_sort(findings.begin(), findings.end(),
+                   [](const SettingsFinding& a, const SettingsFinding& b) {
+                     return a.m_line < b.m_line;
+                   });
+  return boost::leaf::new_error(SettingsFindings{std::move(findings)});
+}
+
+boost::leaf::result<Settings> LoadSettings(const std::string& file) {
+  std::ifstream stream(file);
+  if (!stream) {
+    return boost::leaf::new_error(
+        SettingsFindings{{{file, 0, "", "the file cannot be read"}}});
+  }
+  std::stringstream text;
+  text << stream.rdbuf();
+  return ParseSettings(text.str(), file);
+}
+
+std::string FormatFinding(const SettingsFinding& finding) {
+  if (finding.m_key.empty()) {
+    return fmt::format("{}:{}: {}", finding.m_file, finding.m_line,
+                       finding.m_message);
+  }
+  return fmt::format("{}:{}: {}: {}", finding.m_file, finding.m_line,
+                     finding.m_key, finding.m_message);
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/settings_test.cpp
@@ -0,0 +1,117 @@
+#include "nutmegd/settings.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdlib>
+#include <fstream>
+
+namespace nutmeghollow {
+namespace {
+
+/// A key file that lives as long as the test.
+class KeyFile {
+ public:
+  explicit KeyFile(const std::string& content) {
+    const int descriptor = mkstemp(m_path.data());
+    EXPECT_GE(descriptor, 0);
+    close(descriptor);
+    std::ofstream(m_path) << content;
+  }
+  ~KeyFile() { unlink(m_path.c_str()); }
+  KeyFile(const KeyFile&) = delete;
+  KeyFile& operator=(const KeyFile&) = delete;
+
+  std::string m_path = "/tmp/nutmeg-key-XXXXXX";
+};
+
+std::string Good(const std::string& key_file) {
+  return "[instance]\nid = \"i1\"\ndata_centre = \"utrecht-a\"\n"
+         "region = \"nl-midden\"\ncaller_address = \"127.0.0.1:1\"\n"
+         "operator_address = \"127.0.0.1:2\"\n"
+         "peer_address = \"127.0.0.1:3\"\n"
+         "[platform]\naddress = \"127.0.0.1:4\"\n"
+         "[fleet]\nkey_file = \"" +
+         key_file + "\"\n";
+}
+
+std::vector<std::string> FindingsOf(const std::string& text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::vector<std::string>> {
+        BOOST_LEAF_CHECK(ParseSettings(text, "f"));
+        return std::vector<std::string>();
+      },
+      [](const SettingsFindings& error) {
+        std::vector<std::string> lines;
+        for (const SettingsFinding& finding : error.m_findings) {
+          lines.push_back(FormatFinding(finding));
+        }
+        return lines;
+      },
+      [] { return std::vector<std::string>{"another error"}; });
+}
+
+TEST(Settings, AcceptsAGoodFileAndKeepsDefaults) {
+  const KeyFile key(std::string(64, 'a'));
+  const auto settings = ParseSettings(Good(key.m_path), "f");
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->m_instance.m_id, InstanceId("i1"));
+  EXPECT_EQ(settings->m_instance.m_advertised_peer_address,
+            Endpoint("127.0.0.1:3"));
+  EXPECT_EQ(settings->m_drain.m_keep, std::chrono::seconds(10));
+  EXPECT_EQ(settings->m_fleet.m_key, std::string(64, 'a'));
+}
+
+struct FindingCase {
+  const char* m_name;
+  std::string m_appended;
+  std::vector<std::string> m_findings;
+};
+
+class SettingsFindingCases : public testing::TestWithParam<FindingCase> {};
+
+TEST_P(SettingsFindingCases, Reported) {
+  const KeyFile key(std::string(64, 'a'));
+  EXPECT_EQ(FindingsOf(Good(key.m_path) + GetParam().m_appended),
+            GetParam().m_findings);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    SettingsFindingCases,
+    testing::Values(
+        FindingCase{"None", "", {}},
+        FindingCase{
+            "FiveMistakes",
+            "seeds = [\"localhost:1\"]\n[drain]\nkeep_ms = \"ten\"\n"
+            "keep = 1\n[placement]\npolicy = \"best\"\n[ops]\n",
+            {"f:12: fleet.seeds: must be \"IP:PORT\"",
+             "f:14: drain.keep_ms: must be a whole number from 1 to 86400000",
+             "f:15: drain.keep: unknown key",
+             "f:17: placement.policy: must be one of bounded, least_loaded, "
+             "local_only, random, two_choices",
+             "f:18: ops: unknown section"}},
+        FindingCase{"BadOperatorDigest",
+                    "[operators]\nanna = \"secret\"\n",
+                    {"f:13: operators.anna: must be a SHA-256 in hex"}},
+        FindingCase{"BadLevel",
+                    "[log]\nlevel = \"loud\"\n",
+                    {"f:13: log.level: must be debug, info, warning or "
+                     "error"}}),
+    [](const auto& test) { return test.param.m_name; });
+
+TEST(Settings, ReportsEveryMissingKey) {
+  EXPECT_EQ(FindingsOf("").size(), 8U);
+}
+
+TEST(Settings, ReportsAKeyFileThatIsTooShort) {
+  const KeyFile key("abc");
+  EXPECT_EQ(FindingsOf(Good(key.m_path)),
+            std::vector<std::string>{
+                "f:11: fleet.key_file: the file must hold at least 64 hex "
+                "digits"});
+}
+
+}  // namespace
+}  // namespace nutmeghollow
