--- a/src/include/nutmeghollow/configuration.h
+++ b/src/include/nutmeghollow/configuration.h
@@ -7,10 +7,12 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "nutmeghollow/types.h"
@@ -68,6 +70,21 @@
   Revision m_highest_seen;  ///< Highest revision heard of from anybody.
   std::map<ObjectKey, ObjectRow> m_objects;
   std::deque<ConfigurationChange> m_recent_changes;  ///< Oldest first.
+  /// Grows whenever tables derived from the configuration changed.
+  std::uint64_t m_generation = 0;
+  /// Customers by the SHA-256 digest of each of their tokens, in hex.
+  std::unordered_map<std::string, CustomerId> m_customers_by_token;
+  /// True while neither the table service nor any peer was reached for long:
+  /// the instance takes no new work.
+  bool m_isolated = false;
+
+  /// @return true once a configuration is in force.
+  bool Ready() const { return m_revision.value() > 0; }
+  /// @return the row of an object, or null.
+  const ObjectRow* Find(const ObjectKey& key) const {
+    auto found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second;
+  }
 };
 
 /// What adapters report about configuration, emptied each tick.
--- a/src/include/nutmeghollow/store.h
+++ b/src/include/nutmeghollow/store.h
@@ -43,7 +43,7 @@
 };
 
 /// Which system asked for an operation, and so reads its result.
-enum class StorePurpose { kConfiguration, kClaim, kLease, kCount };
+enum class StorePurpose { kConfiguration, kClaim, kLease, kOperator, kCount };
 
 /// The end of an operation on the table service.
 struct StoreResult {
--- a/src/include/nutmeghollow/upstreams.h
+++ b/src/include/nutmeghollow/upstreams.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "nutmeghollow/types.h"
@@ -39,6 +40,8 @@
   double m_weight = 1.0;  ///< Share of the load relative to other upstreams.
   int m_capacity = 0;     ///< Requests at once; zero means no fixed limit.
   bool m_enforces_fencing = true;  ///< Refuses orders with an old number.
+  /// Wanted state of a model engine as a JSON object; empty for none.
+  std::string m_wanted_state;
   UpstreamStatus m_status = UpstreamStatus::kUsable;
   TimePoint m_status_since{};
   /// Start of the current slow start; unset when the upstream is warm.
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -15,6 +15,7 @@
 #include "nutmeghollow/actions.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/configuration_system.h"
 #include "nutmeghollow/instances.h"
 #include "nutmeghollow/peers.h"
 #include "nutmeghollow/requests.h"
@@ -45,6 +46,7 @@
   CustomerTable m_customers;
   RequestTable m_requests;
   ConfigurationTable m_configuration;
+  ConfigurationState m_configuration_state;
   PeerTable m_peers;
   SuspectTable m_suspects;
 
