--- a/src/libnutmeg/configuration_system.cpp
+++ b/src/libnutmeg/configuration_system.cpp
@@ -131,14 +131,16 @@
   }
 }
 
-void OnSnapshotHead(World& world, const StoreResult& result) {
+void OnSnapshotHead(World& world, const StoreResult& result, TimePoint now) {
   const StoreRow* row = detail::FindRow(result, detail::kHeadKey);
   const std::optional<Revision> head =
       row == nullptr ? std::nullopt : detail::DecodeHead(row->m_value);
-  if (!head) {
-    return;  // Nothing has been configured yet.
+  ConfigurationState& state = world.m_configuration_state;
+  if (!head) {  // Nothing has been configured yet.
+    state.m_retry_at = now + state.m_parameters.m_retry_delay;
+    return;
   }
-  world.m_configuration_state.m_snapshot.m_revision = *head;
+  state.m_snapshot.m_revision = *head;
   StartScan(world, StoreReadStage::kSnapshotObjects, detail::kObjectPrefix, "");
 }
 
@@ -173,6 +175,10 @@
     return;
   }
   ApplyTransfer(world, std::exchange(state.m_snapshot, {}), now);
+  if (Behind(world)) {
+    // A peer names a revision that the table service does not have (yet).
+    state.m_retry_at = now + state.m_parameters.m_retry_delay;
+  }
 }
 
 void OnStoreResult(World& world, const StoreResult& result, TimePoint now) {
@@ -197,7 +203,7 @@
       OnChanges(world, result, now);
       break;
     case StoreReadStage::kSnapshotHead:
-      OnSnapshotHead(world, result);
+      OnSnapshotHead(world, result, now);
       break;
     case StoreReadStage::kSnapshotObjects:
       OnSnapshotObjects(world, result);
