--- a/src/build-scripts/install-deps.sh
+++ b/src/build-scripts/install-deps.sh
@@ -8,6 +8,7 @@
   libev-dev libcapnp-dev libboost1.81-dev libtomlplusplus-dev
   libmicrohttpd-dev libcurl4-openssl-dev libssl-dev libgflags-dev
   libfmt-dev libgtest-dev libbenchmark-dev nlohmann-json3-dev
+  libsimdjson-dev
   libxxhash-dev gnuplot-nox
 )
 
--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -19,3 +19,4 @@
 
 pkg_check_modules(CAPNP REQUIRED IMPORTED_TARGET capnp)
 pkg_check_modules(CAPNP_RPC REQUIRED IMPORTED_TARGET capnp-rpc)
+pkg_check_modules(SIMDJSON REQUIRED IMPORTED_TARGET simdjson)
