Add admission and placement: fair queues, bounded rendezvous, reservations

Requests wait in a weighted fair queue by customer inside priority rank and are placed by rendezvous hashing with bounded load.

--- a/src/include/nutmeghollow/actions.h
+++ b/src/include/nutmeghollow/actions.h
@@ -104,6 +104,15 @@
   RequestId m_request;
   InstanceId m_owner;
   UpstreamId m_upstream;
+  RouteId m_route;
+};
+
+/// Answers an instance that asked for a reservation.
+struct AnswerReservation {
+  ReservationId m_reservation;
+  bool m_granted = false;
+  /// When refused: another engine that has room; empty when none has.
+  UpstreamId m_alternative;
 };
 
 /// Asks a peer for the configuration changes after a revision.
@@ -152,6 +161,7 @@
                             ProbeUpstream,
                             SendDatagram,
                             ReserveAtOwner,
+                            AnswerReservation,
                             FetchConfiguration,
                             AskClaimer,
                             SendOrder,
--- /dev/null
+++ b/src/include/nutmeghollow/chats.h
@@ -0,0 +1,98 @@
+/// @file
+/// Memory of where recent chats were placed.
+///
+/// A chat that comes back should go to the engine that still holds its prompt
+/// prefix. The memory has a fixed number of entries of 16 bytes in sets of
+/// eight; a new chat takes the place of the one used longest ago in its set.
+/// It only improves a guess: nothing depends on an entry being there.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// Why a chat was placed where it was.
+enum class PlacementReason : std::uint8_t {
+  kNone,
+  kPrefix,       ///< The engine that ran the chat last.
+  kOlderPrefix,  ///< The engine that ran the chat before the last one.
+  kHome,         ///< The first engine in the chat's order.
+  kOverflow,     ///< A later one, because the earlier ones were at the bound.
+  kRetry,        ///< A later one, because the earlier ones were tried.
+  kReserved,     ///< Granted by the owner of the engine.
+  kAlternative,  ///< Offered by the owner of another engine.
+  kLeastLoaded,  ///< The least loaded upstream.
+  kRandom,       ///< A random upstream.
+};
+
+/// @return the word for a reason, as operators see it.
+const char* PlacementReasonName(PlacementReason reason);
+
+/// Where a chat ran.
+struct ChatPlacement {
+  UpstreamId m_last;
+  UpstreamId m_previous;  ///< Empty when there was no other.
+  TimePoint m_placed_at{};
+  PlacementReason m_reason = PlacementReason::kNone;
+};
+
+/// Fixed-size memory of recent chats.
+class ChatMemory {
+ public:
+  static constexpr int kDefaultCapacity = 1 << 18;
+
+  /// @param capacity entries; rounded up to a power of two.
+  explicit ChatMemory(int capacity = kDefaultCapacity);
+
+  /// @return where a chat ran, if it is remembered.
+  std::optional<ChatPlacement> Find(ChatKey chat) const;
+
+  /// Notes where a chat was placed.
+  void Remember(ChatKey chat,
+                const UpstreamId& upstream,
+                PlacementReason reason,
+                TimePoint now);
+
+  /// Notes that an attempt at an upstream left no prefix there.
+  void Forget(ChatKey chat, const UpstreamId& upstream);
+
+  /// @return entries in use.
+  std::size_t size() const { return m_used; }
+  /// @return entries that there is room for.
+  std::size_t capacity() const { return m_capacity; }
+  /// @return memory of one entry.
+  static constexpr Bytes EntrySize() { return Bytes(sizeof(Entry)); }
+
+ private:
+  static constexpr int kSetSize = 8;
+  using UpstreamIndex = std::uint16_t;
+  static constexpr UpstreamIndex kNoUpstream = 0;
+
+  /// A chat key of zero marks a free entry.
+  struct Entry {
+    std::uint64_t m_chat = 0;
+    UpstreamIndex m_last = kNoUpstream;
+    UpstreamIndex m_previous = kNoUpstream;
+    std::uint32_t m_second : 28 = 0;
+    std::uint32_t m_reason : 4 = 0;
+  };
+  static_assert(sizeof(Entry) == 16);
+
+  std::size_t SetOf(ChatKey chat) const;
+  const Entry* FindEntry(ChatKey chat) const;
+  Entry& EntryFor(ChatKey chat);
+  UpstreamIndex IndexOf(const UpstreamId& upstream);
+
+  std::size_t m_capacity;
+  std::size_t m_used = 0;
+  std::vector<Entry> m_entries;  ///< Allocated with the first chat.
+  std::vector<UpstreamId> m_names;
+  std::unordered_map<UpstreamId, UpstreamIndex> m_indexes;
+};
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/include/nutmeghollow/placement_policy.h
@@ -0,0 +1,85 @@
+/// @file
+/// Policies that choose an upstream for a request.
+///
+/// The policy is a hook, chosen by name in the settings, so that the one in
+/// use can be compared with plain ones in the same program.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "nutmeghollow/chats.h"
+#include "nutmeghollow/loads.h"
+#include "nutmeghollow/requests.h"
+
+namespace nutmeghollow {
+
+struct World;
+
+/// What a policy looks at.
+struct PlacementQuery {
+  const World& m_world;
+  const RequestRow& m_request;
+  const DestinationView& m_view;
+  double m_bound = 1.25;  ///< Bound of the route.
+  TimePoint m_now{};
+};
+
+/// What a policy decided.
+struct PlacementChoice {
+  int m_candidate = 0;  ///< Position in the view.
+  PlacementReason m_reason = PlacementReason::kNone;
+  /// The upstream is near its bound, so that its owner should be asked when
+  /// that is another instance.
+  bool m_near_bound = false;
+};
+
+/// Chooses an upstream. @return unset when the request has to wait.
+using PlacementPolicy =
+    std::function<std::optional<PlacementChoice>(const PlacementQuery&)>;
+
+/// @return the policy of a name, or an empty function. Names: bounded,
+/// local_only, random, least_loaded, two_choices.
+PlacementPolicy FindPlacementPolicy(std::string_view name);
+
+/// @return the names of all policies.
+std::vector<std::string_view> PlacementPolicyNames();
+
+/// Sums over the usable upstreams of a destination.
+struct LoadTotals {
+  int m_usable = 0;
+  double m_load = 0.0;
+  double m_weight = 0.0;
+  double m_warm_weight = 0.0;  ///< Weights less what slow start takes away.
+};
+
+/// @return the sums over the usable candidates.
+LoadTotals SumLoads(const DestinationView& view);
+
+/// How many requests a candidate may have.
+struct CandidateLimits {
+  /// The bound of the route: never exceeded.
+  int m_hard = 1;
+  /// The bound that placements keep to while any candidate is below it. It is
+  /// lower, because the mean falls when requests elsewhere end.
+  int m_inner = 1;
+  /// The bound for chats without a cached prefix, which lose nothing by going
+  /// elsewhere.
+  int m_first_turn = 1;
+};
+
+/// @return the limits of a candidate with one more request on the route.
+CandidateLimits LimitsOf(const World& world,
+                         const LoadTotals& totals,
+                         const Candidate& candidate,
+                         double bound);
+
+/// @return the score of a candidate for a chat; the highest is its home.
+double ChatScore(ChatKey chat, const Candidate& candidate);
+
+/// @return true when another request may be sent to a candidate.
+bool MayReceive(const RequestRow& request, const Candidate& candidate);
+
+}  // namespace nutmeghollow
--- a/src/include/nutmeghollow/requests.h
+++ b/src/include/nutmeghollow/requests.h
@@ -28,7 +28,9 @@
   kSent,        ///< A byte of the request may have reached the upstream.
   kStreaming,   ///< A byte of the answer arrived.
   kRecording,   ///< The answer is whole; its outcome is being recorded.
-  kDone,        ///< Answered or abandoned; removed at the end of the tick.
+  /// Ends with m_refusal at the next run of request flow.
+  kRefused,
+  kDone,  ///< Answered or abandoned; removed at the end of the tick.
   kCount,
 };
 
@@ -75,6 +77,8 @@
   RequestDigest m_digest;
   IdempotencyKey m_idempotency_key;  ///< Empty when the caller sent none.
   bool m_streamed = false;
+  /// The messages hold no earlier answer, so no engine holds a useful prefix.
+  bool m_first_turn = false;
   Bytes m_body_size;
   Duration m_timeout = std::chrono::seconds(120);  ///< From arrival.
 };
@@ -94,6 +98,17 @@
   std::int64_t m_bytes_received = 0;  ///< Answer bytes from the upstream.
   std::int64_t m_bytes_relayed = 0;   ///< Answer bytes to the caller.
   std::set<UpstreamId> m_tried;       ///< Upstreams that refused or failed.
+  /// True from placement until ReleasePlacement: counted as running.
+  bool m_holds_placement = false;
+  Refusal m_refusal = Refusal::kNone;  ///< Set with phase kRefused.
+  Duration m_retry_after{};            ///< Zero when a retry does not help.
+};
+
+/// A request entered phase kQueued, or left the phases of waiting (kQueued,
+/// kAdmitted, kReserving) for another one.
+struct QueueChange {
+  RequestId m_request;
+  bool m_entered = false;
 };
 
 /// Requests by id, with an index by phase in order of arrival.
@@ -110,6 +125,8 @@
   void Remove(RequestId id);
   /// @return the requests in a phase, oldest first. Copy before moving any.
   const std::set<RequestId>& InPhase(RequestPhase phase) const;
+  /// @return the queue changes since the last call, in order.
+  std::vector<QueueChange> TakeQueueChanges();
   std::size_t size() const { return m_rows.size(); }
   const std::map<RequestId, RequestRow>& Rows() const { return m_rows; }
 
@@ -117,6 +134,7 @@
   std::map<RequestId, RequestRow> m_rows;
   std::array<std::set<RequestId>, static_cast<int>(RequestPhase::kCount)>
       m_by_phase;
+  std::vector<QueueChange> m_queue_changes;
 };
 
 /// What happened to an attempt at an upstream.
--- a/src/include/nutmeghollow/routes.h
+++ b/src/include/nutmeghollow/routes.h
@@ -33,6 +33,9 @@
   /// Path that tells the state of an idempotency key, empty when there is
   /// none; "{key}" stands for the key.
   std::string m_status_path;
+  int m_queue_limit = 1024;  ///< Requests that may wait here.
+  Duration m_queue_deadline = std::chrono::seconds(10);
+  double m_retry_budget = 0.1;  ///< Retries per request, over time.
 };
 
 /// A priority class. A lower rank is served first.
@@ -51,6 +54,10 @@
   double m_rate_limit = 0.0;    ///< Requests a second, fleet-wide.
   int m_running = 0;            ///< Requests of this instance in flight.
   int m_queued = 0;             ///< Requests that wait on this instance.
+  /// Requests a second on this instance as of m_rate_at; ObservedRate in
+  /// limits.h tells the current value.
+  double m_rate = 0.0;
+  TimePoint m_rate_at{};
 };
 
 using RouteTable = std::map<RouteId, RouteRow>;
--- a/src/include/nutmeghollow/types.h
+++ b/src/include/nutmeghollow/types.h
@@ -84,6 +84,8 @@
 using RequestId = Number<struct RequestTag>;
 /// One try of a request at one upstream; never reused within a process.
 using AttemptId = Number<struct AttemptTag>;
+/// A question of another instance for a reservation, numbered by the adapter.
+using ReservationId = Number<struct ReservationTag>;
 /// Hash that identifies a chat.
 using ChatKey = Number<struct ChatTag>;
 /// Hash of a request's body.
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -13,10 +13,14 @@
 #include <vector>
 
 #include "nutmeghollow/actions.h"
+#include "nutmeghollow/admission.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/configuration.h"
 #include "nutmeghollow/instances.h"
+#include "nutmeghollow/limits.h"
+#include "nutmeghollow/loads.h"
 #include "nutmeghollow/peers.h"
+#include "nutmeghollow/placement.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
@@ -48,6 +52,16 @@
   PeerTable m_peers;
   SuspectTable m_suspects;
 
+  LimitParameters m_limit_parameters;
+  LoadParameters m_load_parameters;
+  AdmissionParameters m_admission_parameters;
+  PlacementParameters m_placement_parameters;
+  LimitState m_limits;
+  LoadState m_loads;
+  AdmissionState m_admission;
+  PlacementState m_placement;
+  ReservationInbox m_reservation_inbox;
+
   RequestInbox m_request_inbox;
   ConfigurationInbox m_configuration_inbox;
   /// Ends of table service operations, by the system that asked.
--- a/src/libnutmeg/requests.cpp
+++ b/src/libnutmeg/requests.cpp
@@ -2,7 +2,17 @@
 
 #include "nutmeghollow/check.h"
 
+#include <utility>
+
 namespace nutmeghollow {
+namespace {
+
+bool IsWaiting(RequestPhase phase) {
+  return phase == RequestPhase::kQueued || phase == RequestPhase::kAdmitted ||
+         phase == RequestPhase::kReserving;
+}
+
+}  // namespace
 
 RequestRow& RequestTable::Add(const NewRequest& request, TimePoint now) {
   auto [position, inserted] = m_rows.try_emplace(request.m_id);
@@ -32,6 +42,12 @@
   NUTMEG_CHECK(row.m_phase != RequestPhase::kDone,
                "a finished request changes no more");
   const RequestId id = row.m_request.m_id;
+  if (IsWaiting(row.m_phase) && !IsWaiting(phase)) {
+    m_queue_changes.push_back({id, false});
+  }
+  if (phase == RequestPhase::kQueued) {
+    m_queue_changes.push_back({id, true});
+  }
   m_by_phase[static_cast<int>(row.m_phase)].erase(id);
   m_by_phase[static_cast<int>(phase)].insert(id);
   row.m_phase = phase;
@@ -50,6 +66,10 @@
   m_rows.erase(found);
 }
 
+std::vector<QueueChange> RequestTable::TakeQueueChanges() {
+  return std::exchange(m_queue_changes, {});
+}
+
 const std::set<RequestId>& RequestTable::InPhase(RequestPhase phase) const {
   return m_by_phase[static_cast<int>(phase)];
 }
