Choose entries through a hook of the caller API

Cause: the look-up's decision lands later than its HTTP interface. Change: the caller API asks a hook for the addresses.

--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -200,10 +200,8 @@
   if (auto found = query.find("model"); found != query.end()) {
     route = RouteId(found->second);
   }
-  const EntryAnswer answer =
-      ChooseEntry(*m_world, chat, route, net::BootTime());
   ordered_json addresses = ordered_json::array();
-  for (const Endpoint& endpoint : answer.m_addresses) {
+  for (const Endpoint& endpoint : m_hooks.m_choose_entry(chat, route)) {
     addresses.push_back(endpoint.str());
   }
   const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/nutmegd/caller_api.h
+++ b/src/nutmegd/caller_api.h
@@ -13,13 +13,13 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "libnet/http_server.h"
 #include "nutmegd/chat_request.h"
 #include "nutmegd/problem.h"
 #include "nutmegd/settings.h"
 #include "nutmeghollow/metrics.h"
-#include "nutmeghollow/placement.h"
 #include "nutmeghollow/world.h"
 
 namespace nutmeghollow {
@@ -30,6 +30,10 @@
   std::function<void(const NewRequest& request)> m_submit;
   /// Tells that nobody waits for a request's answer any more.
   std::function<void(RequestId request)> m_caller_gone;
+  /// Chooses the instances that a caller should use, best first.
+  std::function<std::vector<Endpoint>(const std::optional<ChatKey>& chat,
+                                      const std::optional<RouteId>& route)>
+      m_choose_entry;
   /// Tells that a caller who reads slowly can take more bytes.
   std::function<void(RequestId request)> m_caller_ready;
 };
