Add operator commands, planned changes, the lease and orders

Cause: nothing accepted operators' changes or had one doer for orders. Change: commands as transactions guarded by the head revision and the command id; planned changes committed once when due; a lease with fencing numbers and a deadline from before each renewal; orders that state and read back what is wanted.

--- a/src/include/nutmeghollow/actions.h
+++ b/src/include/nutmeghollow/actions.h
@@ -128,6 +128,13 @@
   Endpoint m_endpoint;
   FencingNumber m_fencing;
   std::string m_wanted_state;  ///< JSON object.
+  TimePoint m_not_after;       ///< Not to be sent later than this.
+};
+
+/// Asks a model engine for its state.
+struct ReadEngineState {
+  UpstreamId m_upstream;
+  Endpoint m_endpoint;
 };
 
 /// Closes every connection that carries orders.
@@ -155,6 +162,7 @@
                             FetchConfiguration,
                             AskClaimer,
                             SendOrder,
+                            ReadEngineState,
                             CloseOrderConnections,
                             ExitProcess>;
 
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -17,7 +17,11 @@
 #include "nutmeghollow/configuration.h"
 #include "nutmeghollow/configuration_system.h"
 #include "nutmeghollow/instances.h"
+#include "nutmeghollow/lease.h"
+#include "nutmeghollow/operator_commands.h"
+#include "nutmeghollow/orders.h"
 #include "nutmeghollow/peers.h"
+#include "nutmeghollow/planned_changes.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
@@ -47,6 +51,10 @@
   RequestTable m_requests;
   ConfigurationTable m_configuration;
   ConfigurationState m_configuration_state;
+  OperatorState m_operators;
+  PlannedChangeState m_planned_changes;
+  LeaseState m_lease;
+  OrderState m_orders;
   PeerTable m_peers;
   SuspectTable m_suspects;
 
--- a/src/libnutmeg/configuration_rows.h
+++ b/src/libnutmeg/configuration_rows.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/operator_commands.h"
 #include "nutmeghollow/store.h"
 #include "nutmeghollow/types.h"
 
@@ -25,18 +26,6 @@
 inline constexpr char kAuditPrefix[] = "audit/";
 inline constexpr char kCommandPrefix[] = "command/";
 
-/// Audit row of one change.
-struct AuditRow {
-  Revision m_revision;
-  CommandId m_command;
-  OperatorId m_operator;
-  WallTime m_wall_time;
-  ObjectKey m_key;
-  std::optional<std::string> m_before;  ///< Unset when there was no object.
-  std::optional<std::string> m_after;   ///< Unset when it was deleted.
-  std::string m_note;                   ///< Why, when not an operator's wish.
-};
-
 /// Row that remembers a command's first result.
 struct CommandRow {
   Revision m_revision;
--- a/src/libnutmeg/configuration_system.cpp
+++ b/src/libnutmeg/configuration_system.cpp
@@ -95,8 +95,7 @@
 /// @return false when a row is malformed or a revision is missing.
 bool AppendChanges(const StoreResult& result, ConfigurationTransfer& transfer) {
   for (const StoreRow& row : result.m_rows) {
-    const std::optional<detail::AuditRow> audit =
-        detail::DecodeAudit(row.m_value);
+    const std::optional<AuditRow> audit = detail::DecodeAudit(row.m_value);
     if (!audit || audit->m_revision != transfer.m_revision.Next()) {
       return false;
     }
--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -17,6 +17,10 @@
   // membership, probing, configuration, lease, orders, quarantine, claims,
   // admission, placement, request flow, drain.
   RunConfiguration(world, now);
+  RunPlannedChanges(world, now);
+  RunOperatorCommands(world, now);
+  RunLease(world, now);
+  RunOrders(world, now);
   return std::exchange(world.m_actions, {});
 }
 
