Add membership, gossip, control budget and probing of upstreams

Cause: instances knew nothing of each other or of upstream health. Change: SWIM membership with suspicion, refutation and damping; Cap'n Proto gossip packed by priority into a token bucket; shared probes of upstreams.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	bash src/build-scripts/lint.sh $(BUILD_DIR)
 
 format:
-	git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' | xargs clang-format -i
+	git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' ':!*.capnp.h' | xargs clang-format -i
 
 demo: deps all
 	python3 testsuite/demo.py --build=$(BUILD_DIR)
--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 build_dir=${1:-build}
-mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp')
+mapfile -t sources < <(git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' ':!*.capnp.h')
 clang-format --dry-run --Werror "${sources[@]}"
 
 mapfile -t scripts < <(git ls-files -co --exclude-standard '*.sh' '.ci/run')
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -13,10 +13,14 @@
 #include <vector>
 
 #include "nutmeghollow/actions.h"
+#include "nutmeghollow/budget.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/gossip.h"
 #include "nutmeghollow/instances.h"
+#include "nutmeghollow/membership.h"
 #include "nutmeghollow/peers.h"
+#include "nutmeghollow/probing.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
@@ -48,8 +52,15 @@
   PeerTable m_peers;
   SuspectTable m_suspects;
 
+  ControlBudget m_budget;
+  MembershipState m_membership;
+  GossipState m_gossip;
+  ProbingState m_probing;
+
   RequestInbox m_request_inbox;
   ConfigurationInbox m_configuration_inbox;
+  MembershipInbox m_membership_inbox;
+  ProbingInbox m_probing_inbox;
   /// Ends of table service operations, by the system that asked.
   std::array<std::vector<StoreResult>, static_cast<int>(StorePurpose::kCount)>
       m_store_results;
--- /dev/null
+++ b/src/libnutmeg/budget.cpp
@@ -0,0 +1,155 @@
+#include "nutmeghollow/budget.h"
+
+#include <algorithm>
+
+#include "nutmeghollow/membership.h"
+#include "nutmeghollow/world.h"
+
+namespace nutmeghollow {
+namespace {
+
+constexpr Duration kSlotLength = std::chrono::milliseconds(100);
+constexpr Duration kRateInterval = std::chrono::milliseconds(200);
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// Part of the capacity that a class leaves to more important ones. Negative
+/// values are parts of one second's rate that the class may borrow.
+double Reserve(const ControlBudget& budget, ControlClass control_class) {
+  const auto rate = static_cast<double>(budget.m_rate.value());
+  const double capacity = rate * Seconds(budget.m_parameters.m_capacity);
+  switch (control_class) {
+    case ControlClass::kUrgent:
+      return -0.9 * rate;
+    case ControlClass::kConfiguration:
+      return -0.6 * rate;
+    case ControlClass::kAnswer:
+      return -0.5 * rate;
+    case ControlClass::kMembership:
+      return -0.2 * rate;
+    case ControlClass::kProbe:
+      return -0.2 * rate;
+    case ControlClass::kStorePoll:
+      return 0;
+    case ControlClass::kListPoll:
+      return 0.2 * capacity;
+    case ControlClass::kVerdict:
+      return 0.4 * capacity;
+    case ControlClass::kLoad:
+    case ControlClass::kCount:
+      break;
+  }
+  return 0.6 * capacity;
+}
+
+Bytes RateFor(const BudgetParameters& parameters, int instances) {
+  const int further = std::max(0, instances - parameters.m_small_fleet);
+  const std::int64_t rate = parameters.m_rate.value() +
+                            further * parameters.m_rate_per_instance.value();
+  return Bytes(std::min(rate, parameters.m_rate_limit.value()));
+}
+
+void Refill(ControlBudget& budget, TimePoint now) {
+  if (!budget.m_started) {
+    budget.m_started = true;
+    budget.m_filled_at = now;
+    if (budget.m_rate.value() == 0) {
+      budget.m_rate = budget.m_parameters.m_rate;
+    }
+  }
+  const auto rate = static_cast<double>(budget.m_rate.value());
+  const double capacity = rate * Seconds(budget.m_parameters.m_capacity);
+  budget.m_tokens += rate * Seconds(now - budget.m_filled_at);
+  budget.m_tokens = std::min(budget.m_tokens, capacity);
+  budget.m_filled_at = now;
+}
+
+void CountInSlot(ControlBudget& budget, std::int64_t size, TimePoint now) {
+  const std::int64_t slot = now.time_since_epoch() / kSlotLength;
+  const std::int64_t passed =
+      std::min<std::int64_t>(slot - budget.m_slot, ControlBudget::kSlots);
+  for (std::int64_t step = 1; step <= passed; ++step) {
+    auto& old = budget.m_slots[(slot - passed + step) % ControlBudget::kSlots];
+    budget.m_last_second -= old;
+    old = 0;
+  }
+  budget.m_slot = std::max(slot, budget.m_slot);
+  budget.m_slots[budget.m_slot % ControlBudget::kSlots] += size;
+  budget.m_last_second += size;
+  budget.m_peak_second = std::max(budget.m_peak_second, budget.m_last_second);
+}
+
+/// Reduces the tokens, down to a debt of one second.
+void Spend(ControlBudget& budget, std::int64_t size) {
+  const auto rate = static_cast<double>(budget.m_rate.value());
+  budget.m_tokens -= static_cast<double>(size);
+  budget.m_tokens = std::max(budget.m_tokens, -rate);
+}
+
+}  // namespace
+
+const char* ControlClassName(ControlClass control_class) {
+  static constexpr const char* kNames[] = {
+      "urgent",     "configuration", "answer",  "membership", "probe",
+      "store_poll", "list_poll",     "verdict", "load"};
+  return kNames[static_cast<int>(control_class)];
+}
+
+Bytes AvailableControlBytes(World& world,
+                            ControlClass control_class,
+                            TimePoint now) {
+  ControlBudget& budget = world.m_budget;
+  Refill(budget, now);
+  const double left = budget.m_tokens - Reserve(budget, control_class);
+  return Bytes(std::max<std::int64_t>(0, static_cast<std::int64_t>(left)));
+}
+
+bool TakeControlBytes(World& world,
+                      ControlClass control_class,
+                      Bytes size,
+                      TimePoint now) {
+  ControlBudget& budget = world.m_budget;
+  ControlCounters& counters =
+      budget.m_counters[static_cast<int>(control_class)];
+  if (AvailableControlBytes(world, control_class, now).value() == 0) {
+    ++counters.m_dropped;
+    return false;
+  }
+  NUTMEG_CHECK(budget.m_tokens > -static_cast<double>(budget.m_rate.value()),
+               "control traffic borrows at most one second of its budget");
+  Spend(budget, size.value());
+  CountInSlot(budget, size.value(), now);
+  ++counters.m_messages;
+  counters.m_bytes_sent += size.value();
+  return true;
+}
+
+void NoteControlBytes(World& world,
+                      ControlClass control_class,
+                      Bytes sent,
+                      Bytes received,
+                      TimePoint now) {
+  ControlBudget& budget = world.m_budget;
+  Refill(budget, now);
+  const std::int64_t size = sent.value() + received.value();
+  Spend(budget, size);
+  CountInSlot(budget, size, now);
+  ControlCounters& counters =
+      budget.m_counters[static_cast<int>(control_class)];
+  ++counters.m_messages;
+  counters.m_bytes_sent += sent.value();
+  counters.m_bytes_received += received.value();
+}
+
+void RunControlBudget(World& world, TimePoint now) {
+  ControlBudget& budget = world.m_budget;
+  if (budget.m_started && now - budget.m_filled_at < kRateInterval) {
+    return;
+  }
+  budget.m_rate = RateFor(budget.m_parameters, LiveInstances(world));
+  Refill(budget, now);
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/libnutmeg/dissemination.cpp
@@ -0,0 +1,250 @@
+#include "libnutmeg/dissemination.h"
+
+#include <algorithm>
+#include <bit>
+#include <cstdlib>
+
+namespace nutmeghollow::detail {
+namespace {
+
+constexpr Duration kScanInterval = std::chrono::milliseconds(200);
+constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+
+std::size_t PeerCount(const World& world) {
+  return world.m_membership.m_order.size();
+}
+
+/// Sends urgent messages to the next peers of the ring.
+void SendUrgent(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  if (gossip.m_urgent_sends == 0 || now < gossip.m_next_urgent) {
+    return;
+  }
+  gossip.m_next_urgent = now + gossip.m_parameters.m_urgent_interval;
+  const auto& order = world.m_membership.m_order;
+  std::size_t tried = 0;
+  while (gossip.m_urgent_sends > 0 && tried++ < order.size()) {
+    const InstanceId to = order[gossip.m_urgent_next++ % order.size()];
+    const InstanceRow* row = world.m_instances.Find(to);
+    if (row == nullptr || row->m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    if (AvailableControlBytes(world, ControlClass::kUrgent, now).value() == 0) {
+      return;
+    }
+    const GossipMessage message =
+        BuildMessage(world, GossipKind::kPush, to, now);
+    SendGossip(world, message, to, row->m_peer_endpoint, ControlClass::kUrgent,
+               now);
+    --gossip.m_urgent_sends;
+  }
+  gossip.m_urgent_sends = 0;
+}
+
+/// Notices a planned stop and changes of the configuration's revision.
+void NoticeChanges(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  ConfigurationTable& configuration = world.m_configuration;
+  InstanceRow& self = world.m_instances.m_rows[world.m_instances.m_self];
+  const Revision highest =
+      std::max(configuration.m_revision, configuration.m_highest_seen);
+  if (highest > gossip.m_told_highest) {
+    gossip.m_told_highest = highest;
+    RequestUrgentSends(world, gossip.m_highest_from.empty());
+  }
+  if (configuration.m_revision > gossip.m_told_revision) {
+    gossip.m_told_revision = configuration.m_revision;
+    self.m_revision = configuration.m_revision;
+    const InstanceRow* teller = world.m_instances.Find(gossip.m_highest_from);
+    if (teller != nullptr) {
+      const GossipMessage message =
+          BuildMessage(world, GossipKind::kPush, teller->m_id, now);
+      SendGossip(world, message, teller->m_id, teller->m_peer_endpoint,
+                 ControlClass::kUrgent, now);
+    }
+    gossip.m_highest_from = InstanceId();
+  }
+}
+
+/// Queues suspect requests that this instance added or changed.
+void ScanSuspects(World& world) {
+  GossipState& gossip = world.m_gossip;
+  for (const auto& [digest, row] : world.m_suspects) {
+    const std::pair<std::size_t, bool> seen{row.m_crashed_upstreams.size(),
+                                            row.m_quarantined};
+    auto [known, added] = gossip.m_known_suspects.try_emplace(digest, 0, false);
+    if (known->second != seen) {
+      known->second = seen;
+      gossip.m_suspects[digest] = TransmissionLimit(world);
+      RequestUrgentSends(world, true);
+    }
+  }
+  std::erase_if(gossip.m_known_suspects, [&](const auto& known) {
+    return !world.m_suspects.contains(known.first);
+  });
+}
+
+/// Tells the owner with the largest unannounced change about its load.
+void PushLoads(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  std::map<InstanceId, int> changes;
+  for (const auto& [id, row] : world.m_upstreams.m_rows) {
+    if (row.m_owner.empty() || row.m_owner == world.m_instances.m_self) {
+      continue;
+    }
+    const auto& loads = gossip.m_told[row.m_owner].m_loads;
+    auto known = loads.find(id);
+    const int last = known == loads.end() ? 0 : known->second;
+    if (row.m_local_running != last) {
+      changes[row.m_owner] += std::abs(row.m_local_running - last);
+    }
+  }
+  auto largest = std::max_element(
+      changes.begin(), changes.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (largest == changes.end()) {
+    return;
+  }
+  const InstanceRow* row = world.m_instances.Find(largest->first);
+  if (row == nullptr || row->m_status == InstanceStatus::kDead ||
+      AvailableControlBytes(world, ControlClass::kLoad, now).value() == 0) {
+    return;
+  }
+  const GossipMessage message =
+      BuildMessage(world, GossipKind::kPush, row->m_id, now);
+  SendGossip(world, message, row->m_id, row->m_peer_endpoint,
+             ControlClass::kLoad, now);
+}
+
+/// Forgets announcements that are old or come from dead instances.
+void ExpirePeers(World& world, TimePoint now) {
+  const Duration expiry = world.m_gossip.m_parameters.m_peer_expiry;
+  const auto outdated = [&](const auto& entry) {
+    const InstanceRow* row = world.m_instances.Find(entry.first);
+    return row == nullptr || row->m_status == InstanceStatus::kDead ||
+           now - entry.second.m_received_at > expiry;
+  };
+  for (auto& [upstream, loads] : world.m_peers.m_loads) {
+    std::erase_if(loads, outdated);
+  }
+  for (auto& [customer, demands] : world.m_peers.m_demands) {
+    std::erase_if(demands, outdated);
+  }
+  const auto empty = [](const auto& entry) { return entry.second.empty(); };
+  std::erase_if(world.m_peers.m_loads, empty);
+  std::erase_if(world.m_peers.m_demands, empty);
+  std::erase_if(world.m_gossip.m_told, [&](const auto& entry) {
+    const InstanceRow* row = world.m_instances.Find(entry.first);
+    return row == nullptr || row->m_status == InstanceStatus::kDead;
+  });
+}
+
+}  // namespace
+
+int TransmissionLimit(const World& world) {
+  const auto size = static_cast<unsigned>(world.m_instances.m_rows.size());
+  return world.m_gossip.m_parameters.m_transmissions_per_doubling *
+         std::max(1, static_cast<int>(std::bit_width(size)));
+}
+
+void RequestUrgentSends(World& world, bool from_here) {
+  GossipState& gossip = world.m_gossip;
+  const GossipParameters& parameters = gossip.m_parameters;
+  const auto peers = static_cast<int>(PeerCount(world));
+  int sends = std::min(peers, parameters.m_origin_fanout);
+  if (!from_here) {
+    const bool origin_told_all = peers <= parameters.m_origin_fanout;
+    sends = origin_told_all ? 0 : parameters.m_relay_fanout;
+  }
+  gossip.m_urgent_sends = std::max(gossip.m_urgent_sends, sends);
+}
+
+void AnnounceMember(World& world, const InstanceId& id, bool urgent) {
+  world.m_gossip.m_members[id] = TransmissionLimit(world);
+  if (urgent) {
+    RequestUrgentSends(world, id == world.m_instances.m_self);
+  }
+}
+
+void AnnounceVerdict(World& world, const VerdictKey& key, bool urgent) {
+  world.m_gossip.m_verdicts[key] = TransmissionLimit(world);
+  if (urgent) {
+    auto found = world.m_probing.m_health.find(key.first);
+    const bool own = found != world.m_probing.m_health.end() &&
+                     found->second.m_slot == key.second;
+    RequestUrgentSends(world, own);
+  }
+}
+
+InstanceStatus ProtocolStatus(const World& world, const InstanceRow& row) {
+  auto found = world.m_membership.m_members.find(row.m_id);
+  if (found == world.m_membership.m_members.end()) {
+    return row.m_status;
+  }
+  const bool only_damped = found->second.m_damped && !found->second.m_suspected;
+  if (row.m_status == InstanceStatus::kSuspect && only_damped) {
+    return InstanceStatus::kAlive;
+  }
+  return row.m_status;
+}
+
+std::uint32_t MemberDigest(World& world) {
+  MembershipState& membership = world.m_membership;
+  if (membership.m_digest_version == membership.m_version) {
+    return membership.m_digest;
+  }
+  constexpr std::uint32_t kMultiplier = 2654435761U;
+  std::uint32_t digest = 0;
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    if (row.m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    const bool leaving = row.m_status == InstanceStatus::kLeaving;
+    const auto incarnation =
+        static_cast<std::uint32_t>(row.m_incarnation.value() * 2 + leaving);
+    digest += HashName(id.str()).value() * (incarnation * kMultiplier | 1U);
+  }
+  membership.m_digest = digest;
+  membership.m_digest_version = membership.m_version;
+  return digest;
+}
+
+bool SendGossip(World& world,
+                const GossipMessage& message,
+                const InstanceId& to,
+                const Endpoint& endpoint,
+                ControlClass control_class,
+                TimePoint now) {
+  std::string payload = EncodeGossip(message);
+  NUTMEG_CHECK(payload.size() <= kGossipPayloadLimit,
+               "a message fits into one datagram");
+  const Bytes size(static_cast<std::int64_t>(payload.size()) +
+                   kDatagramOverhead);
+  if (!TakeControlBytes(world, control_class, size, now)) {
+    return false;
+  }
+  world.m_gossip.m_told[to].m_pushed_at = now;
+  world.m_actions.emplace_back(SendDatagram{
+      .m_to = to, .m_endpoint = endpoint, .m_payload = std::move(payload)});
+  return true;
+}
+
+void RunDissemination(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  NoticeChanges(world, now);
+  if (now >= gossip.m_next_scan) {
+    gossip.m_next_scan = now + kScanInterval;
+    ScanSuspects(world);
+  }
+  SendUrgent(world, now);
+  if (now >= gossip.m_next_load) {
+    gossip.m_next_load = now + gossip.m_parameters.m_load_interval;
+    PushLoads(world, now);
+  }
+  if (now >= gossip.m_next_expiry) {
+    gossip.m_next_expiry = now + kExpiryInterval;
+    ExpirePeers(world, now);
+  }
+}
+
+}  // namespace nutmeghollow::detail
--- /dev/null
+++ b/src/libnutmeg/membership.cpp
@@ -0,0 +1,349 @@
+#include "nutmeghollow/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "libnutmeg/dissemination.h"
+#include "libnutmeg/member_table.h"
+
+namespace nutmeghollow {
+namespace {
+
+using detail::AnnounceMember;
+using detail::BuildMessage;
+
+constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
+constexpr Duration kContactInterval = std::chrono::milliseconds(500);
+/// Largest deviation of a probe period from its mean, as a share.
+constexpr double kJitter = 0.1;
+
+void HandleListed(World& world, std::vector<ListedInstance> listed) {
+  MembershipState& membership = world.m_membership;
+  if (listed.empty()) {
+    return;
+  }
+  std::map<InstanceId, Candidate> candidates;
+  for (ListedInstance& instance : listed) {
+    if (instance.m_id == world.m_instances.m_self) {
+      continue;
+    }
+    Candidate candidate;
+    auto known = membership.m_candidates.find(instance.m_id);
+    if (known != membership.m_candidates.end()) {
+      candidate = known->second;
+    }
+    candidate.m_listed = std::move(instance);
+    candidates[candidate.m_listed.m_id] = std::move(candidate);
+  }
+  membership.m_candidates = std::move(candidates);
+}
+
+/// Sends a ping. @return its number, or nothing when the budget refused.
+std::optional<std::uint32_t> SendPing(World& world,
+                                      const InstanceId& to,
+                                      const Endpoint& endpoint,
+                                      TimePoint now) {
+  constexpr auto kClass = ControlClass::kMembership;
+  if (AvailableControlBytes(world, kClass, now).value() == 0) {
+    return std::nullopt;
+  }
+  GossipMessage message = BuildMessage(world, GossipKind::kPing, to, now);
+  message.m_probe = ++world.m_membership.m_last_probe;
+  if (!detail::SendGossip(world, message, to, endpoint, kClass, now)) {
+    return std::nullopt;
+  }
+  return message.m_probe;
+}
+
+void SendAck(World& world,
+             const InstanceId& to,
+             const Endpoint& endpoint,
+             std::uint32_t probe,
+             TimePoint now) {
+  constexpr auto kClass = ControlClass::kAnswer;
+  if (AvailableControlBytes(world, kClass, now).value() == 0) {
+    return;
+  }
+  GossipMessage message = BuildMessage(world, GossipKind::kAck, to, now);
+  message.m_probe = probe;
+  detail::SendGossip(world, message, to, endpoint, kClass, now);
+}
+
+void HandleAck(World& world, const GossipMessage& message, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  if (membership.m_pending &&
+      membership.m_pending->m_number == message.m_probe) {
+    membership.m_pending.reset();
+  }
+  auto relay = membership.m_relays.find(message.m_probe);
+  if (relay == membership.m_relays.end()) {
+    return;
+  }
+  const InstanceRow* requester =
+      world.m_instances.Find(relay->second.m_requester);
+  if (requester != nullptr) {
+    SendAck(world, requester->m_id, requester->m_peer_endpoint,
+            relay->second.m_requester_number, now);
+  }
+  membership.m_relays.erase(relay);
+}
+
+void HandlePingRequest(World& world,
+                       const InstanceId& from,
+                       const GossipMessage& message,
+                       TimePoint now) {
+  const InstanceRow* target = world.m_instances.Find(message.m_target);
+  if (target == nullptr || target->m_id == world.m_instances.m_self) {
+    return;
+  }
+  auto number = SendPing(world, target->m_id, target->m_peer_endpoint, now);
+  if (number) {
+    world.m_membership.m_relays[*number] = RelayedProbe{
+        .m_requester = from,
+        .m_requester_number = message.m_probe,
+        .m_expires = now + world.m_membership.m_parameters.m_probe_period};
+  }
+}
+
+/// @return the address that answers to a sender go to.
+Endpoint ReplyEndpoint(const World& world, const ReceivedDatagram& datagram) {
+  const InstanceRow* row = world.m_instances.Find(datagram.m_from);
+  return row == nullptr ? datagram.m_endpoint : row->m_peer_endpoint;
+}
+
+void HandleDatagram(World& world,
+                    const ReceivedDatagram& datagram,
+                    TimePoint now) {
+  const Bytes size(static_cast<std::int64_t>(datagram.m_payload.size()) +
+                   kDatagramOverhead);
+  NoteControlBytes(world, ControlClass::kMembership, Bytes(0), size, now);
+  const std::optional<GossipMessage> message = DecodeGossip(datagram.m_payload);
+  if (!message || datagram.m_from == world.m_instances.m_self) {
+    ++world.m_membership.m_counters.m_malformed;
+    return;
+  }
+  detail::ApplySender(world, datagram.m_from, *message, now);
+  for (const MemberEntry& entry : message->m_members) {
+    detail::ApplyMember(world, entry, now);
+  }
+  detail::ApplyEntries(world, datagram.m_from, *message, now);
+  ToldPeer& told = world.m_gossip.m_told[datagram.m_from];
+  told.m_wants_details = told.m_wants_details || message->m_want_details;
+  told.m_differs = message->m_member_digest != detail::MemberDigest(world);
+  switch (message->m_kind) {
+    case GossipKind::kPing:
+      SendAck(world, datagram.m_from, ReplyEndpoint(world, datagram),
+              message->m_probe, now);
+      break;
+    case GossipKind::kAck:
+      HandleAck(world, *message, now);
+      break;
+    case GossipKind::kPingRequest:
+      HandlePingRequest(world, datagram.m_from, *message, now);
+      break;
+    case GossipKind::kPush:
+    case GossipKind::kCount:
+      break;
+  }
+}
+
+/// Refills the ring of probe targets in random order.
+void ShuffleOrder(World& world) {
+  MembershipState& membership = world.m_membership;
+  membership.m_next_in_order = 0;
+  auto& order = membership.m_order;
+  for (std::size_t i = order.size(); i > 1; --i) {
+    std::swap(order[i - 1], order[world.m_hooks.m_random() % i]);
+  }
+}
+
+/// Pings the next live instance of the ring.
+void StartProbe(World& world, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  for (std::size_t tried = 0; tried < membership.m_order.size(); ++tried) {
+    if (membership.m_next_in_order >= membership.m_order.size()) {
+      ShuffleOrder(world);
+    }
+    const InstanceId id = membership.m_order[membership.m_next_in_order++];
+    const InstanceRow* row = world.m_instances.Find(id);
+    if (row == nullptr || row->m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    auto number = SendPing(world, id, row->m_peer_endpoint, now);
+    if (number) {
+      membership.m_pending =
+          PendingProbe{.m_target = id, .m_number = *number, .m_sent_at = now};
+    }
+    return;
+  }
+}
+
+/// Asks others to ping the target of the pending probe.
+void SendIndirectProbes(World& world, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  PendingProbe& pending = *membership.m_pending;
+  pending.m_indirect = true;
+  const auto& order = membership.m_order;
+  const std::size_t start = world.m_hooks.m_random() % order.size();
+  int left = membership.m_parameters.m_indirect_probes;
+  for (std::size_t i = 0; i < order.size() && left > 0; ++i) {
+    const InstanceId& helper = order[(start + i) % order.size()];
+    const InstanceRow* row = world.m_instances.Find(helper);
+    if (helper == pending.m_target || row == nullptr ||
+        row->m_status != InstanceStatus::kAlive) {
+      continue;
+    }
+    --left;
+    GossipMessage message =
+        BuildMessage(world, GossipKind::kPingRequest, helper, now);
+    message.m_probe = pending.m_number;
+    message.m_target = pending.m_target;
+    detail::SendGossip(world, message, helper, row->m_peer_endpoint,
+                       ControlClass::kMembership, now);
+  }
+}
+
+void RunProbes(World& world, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  const MembershipParameters& parameters = membership.m_parameters;
+  if (membership.m_pending && !membership.m_pending->m_indirect &&
+      now - membership.m_pending->m_sent_at >= parameters.m_probe_timeout) {
+    SendIndirectProbes(world, now);
+  }
+  if (now < membership.m_next_probe) {
+    return;
+  }
+  if (membership.m_pending) {
+    const InstanceId target = membership.m_pending->m_target;
+    membership.m_pending.reset();
+    detail::SuspectMember(world, target, now);
+    const InstanceRow* row = world.m_instances.Find(target);
+    if (row != nullptr) {
+      // The ping carries the suspicion, so that the target can refute it.
+      SendPing(world, target, row->m_peer_endpoint, now);
+    }
+  }
+  const double unit =
+      static_cast<double>(world.m_hooks.m_random() % 2001) / 1000.0 - 1.0;
+  const auto period = static_cast<double>(parameters.m_probe_period.count());
+  membership.m_next_probe =
+      now + Duration(static_cast<std::int64_t>(period * (1 + kJitter * unit)));
+  StartProbe(world, now);
+}
+
+/// Pings listed instances that have not been heard, and dead ones, so that
+/// the halves of a partition find each other again.
+void RunContacts(World& world, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  if (now < membership.m_next_contact) {
+    return;
+  }
+  const MembershipParameters& parameters = membership.m_parameters;
+  membership.m_next_contact = now + kContactInterval;
+  int left = LiveInstances(world) > 1 ? 1 : parameters.m_contacts_at_start;
+  const auto contact = [&](TimePoint& next, Duration& backoff,
+                           const InstanceId& id, const Endpoint& endpoint) {
+    if (left == 0 || now < next || !SendPing(world, id, endpoint, now)) {
+      return;
+    }
+    --left;
+    backoff = std::clamp(2 * backoff, parameters.m_contact_backoff,
+                         parameters.m_contact_backoff_limit);
+    const auto jitter = static_cast<std::int64_t>(
+        world.m_hooks.m_random() % static_cast<std::uint64_t>(backoff.count()));
+    next = now + backoff / 2 + Duration(jitter);
+  };
+  for (auto& [id, candidate] : membership.m_candidates) {
+    if (world.m_instances.Find(id) == nullptr) {
+      contact(candidate.m_next_contact, candidate.m_backoff, id,
+              candidate.m_listed.m_peer_endpoint);
+    }
+  }
+  for (auto& [id, row] : world.m_instances.m_rows) {
+    if (row.m_status == InstanceStatus::kDead) {
+      MemberState& state = membership.m_members[id];
+      contact(state.m_next_contact, state.m_backoff, id, row.m_peer_endpoint);
+    }
+  }
+}
+
+/// Starts all waits anew after this process was paused, since answers that
+/// came meanwhile have not been read.
+void NoticePause(World& world, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  const Duration gap = now - membership.m_last_run;
+  const bool paused = membership.m_last_run != TimePoint{} &&
+                      gap > membership.m_parameters.m_pause_limit;
+  membership.m_last_run = now;
+  if (!paused) {
+    return;
+  }
+  ++membership.m_counters.m_pauses;
+  membership.m_pending.reset();
+  membership.m_next_probe = now + membership.m_parameters.m_probe_timeout;
+  for (auto& [id, state] : membership.m_members) {
+    state.m_suspected_at = std::max(state.m_suspected_at, now);
+  }
+}
+
+void NoticeDrain(World& world, TimePoint now) {
+  if (!world.m_draining || world.m_gossip.m_told_leaving) {
+    return;
+  }
+  world.m_gossip.m_told_leaving = true;
+  InstanceRow& self = world.m_instances.m_rows[world.m_instances.m_self];
+  detail::SetStatus(world, self, InstanceStatus::kLeaving, now);
+  AnnounceMember(world, self.m_id, true);
+}
+
+}  // namespace
+
+void StartMembership(World& world, InstanceRow self, TimePoint now) {
+  self.m_incarnation = Incarnation(static_cast<std::uint64_t>(
+      std::max<std::int64_t>(1, world.m_hooks.m_wall_time().value())));
+  self.m_status = InstanceStatus::kAlive;
+  self.m_status_since = now;
+  self.m_last_heard = now;
+  world.m_instances.m_self = self.m_id;
+  MembershipState& membership = world.m_membership;
+  membership.m_members[self.m_id].m_first_seen = now;
+  membership.m_last_probe =
+      static_cast<std::uint32_t>(world.m_hooks.m_random());
+  const InstanceId id = self.m_id;
+  world.m_instances.m_rows[id] = std::move(self);
+  ++membership.m_version;
+  AnnounceMember(world, id, false);
+}
+
+void RunMembership(World& world, TimePoint now) {
+  if (world.m_instances.Find(world.m_instances.m_self) == nullptr) {
+    return;
+  }
+  NoticePause(world, now);
+  MembershipInbox inbox = std::exchange(world.m_membership_inbox, {});
+  HandleListed(world, std::move(inbox.m_listed));
+  for (const ReceivedDatagram& datagram : inbox.m_datagrams) {
+    HandleDatagram(world, datagram, now);
+  }
+  NoticeDrain(world, now);
+  RunProbes(world, now);
+  RunContacts(world, now);
+  if (now >= world.m_membership.m_next_sweep) {
+    world.m_membership.m_next_sweep = now + kSweepInterval;
+    detail::SweepMembers(world, now);
+  }
+  detail::RunDissemination(world, now);
+  NUTMEG_CHECK(world.m_instances.Find(world.m_instances.m_self)->m_status !=
+                   InstanceStatus::kDead,
+               "an instance never believes itself dead");
+}
+
+int LiveInstances(const World& world) {
+  int live = 0;
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    live += row.m_status == InstanceStatus::kDead ? 0 : 1;
+  }
+  return live;
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/libnutmeg/packing.cpp
@@ -0,0 +1,333 @@
+// Packs the entries that wait into one message, by priority.
+#include <algorithm>
+
+#include "libnutmeg/dissemination.h"
+
+namespace nutmeghollow::detail {
+namespace {
+
+/// Estimated packed sizes in bytes, to fill a message up to its allowance.
+constexpr std::size_t kBaseSize = 56;
+constexpr std::size_t kMemberSize = 28;
+constexpr std::size_t kDetailsSize = 44;
+constexpr std::size_t kSmallEntrySize = 9;
+constexpr std::size_t kDemandSize = 14;
+constexpr std::size_t kSuspectSize = 24;
+/// Shares of one second's budget that one message may use.
+constexpr std::int64_t kImportantDivisor = 4;
+constexpr std::int64_t kFillerDivisor = 10;
+
+/// Fills one message up to an allowance.
+class Packer {
+ public:
+  Packer(World& world,
+         GossipMessage& message,
+         const InstanceId& to,
+         TimePoint now)
+      : m_world(world), m_message(message), m_to(to), m_now(now) {
+    const std::int64_t rate = world.m_budget.m_rate.value();
+    const auto limit = static_cast<std::int64_t>(kGossipPayloadLimit);
+    const std::int64_t least = 2 * kBaseSize;
+    m_important = std::clamp(rate / kImportantDivisor, least, limit);
+    m_filler = std::clamp(rate / kFillerDivisor, least, limit);
+    ToldPeer& told = world.m_gossip.m_told[to];
+    m_details = told.m_wants_details;
+    told.m_wants_details = false;
+  }
+
+  void AddPeerEntries();
+  void AddMembers();
+  void AddMemberSync();
+  void AddConfirmations();
+  void AddSuspects();
+  void AddVerdicts();
+  void AddLoads();
+  void AddDemands();
+
+ private:
+  bool Fits(std::size_t size, std::int64_t allowance) const {
+    return static_cast<std::int64_t>(m_size + size) <= allowance;
+  }
+  bool AddMember(const InstanceRow& row, bool with_details);
+
+  World& m_world;
+  GossipMessage& m_message;
+  const InstanceId& m_to;
+  TimePoint m_now;
+  std::size_t m_size = kBaseSize;
+  bool m_details = false;  ///< The peer asked for addresses.
+  std::int64_t m_important = 0;
+  std::int64_t m_filler = 0;
+};
+
+/// Calls `add` for the waiting keys, those sent least first, and drops keys
+/// whose transmissions are used up. `add` returns false when no more fits.
+template <typename Key, typename Add>
+void SendWaiting(std::map<Key, int>& waiting, Add add) {
+  std::vector<std::pair<int, Key>> order;
+  order.reserve(waiting.size());
+  for (const auto& [key, left] : waiting) {
+    order.emplace_back(-left, key);
+  }
+  std::stable_sort(
+      order.begin(), order.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [left, key] : order) {
+    if (!add(key)) {
+      return;
+    }
+    auto found = waiting.find(key);
+    if (--found->second <= 0) {
+      waiting.erase(found);
+    }
+  }
+}
+
+bool Packer::AddMember(const InstanceRow& row, bool with_details) {
+  std::size_t size = kMemberSize + row.m_id.str().size();
+  if (with_details) {
+    size += kDetailsSize + row.m_caller_endpoint.str().size() +
+            row.m_peer_endpoint.str().size() + row.m_data_centre.str().size() +
+            row.m_region.str().size();
+  }
+  if (!Fits(size, m_important)) {
+    return false;
+  }
+  m_size += size;
+  m_message.m_members.push_back(MakeMemberEntry(m_world, row, with_details));
+  return true;
+}
+
+void Packer::AddPeerEntries() {
+  GossipState& gossip = m_world.m_gossip;
+  const InstanceRow* peer = m_world.m_instances.Find(m_to);
+  const bool unknown =
+      peer == nullptr || peer->m_status == InstanceStatus::kDead;
+  m_message.m_want_details = peer == nullptr || gossip.m_lacks_details;
+  gossip.m_lacks_details = false;
+  if (unknown || m_details) {
+    const InstanceId& self = m_world.m_instances.m_self;
+    AddMember(*m_world.m_instances.Find(self), true);
+  }
+  if (peer == nullptr) {
+    return;
+  }
+  const InstanceStatus status = ProtocolStatus(m_world, *peer);
+  if (status == InstanceStatus::kSuspect || status == InstanceStatus::kDead) {
+    AddMember(*peer, false);
+  }
+}
+
+void Packer::AddMembers() {
+  SendWaiting(m_world.m_gossip.m_members, [this](const InstanceId& id) {
+    const InstanceRow* row = m_world.m_instances.Find(id);
+    return row == nullptr || id == m_to || AddMember(*row, m_details);
+  });
+}
+
+void Packer::AddMemberSync() {
+  ToldPeer& told = m_world.m_gossip.m_told[m_to];
+  if (!told.m_differs) {
+    return;
+  }
+  told.m_differs = false;
+  const auto& rows = m_world.m_instances.m_rows;
+  std::size_t& position = m_world.m_gossip.m_sync_next;
+  position %= rows.size();
+  auto row = std::next(rows.begin(), static_cast<std::ptrdiff_t>(position));
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    if (row->first != m_to && !AddMember(row->second, m_details)) {
+      return;
+    }
+    ++position;
+    if (++row == rows.end()) {
+      row = rows.begin();
+      position = 0;
+    }
+  }
+}
+
+void Packer::AddConfirmations() {
+  SendWaiting(m_world.m_gossip.m_confirmations, [this](const InstanceId& id) {
+    const InstanceRow* row = m_world.m_instances.Find(id);
+    if (row == nullptr || id == m_to) {
+      return true;
+    }
+    if (!Fits(kSmallEntrySize, m_important)) {
+      return false;
+    }
+    m_size += kSmallEntrySize;
+    m_message.m_confirmations.push_back({HashName(id.str()), row->m_revision});
+    return true;
+  });
+}
+
+void Packer::AddSuspects() {
+  SendWaiting(m_world.m_gossip.m_suspects, [this](RequestDigest digest) {
+    auto found = m_world.m_suspects.find(digest);
+    if (found == m_world.m_suspects.end()) {
+      return true;
+    }
+    const SuspectRow& row = found->second;
+    const std::size_t size = kSuspectSize + 4 * row.m_crashed_upstreams.size();
+    if (!Fits(size, m_important)) {
+      return false;
+    }
+    m_size += size;
+    SuspectEntry entry{.m_digest = digest,
+                       .m_quarantined = row.m_quarantined,
+                       .m_time_left = row.m_expires_at - m_now};
+    for (const UpstreamId& upstream : row.m_crashed_upstreams) {
+      entry.m_crashed_upstreams.push_back(HashName(upstream.str()));
+    }
+    m_message.m_suspects.push_back(std::move(entry));
+    return true;
+  });
+}
+
+void Packer::AddVerdicts() {
+  SendWaiting(m_world.m_gossip.m_verdicts, [this](const VerdictKey& key) {
+    auto found = m_world.m_probing.m_health.find(key.first);
+    if (found == m_world.m_probing.m_health.end() ||
+        !found->second.m_verdicts[key.second]) {
+      return true;
+    }
+    const HeldVerdict& held = *found->second.m_verdicts[key.second];
+    const bool important = held.m_verdict != ProbeVerdict::kOk;
+    if (!Fits(kSmallEntrySize, important ? m_important : m_filler)) {
+      return false;
+    }
+    m_size += kSmallEntrySize;
+    m_message.m_verdicts.push_back(
+        {.m_upstream = HashName(key.first.str()),
+         .m_slot = key.second,
+         .m_verdict = held.m_verdict,
+         .m_running = held.m_report ? held.m_report->m_running : 0,
+         .m_queued = held.m_report ? held.m_report->m_queued : 0,
+         .m_age = m_now - held.m_taken_at});
+    return true;
+  });
+}
+
+/// @return whether a peer is told the load that the own traffic puts on an
+/// upstream.
+bool TellsLoad(const World& world,
+               const UpstreamRow& row,
+               const InstanceId& to) {
+  const auto limit =
+      static_cast<std::size_t>(world.m_gossip.m_parameters.m_load_to_all_limit);
+  return row.m_owner == to || world.m_instances.m_rows.size() <= limit;
+}
+
+void Packer::AddLoads() {
+  ToldPeer& told = m_world.m_gossip.m_told[m_to];
+  const bool whole =
+      m_now - told.m_whole_at >= m_world.m_gossip.m_parameters.m_whole_interval;
+  if (whole) {
+    told.m_loads.clear();
+  }
+  bool complete = true;
+  for (const auto& [id, row] : m_world.m_upstreams.m_rows) {
+    auto known = told.m_loads.find(id);
+    const int last = known == told.m_loads.end() ? 0 : known->second;
+    if (row.m_local_running == last || !TellsLoad(m_world, row, m_to)) {
+      continue;
+    }
+    if (!Fits(kSmallEntrySize, m_filler)) {
+      complete = false;
+      break;
+    }
+    m_size += kSmallEntrySize;
+    m_message.m_loads.push_back({HashName(id.str()), row.m_local_running});
+    if (row.m_local_running == 0) {
+      told.m_loads.erase(known);
+    } else {
+      told.m_loads[id] = row.m_local_running;
+    }
+  }
+  if (whole && complete) {
+    m_message.m_loads_whole = true;
+    told.m_whole_at = m_now;
+  }
+}
+
+void Packer::AddDemands() {
+  const GossipParameters& parameters = m_world.m_gossip.m_parameters;
+  ToldPeer& told = m_world.m_gossip.m_told[m_to];
+  if (m_now - told.m_demands_at < parameters.m_demand_interval) {
+    return;
+  }
+  told.m_demands_at = m_now;
+  std::vector<const CustomerRow*> busiest;
+  for (const auto& [id, row] : m_world.m_customers) {
+    const std::pair<int, int> demand{row.m_running, row.m_queued};
+    auto known = told.m_demands.find(id);
+    const bool changed = known == told.m_demands.end()
+                             ? demand != std::pair<int, int>{}
+                             : demand != known->second;
+    if (changed) {
+      busiest.push_back(&row);
+    }
+  }
+  std::stable_sort(busiest.begin(), busiest.end(),
+                   [](const CustomerRow* a, const CustomerRow* b) {
+                     return a->m_running + a->m_queued >
+                            b->m_running + b->m_queued;
+                   });
+  const auto limit = static_cast<std::size_t>(parameters.m_demand_customers);
+  for (const CustomerRow* row : busiest) {
+    if (m_message.m_demands.size() >= limit || !Fits(kDemandSize, m_filler)) {
+      return;
+    }
+    m_size += kDemandSize;
+    m_message.m_demands.push_back({.m_customer = HashName(row->m_id.str()),
+                                   .m_running = row->m_running,
+                                   .m_queued = row->m_queued});
+    told.m_demands[row->m_id] = {row->m_running, row->m_queued};
+  }
+}
+
+}  // namespace
+
+MemberEntry MakeMemberEntry(const World& world,
+                            const InstanceRow& row,
+                            bool with_details) {
+  MemberEntry entry{.m_id = row.m_id,
+                    .m_incarnation = row.m_incarnation,
+                    .m_status = ProtocolStatus(world, row)};
+  if (with_details) {
+    entry.m_details = MemberDetails{.m_caller_endpoint = row.m_caller_endpoint,
+                                    .m_peer_endpoint = row.m_peer_endpoint,
+                                    .m_data_centre = row.m_data_centre,
+                                    .m_region = row.m_region};
+  }
+  return entry;
+}
+
+GossipMessage BuildMessage(World& world,
+                           GossipKind kind,
+                           const InstanceId& to,
+                           TimePoint now) {
+  const InstanceRow& self = world.m_instances.m_rows[world.m_instances.m_self];
+  const ConfigurationTable& configuration = world.m_configuration;
+  GossipMessage message{
+      .m_kind = kind,
+      .m_incarnation = self.m_incarnation,
+      .m_leaving = self.m_status == InstanceStatus::kLeaving,
+      .m_revision = configuration.m_revision,
+      .m_highest_seen =
+          std::max(configuration.m_revision, configuration.m_highest_seen),
+      .m_member_digest = MemberDigest(world)};
+  Packer packer(world, message, to, now);
+  packer.AddPeerEntries();
+  packer.AddMembers();
+  packer.AddMemberSync();
+  packer.AddConfirmations();
+  packer.AddSuspects();
+  packer.AddVerdicts();
+  packer.AddLoads();
+  packer.AddDemands();
+  return message;
+}
+
+}  // namespace nutmeghollow::detail
--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -12,10 +12,13 @@
   return AttemptId(++m_last_attempt);
 }
 
-std::vector<Action> Tick(World& world, TimePoint /*now*/) {
+std::vector<Action> Tick(World& world, TimePoint now) {
   // The call of each system goes here, in this order: control budget,
   // membership, probing, configuration, lease, orders, quarantine, claims,
   // admission, placement, request flow, drain.
+  RunControlBudget(world, now);
+  RunMembership(world, now);
+  RunProbing(world, now);
   return std::exchange(world.m_actions, {});
 }
 
