--- a/src/include/nutmeghollow/loads.h
+++ b/src/include/nutmeghollow/loads.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "nutmeghollow/admission.h"
+#include "nutmeghollow/instances.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstreams.h"
 
@@ -109,6 +110,10 @@
                         const Destination& destination,
                         TimePoint now);
 
+/// @return true when an upstream is in the region of an instance, or the
+/// region of either is not known.
+bool InSameRegion(const InstanceRow& instance, const UpstreamRow& upstream);
+
 /// Estimates what other instances have running at an upstream.
 int EstimateRemote(const World& world,
                    const UpstreamRow& row,
--- a/src/include/nutmeghollow/placement.h
+++ b/src/include/nutmeghollow/placement.h
@@ -98,8 +98,8 @@
   std::string m_policy_name;
   std::map<RequestId, PendingReservation> m_reservations;
   std::deque<std::pair<TimePoint, RequestId>> m_reservation_deadlines;
-  /// Time and content of the last computation of owners.
-  TimePoint m_owners_checked_at = TimePoint::min();
+  TimePoint m_owners_recheck_at{};
+  /// Hash of the instances and revision that the owners were computed from.
   std::uint64_t m_owners_of = 0;
   PlacementCounters m_counters;
 };
--- a/src/include/nutmeghollow/placement_policy.h
+++ b/src/include/nutmeghollow/placement_policy.h
@@ -76,8 +76,12 @@
                          const Candidate& candidate,
                          double bound);
 
-/// @return the score of a candidate for a chat; the highest is its home.
-double ChatScore(ChatKey chat, const Candidate& candidate);
+/// @return the score of an engine for a chat; the highest is its home.
+/// @param engine_hash HashText of the engine's id.
+double ChatScore(ChatKey chat,
+                 std::uint64_t engine_hash,
+                 double weight,
+                 bool same_region);
 
 /// @return true when another request may be sent to a candidate.
 bool MayReceive(const RequestRow& request, const Candidate& candidate);
--- a/src/libnutmeg/loads.cpp
+++ b/src/libnutmeg/loads.cpp
@@ -18,11 +18,6 @@
   return found == world.m_services.end() ? nullptr : &found->second.m_upstreams;
 }
 
-RegionId OwnRegion(const World& world) {
-  const InstanceRow* self = world.m_instances.Find(world.m_instances.m_self);
-  return self == nullptr ? RegionId() : self->m_region;
-}
-
 void Rebuild(World& world,
              DestinationView& view,
              const std::vector<UpstreamId>& members) {
@@ -31,7 +26,7 @@
   view.m_members = members.size();
   view.m_refresh_at = TimePoint::min();
   view.m_candidates.clear();
-  const RegionId region = OwnRegion(world);
+  const InstanceRow* self = world.m_instances.Find(world.m_instances.m_self);
   for (const UpstreamId& id : members) {
     UpstreamRow* row = world.m_upstreams.Find(id);
     if (row == nullptr) {
@@ -41,8 +36,7 @@
     candidate.m_row = row;
     candidate.m_load = &world.m_loads.m_upstreams[id];
     candidate.m_hash = HashText(id.str());
-    candidate.m_same_region =
-        region.empty() || row->m_region.empty() || row->m_region == region;
+    candidate.m_same_region = self == nullptr || InSameRegion(*self, *row);
   }
 }
 
@@ -118,6 +112,11 @@
   return m_running[slot % kSlots];
 }
 
+bool InSameRegion(const InstanceRow& instance, const UpstreamRow& upstream) {
+  return instance.m_region.empty() || upstream.m_region.empty() ||
+         instance.m_region == upstream.m_region;
+}
+
 int EstimateRemote(const World& world,
                    const UpstreamRow& row,
                    const UpstreamLoad* load,
--- /dev/null
+++ b/src/libnutmeg/owners.cpp
@@ -0,0 +1,267 @@
+#include "nutmeghollow/owners.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "nutmeghollow/hashing.h"
+#include "nutmeghollow/world.h"
+
+namespace nutmeghollow {
+namespace {
+
+/// Added to the score of instances near an upstream. A region is worth more
+/// than a data centre, and both more than any hash.
+constexpr double kRegionScore = 2.0;
+constexpr double kDataCentreScore = 1.0;
+
+/// An instance that can own upstreams.
+struct Owner {
+  const InstanceRow* m_row = nullptr;
+  std::uint64_t m_hash = 0;
+  /// Upstreams owned so far, by score; the lowest first.
+  std::vector<std::pair<double, std::size_t>> m_owned;
+};
+
+bool MayOwn(const InstanceRow& row) {
+  return row.m_status == InstanceStatus::kAlive ||
+         row.m_status == InstanceStatus::kSuspect;
+}
+
+std::vector<Owner> Owners(const World& world) {
+  std::vector<Owner> owners;
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    if (MayOwn(row)) {
+      owners.push_back({&row, HashText(id.str()), {}});
+    }
+  }
+  return owners;
+}
+
+double OwnerScore(const World& world,
+                  const UpstreamRow& upstream,
+                  std::uint64_t upstream_hash,
+                  const Owner& owner) {
+  double score = RendezvousScore(upstream_hash, owner.m_hash, 1.0);
+  if (owner.m_row->m_region == upstream.m_region) {
+    score += kRegionScore;
+  }
+  if (world.m_placement_parameters.m_prefer_data_centre &&
+      owner.m_row->m_data_centre == upstream.m_data_centre) {
+    score += kDataCentreScore;
+  }
+  return score;
+}
+
+/// Assigns upstreams to owners by deferred acceptance: each upstream asks its
+/// owners in order of score, and a full owner keeps the highest scores. The
+/// result does not depend on the order of the upstreams, and a change of one
+/// instance moves few of them.
+class OwnerAssignment {
+ public:
+  explicit OwnerAssignment(const World& world)
+      : m_world(world), m_owners(Owners(world)) {
+    for (const auto& [id, row] : world.m_upstreams.m_rows) {
+      if (row.m_kind == UpstreamKind::kEngine) {
+        m_upstreams.push_back(&row);
+        m_hashes.push_back(HashText(id.str()));
+      }
+    }
+  }
+
+  std::map<UpstreamId, InstanceId> Run() {
+    std::map<UpstreamId, InstanceId> result;
+    if (m_owners.empty()) {
+      return result;
+    }
+    m_share = (m_upstreams.size() + m_owners.size() - 1) / m_owners.size();
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index) {
+      Assign(index);
+    }
+    for (const Owner& owner : m_owners) {
+      NUTMEG_CHECK(owner.m_owned.size() <= m_share,
+                   "no instance owns more than its share");
+      for (const auto& [score, index] : owner.m_owned) {
+        result[m_upstreams[index]->m_id] = owner.m_row->m_id;
+      }
+    }
+    return result;
+  }
+
+ private:
+  /// Finds an owner for an upstream, and then for each one that it displaced.
+  void Assign(std::size_t index) {
+    // Scores fall along the order in which an upstream asks.
+    double below = kHighest;
+    while (true) {
+      const auto [owner, score] = Next(index, below);
+      if (owner == nullptr) {
+        return;
+      }
+      const std::pair<double, std::size_t> entry{score, index};
+      const auto place =
+          std::lower_bound(owner->m_owned.begin(), owner->m_owned.end(), entry);
+      owner->m_owned.insert(place, entry);
+      if (owner->m_owned.size() <= m_share) {
+        return;
+      }
+      std::tie(below, index) = owner->m_owned.front();
+      owner->m_owned.erase(owner->m_owned.begin());
+    }
+  }
+
+  /// @return the owner with the highest score below a score.
+  std::pair<Owner*, double> Next(std::size_t index, double below) {
+    std::pair<Owner*, double> best{nullptr, 0.0};
+    for (Owner& owner : m_owners) {
+      const double score =
+          OwnerScore(m_world, *m_upstreams[index], m_hashes[index], owner);
+      if (score < below && (best.first == nullptr || score > best.second)) {
+        best = {&owner, score};
+      }
+    }
+    return best;
+  }
+
+  static constexpr double kHighest = 100.0;
+
+  const World& m_world;
+  std::vector<Owner> m_owners;
+  std::vector<const UpstreamRow*> m_upstreams;
+  std::vector<std::uint64_t> m_hashes;
+  std::size_t m_share = 0;
+};
+
+/// @return a hash of all that owners depend on.
+std::uint64_t HashOfMembers(const World& world) {
+  std::uint64_t hash = HashPair(world.m_configuration.m_revision.value(),
+                                world.m_upstreams.m_rows.size());
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    if (MayOwn(row)) {
+      hash = HashPair(hash, HashText(id.str()));
+    }
+  }
+  return hash;
+}
+
+/// Alive instances come before suspect ones, and those before all others.
+int StatusRank(const InstanceRow& row) {
+  switch (row.m_status) {
+    case InstanceStatus::kAlive:
+      return 0;
+    case InstanceStatus::kSuspect:
+      return 1;
+    default:
+      return 2;
+  }
+}
+
+struct RankedInstance {
+  int m_rank = 0;
+  double m_score = 0.0;
+  const InstanceRow* m_row = nullptr;
+
+  bool operator<(const RankedInstance& other) const {
+    return std::pair(m_rank, -m_score) <
+           std::pair(other.m_rank, -other.m_score);
+  }
+};
+
+InstanceId SteeringOwner(const World& world,
+                         ChatKey chat,
+                         const std::optional<RouteId>& route) {
+  if (!route) {
+    return InstanceId();
+  }
+  const auto found = world.m_routes.find(*route);
+  if (found == world.m_routes.end()) {
+    return InstanceId();
+  }
+  const UpstreamRow* engine =
+      world.m_upstreams.Find(SteeringEngine(world, found->second, chat));
+  return engine == nullptr ? InstanceId() : engine->m_owner;
+}
+
+}  // namespace
+
+std::map<UpstreamId, InstanceId> ComputeOwners(const World& world) {
+  return OwnerAssignment(world).Run();
+}
+
+void UpdateOwners(World& world, TimePoint now) {
+  PlacementState& state = world.m_placement;
+  if (now < state.m_owners_recheck_at) {
+    return;
+  }
+  state.m_owners_recheck_at =
+      now + world.m_placement_parameters.m_owner_recheck;
+  const std::uint64_t members = HashOfMembers(world);
+  if (members == state.m_owners_of) {
+    return;
+  }
+  state.m_owners_of = members;
+  const std::map<UpstreamId, InstanceId> owners = ComputeOwners(world);
+  for (auto& [id, row] : world.m_upstreams.m_rows) {
+    const auto found = owners.find(id);
+    row.m_owner = found == owners.end() ? InstanceId() : found->second;
+  }
+}
+
+UpstreamId SteeringEngine(const World& world,
+                          const RouteRow& route,
+                          ChatKey chat) {
+  const InstanceRow* self = world.m_instances.Find(world.m_instances.m_self);
+  const UpstreamRow* best = nullptr;
+  double best_score = 0.0;
+  for (const UpstreamId& id : route.m_upstreams) {
+    const UpstreamRow* row = world.m_upstreams.Find(id);
+    if (row == nullptr) {
+      continue;
+    }
+    const double score =
+        ChatScore(chat, HashText(id.str()), row->m_weight,
+                  self == nullptr || InSameRegion(*self, *row));
+    if (best == nullptr || score > best_score) {
+      best = row;
+      best_score = score;
+    }
+  }
+  return best == nullptr ? UpstreamId() : best->m_id;
+}
+
+EntryAnswer ChooseEntry(const World& world,
+                        std::optional<ChatKey> chat,
+                        const std::optional<RouteId>& route,
+                        TimePoint /*now*/) {
+  // Callers without a chat are spread at random.
+  const std::uint64_t key = chat ? chat->value() : world.m_hooks.m_random();
+  const InstanceId owner =
+      chat ? SteeringOwner(world, *chat, route) : InstanceId();
+  const InstanceRow* self = world.m_instances.Find(world.m_instances.m_self);
+  std::vector<RankedInstance> ranked;
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    double score = RendezvousScore(key, HashText(id.str()), 1.0);
+    if (id == owner) {
+      score += 2.0 * kRegionScore;
+    }
+    if (self != nullptr && row.m_region == self->m_region) {
+      score += kRegionScore;
+    }
+    ranked.push_back({StatusRank(row), score, &row});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  EntryAnswer answer{.m_keep = world.m_placement_parameters.m_entry_keep,
+                     .m_revision = world.m_configuration.m_revision};
+  const auto wanted =
+      static_cast<std::size_t>(world.m_placement_parameters.m_entry_addresses);
+  for (const RankedInstance& instance : ranked) {
+    // Suspect, leaving and dead instances are named only when there is
+    // nothing better.
+    const bool is_better = instance.m_rank == ranked.front().m_rank;
+    if (is_better && answer.m_addresses.size() < wanted) {
+      answer.m_addresses.push_back(instance.m_row->m_caller_endpoint);
+    }
+  }
+  return answer;
+}
+
+}  // namespace nutmeghollow
--- a/src/libnutmeg/placement.cpp
+++ b/src/libnutmeg/placement.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "libnutmeg/placement_internal.h"
+#include "nutmeghollow/owners.h"
 #include "nutmeghollow/world.h"
 
 namespace nutmeghollow {
@@ -94,6 +95,7 @@
 }  // namespace detail
 
 void RunPlacement(World& world, TimePoint now) {
+  UpdateOwners(world, now);
   detail::AnswerReservations(world, now);
   detail::SettleReservations(world, now);
   const std::set<RequestId>& admitted =
--- a/src/libnutmeg/placement_policy.cpp
+++ b/src/libnutmeg/placement_policy.cpp
@@ -68,7 +68,8 @@
       return;
     }
     const double score =
-        ChatScore(m_query.m_request.m_request.m_chat, candidate);
+        ChatScore(m_query.m_request.m_request.m_chat, candidate.m_hash,
+                  candidate.m_row->m_weight, candidate.m_same_region);
     m_home.Offer(index, score);
     if (!MayReceive(m_query.m_request, candidate)) {
       return;
@@ -298,10 +299,12 @@
   return limits;
 }
 
-double ChatScore(ChatKey chat, const Candidate& candidate) {
-  const double score = RendezvousScore(chat.value(), candidate.m_hash,
-                                       candidate.m_row->m_weight);
-  return candidate.m_same_region ? score + kRegionScore : score;
+double ChatScore(ChatKey chat,
+                 std::uint64_t engine_hash,
+                 double weight,
+                 bool same_region) {
+  const double score = RendezvousScore(chat.value(), engine_hash, weight);
+  return same_region ? score + kRegionScore : score;
 }
 
 bool MayReceive(const RequestRow& request, const Candidate& candidate) {
