--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -16,6 +16,7 @@
 #include "nutmeghollow/admission.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/configuration_system.h"
 #include "nutmeghollow/instances.h"
 #include "nutmeghollow/limits.h"
 #include "nutmeghollow/loads.h"
@@ -49,6 +50,7 @@
   CustomerTable m_customers;
   RequestTable m_requests;
   ConfigurationTable m_configuration;
+  ConfigurationState m_configuration_state;
   PeerTable m_peers;
   SuspectTable m_suspects;
 
--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -16,6 +16,7 @@
   // The call of each system goes here, in this order: control budget,
   // membership, probing, configuration, lease, orders, quarantine, claims,
   // admission, placement, request flow, drain.
+  RunConfiguration(world, now);
   RunAdmission(world, now);
   RunPlacement(world, now);
   return std::exchange(world.m_actions, {});
