--- a/src/include/nutmeghollow/actions.h
+++ b/src/include/nutmeghollow/actions.h
@@ -2,6 +2,7 @@
 /// Actions: what the systems decided and the adapters carry out.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -20,7 +21,11 @@
   AttemptId m_attempt;
   UpstreamId m_upstream;
   Endpoint m_endpoint;
+  /// Continues the stream of an earlier attempt instead of a new run.
+  bool m_resume = false;
   std::int64_t m_resume_offset = 0;  ///< Answer bytes already relayed.
+  /// No byte may be sent after this time; unset for no limit.
+  std::optional<TimePoint> m_not_after;
 };
 
 /// Ends an attempt: the connection is closed and never used again.
@@ -48,7 +53,8 @@
   std::string m_body;
 };
 
-/// Ends the relay of an upstream's answer.
+/// Ends the relay of an upstream's answer. When it was not whole, the caller's
+/// connection is closed so that the caller sees it.
 struct FinishRelay {
   RequestId m_request;
   Outcome m_outcome = Outcome::kCompleted;
@@ -120,6 +126,14 @@
   std::string m_claim_token;
 };
 
+/// Asks a plain service what became of an idempotency key.
+struct AskService {
+  RequestId m_request;
+  UpstreamId m_upstream;
+  Endpoint m_endpoint;
+  std::string m_path;
+};
+
 // Orders.
 
 /// Sends an order to a model engine and reads the state back.
@@ -154,6 +168,7 @@
                             ReserveAtOwner,
                             FetchConfiguration,
                             AskClaimer,
+                            AskService,
                             SendOrder,
                             CloseOrderConnections,
                             ExitProcess>;
--- a/src/include/nutmeghollow/peers.h
+++ b/src/include/nutmeghollow/peers.h
@@ -37,6 +37,8 @@
 struct SuspectRow {
   RequestDigest m_digest;
   std::set<UpstreamId> m_crashed_upstreams;
+  /// Crashes counted; more than the upstreams when one crashed twice.
+  int m_crashes = 0;
   bool m_quarantined = false;
   TimePoint m_expires_at{};
 };
--- /dev/null
+++ b/src/include/nutmeghollow/quarantine.h
@@ -0,0 +1,88 @@
+/// @file
+/// Requests that crash upstreams.
+///
+/// When connections to an upstream break, the requests in flight there are
+/// looked at after a short time. Unless something proves that the process
+/// lives on, each of them counts one crash and is a suspect. A suspect runs
+/// only where no other suspect runs. At the second crash the request is
+/// quarantined: it is refused everywhere until the entry expires. A suspect
+/// that completes is cleared.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "nutmeghollow/requests.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+struct World;
+
+/// Settings of quarantine.
+struct QuarantineParameters {
+  /// Crashes after which a request is refused.
+  int m_crash_limit = 2;
+  /// From a broken connection to the verdict.
+  Duration m_verdict_delay = std::chrono::milliseconds(250);
+  /// From the verdict until the failure is told, so that other instances hear
+  /// of a suspect before its caller sends it again.
+  Duration m_spread_delay = std::chrono::milliseconds(350);
+  /// Breaks of one upstream within this time are one crash.
+  Duration m_same_crash = std::chrono::seconds(3);
+  /// Suspects and quarantined requests are forgotten after this time.
+  Duration m_expiry = std::chrono::minutes(10);
+  /// Most entries kept; the ones nearest to their expiry go first.
+  std::size_t m_limit = 4096;
+};
+
+/// An upstream whose connections broke and whose verdict is open.
+struct PossibleCrash {
+  TimePoint m_broke_at{};
+  TimePoint m_verdict_at{};
+  std::set<RequestId> m_in_flight;  ///< When the first connection broke.
+  std::map<RequestId, RequestDigest> m_broken;
+  bool m_lives_on = false;  ///< Something proved that it did not crash.
+};
+
+/// State of quarantine.
+struct QuarantineState {
+  std::map<UpstreamId, PossibleCrash> m_possible_crashes;
+  /// Suspect that runs at an upstream.
+  std::map<UpstreamId, RequestId> m_running_suspects;
+  TimePoint m_next_expiry{};
+  std::uint64_t m_crashes = 0;      ///< Crashes found.
+  std::uint64_t m_quarantined = 0;  ///< Requests quarantined here.
+  std::uint64_t m_cleared = 0;      ///< Suspects that completed.
+};
+
+/// Gives verdicts that are due and expires entries.
+void RunQuarantine(World& world, TimePoint now);
+
+/// @return true when a request must be refused.
+bool IsQuarantined(const World& world, RequestDigest digest, TimePoint now);
+
+/// @return true when a request may have crashed an upstream.
+bool IsSuspect(const World& world, RequestDigest digest, TimePoint now);
+
+/// Takes the place of the only suspect at the upstream of a placed request.
+/// @return false when another suspect runs there: the request has to wait.
+bool TakeSuspectPlace(World& world, const RequestRow& row, TimePoint now);
+
+/// Notes that an attempt ended, in whatever way.
+void LeaveSuspectPlace(World& world, const RequestRow& row);
+
+/// Notes that the connection of an attempt broke.
+/// @return time before which the failure should not be told.
+TimePoint NoteBreak(World& world, const RequestRow& row, TimePoint now);
+
+/// Notes that an upstream still held a stream, so it did not crash.
+void NoteStreamKept(World& world, const UpstreamId& upstream);
+
+/// Notes that a request completed: it is no suspect any more, and its upstream
+/// lives on.
+void NoteCompletion(World& world, const RequestRow& row, TimePoint now);
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/include/nutmeghollow/request_flow.h
@@ -0,0 +1,76 @@
+/// @file
+/// Life of a request: intake, dispatch, relay, resume, retry and its answer.
+///
+/// Intake puts new requests into the table. Request flow reads what adapters
+/// report about attempts, hands placed requests to the network and ends each
+/// request exactly once. Its cost grows with events, not with the number of
+/// requests in flight.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "nutmeghollow/requests.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+struct World;
+
+/// Settings of request flow.
+struct RequestFlowParameters {
+  /// Attempts of one request at upstreams, resumes not counted.
+  int m_attempt_limit = 3;
+  /// A retry waits for a random time between these two.
+  Duration m_retry_delay_min = std::chrono::milliseconds(5);
+  Duration m_retry_delay_max = std::chrono::milliseconds(50);
+  /// Resumes of one stream.
+  int m_resume_limit = 8;
+  /// A resume that brought no byte is tried again after this time.
+  Duration m_resume_delay = std::chrono::milliseconds(250);
+  /// Longest wait for an outcome to be recorded before the caller is told.
+  Duration m_record_wait = std::chrono::seconds(1);
+  /// Told to refused callers when nothing better is known.
+  Duration m_retry_after = std::chrono::seconds(1);
+};
+
+/// What became of requests since the process started.
+struct RequestCounters {
+  std::uint64_t m_arrived = 0;
+  std::array<std::uint64_t, 3> m_ended{};  ///< By Outcome.
+  std::array<std::uint64_t, static_cast<int>(Refusal::kCount)> m_refused{};
+  std::uint64_t m_callers_gone = 0;
+  std::uint64_t m_attempts = 0;
+  std::uint64_t m_retries = 0;
+  std::uint64_t m_resumes = 0;
+  std::uint64_t m_replays = 0;
+};
+
+/// State of request flow.
+struct RequestFlowState {
+  /// When to look at a request again, in order of time.
+  std::set<std::pair<TimePoint, RequestId>> m_wakeups;
+  /// Requests with an attempt in progress, by upstream.
+  std::map<UpstreamId, std::set<RequestId>> m_in_flight;
+  RequestCounters m_counters;
+};
+
+/// @return what may be said about the effect of a request now. The only place
+/// that decides it.
+Outcome DeriveOutcome(const RequestRow& row);
+
+/// Takes new requests into the table. Runs before all systems that work on
+/// requests, so that a request can be dispatched in the tick of its arrival.
+void RunRequestIntake(World& world, TimePoint now);
+
+/// Runs request flow once.
+void RunRequestFlow(World& world, TimePoint now);
+
+/// @return the earliest time at which request flow has something to do by
+/// itself; the largest time when there is none.
+TimePoint NextRequestWakeup(const World& world);
+
+}  // namespace nutmeghollow
--- a/src/include/nutmeghollow/requests.h
+++ b/src/include/nutmeghollow/requests.h
@@ -20,6 +20,7 @@
 enum class RequestPhase {
   kArrived,     ///< Entered the table; not yet checked.
   kClaiming,    ///< Waits for its claim in the table service.
+  kWaiting,     ///< Waits before a retry, or before it is given up.
   kQueued,      ///< Waits in the fair queue of its route.
   kAdmitted,    ///< May be placed now.
   kReserving,   ///< Waits for the owner of an engine to answer.
@@ -28,7 +29,9 @@
   kSent,        ///< A byte of the request may have reached the upstream.
   kStreaming,   ///< A byte of the answer arrived.
   kRecording,   ///< The answer is whole; its outcome is being recorded.
-  kDone,        ///< Answered or abandoned; removed at the end of the tick.
+  /// Ends with m_refusal at the next run of request flow.
+  kRefused,
+  kDone,  ///< Answered or abandoned; removed at the end of the tick.
   kCount,
 };
 
@@ -54,11 +57,13 @@
   kKeyReused,         ///< 422, same key with another body
   kKeyInProgress,     ///< 409, the first request is still running
   kKeyUnknown,        ///< 409, the first request's outcome is unknown
+  kAnswerNotKept,     ///< 409, the first request ran; its answer is not kept
   kQuarantined,       ///< 422, the request crashed upstreams
   kUpstreamFailed,    ///< 502
   kUpstreamTimeout,   ///< 504
   kDraining,          ///< 503
   kCallerGone,        ///< nobody is left to answer
+  kCount,
 };
 
 /// A request as the caller adapter hands it in.
@@ -91,9 +96,27 @@
   int m_attempts = 0;     ///< Attempts handed to the network.
   /// True once any attempt may have reached an upstream.
   bool m_may_have_run = false;
+  /// True once an attempt before the current one may have reached one.
+  bool m_earlier_may_have_run = false;
+  /// Must run at most once: a non-idempotent call to a plain service.
+  bool m_at_most_once = false;
+  bool m_answered = false;     ///< An action that ends it was appended.
+  bool m_complete = false;     ///< The upstream's answer is whole.
+  bool m_caller_gone = false;  ///< Goes on only to record its outcome.
+  /// Outcome of an earlier request with the same idempotency key.
+  std::optional<Outcome> m_earlier_outcome;
+  int m_resumes = 0;  ///< Resumes of the current answer's stream.
+  /// Answer bytes received before the last resume; unset before the first.
+  std::optional<std::int64_t> m_resumed_at;
+  TimePoint m_wakeup{};               ///< When request flow looks at it next.
+  TimePoint m_hold_until{};           ///< Its failure is not told before this.
   std::int64_t m_bytes_received = 0;  ///< Answer bytes from the upstream.
   std::int64_t m_bytes_relayed = 0;   ///< Answer bytes to the caller.
   std::set<UpstreamId> m_tried;       ///< Upstreams that refused or failed.
+  /// True from placement until ReleasePlacement: counted as running.
+  bool m_holds_placement = false;
+  Refusal m_refusal = Refusal::kNone;  ///< Set with phase kRefused.
+  Duration m_retry_after{};            ///< Zero when a retry does not help.
 };
 
 /// Requests by id, with an index by phase in order of arrival.
@@ -125,9 +148,11 @@
   kHeaders,         ///< Status and headers of the answer arrived.
   kAnswerBytes,     ///< A part of the answer arrived and was relayed.
   kComplete,        ///< The answer is whole, with its end marker.
+  kNotKept,         ///< The upstream does not hold the stream to resume.
   kConnectFailed,   ///< No connection; no byte of the request was sent.
   kRefused,         ///< The upstream refused before running it.
   kBroken,          ///< The connection ended before the answer was whole.
+  kIncomplete,      ///< The answer ended as usual but lacks its end marker.
   kTimeout,         ///< Silence for longer than the limit.
   kWrongRequestId,  ///< The answer names another request.
 };
@@ -137,8 +162,9 @@
   RequestId m_request;
   AttemptId m_attempt;
   AttemptEventKind m_kind = AttemptEventKind::kBroken;
-  int m_status = 0;          ///< HTTP status, with kHeaders and kRefused.
-  std::int64_t m_bytes = 0;  ///< With kAnswerBytes.
+  int m_status = 0;  ///< HTTP status, with kHeaders and kRefused.
+  /// Answer bytes relayed since the event before; with any kind.
+  std::int64_t m_bytes = 0;
   Duration m_retry_after{};  ///< With kRefused; zero when none was given.
   /// With kComplete of a plain service: the answer, to be recorded.
   std::string m_content_type;
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -14,9 +14,13 @@
 
 #include "nutmeghollow/actions.h"
 #include "nutmeghollow/check.h"
+#include "nutmeghollow/claims.h"
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/drain.h"
 #include "nutmeghollow/instances.h"
 #include "nutmeghollow/peers.h"
+#include "nutmeghollow/quarantine.h"
+#include "nutmeghollow/request_flow.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
@@ -48,7 +52,17 @@
   PeerTable m_peers;
   SuspectTable m_suspects;
 
+  RequestFlowParameters m_request_flow_parameters;
+  RequestFlowState m_request_flow;
+  ClaimParameters m_claim_parameters;
+  ClaimTable m_claims;
+  QuarantineParameters m_quarantine_parameters;
+  QuarantineState m_quarantine;
+  DrainParameters m_drain_parameters;
+  DrainState m_drain;
+
   RequestInbox m_request_inbox;
+  ClaimInbox m_claim_inbox;
   ConfigurationInbox m_configuration_inbox;
   /// Ends of table service operations, by the system that asked.
   std::array<std::vector<StoreResult>, static_cast<int>(StorePurpose::kCount)>
--- /dev/null
+++ b/src/libnutmeg/attempt_events.cpp
@@ -0,0 +1,250 @@
+#include "attempt_events.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "nutmeghollow/claims.h"
+#include "nutmeghollow/world.h"
+#include "request_endings.h"
+#if __has_include("nutmeghollow/limits.h")
+#include "nutmeghollow/limits.h"
+#endif
+
+namespace nutmeghollow::detail {
+namespace {
+
+bool PayForRetry(World& world, const RequestRow& row, TimePoint now) {
+#if __has_include("nutmeghollow/limits.h")
+  return TakeRetryToken(world, row, now);
+#else
+  (void)world;
+  (void)row;
+  (void)now;
+  return true;
+#endif
+}
+
+Duration RetryDelay(World& world) {
+  const RequestFlowParameters& parameters = world.m_request_flow_parameters;
+  const Duration span =
+      parameters.m_retry_delay_max - parameters.m_retry_delay_min;
+  if (!world.m_hooks.m_random || span <= Duration::zero()) {
+    return parameters.m_retry_delay_min;
+  }
+  const auto range = static_cast<std::uint64_t>(span.count()) + 1;
+  return parameters.m_retry_delay_min +
+         Duration(world.m_hooks.m_random() % range);
+}
+
+/// @return true when another attempt may be made: it cannot do harm, the
+/// caller still waits, and the retry budget pays.
+bool MayRetry(World& world,
+              const RequestRow& row,
+              TimePoint earliest,
+              TimePoint now) {
+  const bool harmless = !row.m_may_have_run || !row.m_at_most_once;
+  const int limit = world.m_request_flow_parameters.m_attempt_limit;
+  return harmless && row.m_bytes_relayed == 0 && !row.m_caller_gone &&
+         row.m_attempts < limit && earliest < row.m_deadline &&
+         PayForRetry(world, row, now);
+}
+
+/// Ends the attempt, which the adapter has ended already, and tries again or
+/// gives the request up.
+void RetryOrEnd(World& world,
+                RequestRow& row,
+                Refusal refusal,
+                Duration retry_after,
+                TimePoint now) {
+  const TimePoint earliest =
+      std::max(now + RetryDelay(world), row.m_hold_until);
+  const bool may_be_running =
+      row.m_may_have_run && row.m_request.m_kind == RequestKind::kChat;
+  EndAttempt(world, row, may_be_running, now);
+  row.m_tried.insert(row.m_upstream);
+  if (MayRetry(world, row, earliest, now)) {
+    ++world.m_request_flow.m_counters.m_retries;
+    row.m_bytes_received = 0;
+    world.m_requests.SetPhase(row, RequestPhase::kWaiting, now);
+    SetWakeup(world, row, earliest);
+    return;
+  }
+  if (row.m_hold_until > now) {
+    row.m_refusal = refusal;
+    row.m_retry_after = retry_after;
+    world.m_requests.SetPhase(row, RequestPhase::kWaiting, now);
+    SetWakeup(world, row, row.m_hold_until);
+    return;
+  }
+  EndRefused(world, row, refusal, retry_after, now);
+}
+
+/// @return true when the upstream may still hold the answer's stream.
+bool MayResume(const World& world, const RequestRow& row) {
+  const NewRequest& request = row.m_request;
+  if (request.m_kind != RequestKind::kChat || !request.m_streamed) {
+    return false;
+  }
+  if (row.m_resumes >= world.m_request_flow_parameters.m_resume_limit) {
+    return false;
+  }
+  return row.m_resumes < 2 || !row.m_resumed_at ||
+         row.m_bytes_received > *row.m_resumed_at;
+}
+
+/// Continues a stream whose connection failed, or tries again or ends.
+void ResumeOrRetry(World& world,
+                   RequestRow& row,
+                   Refusal refusal,
+                   TimePoint now) {
+  if (!MayResume(world, row)) {
+    RetryOrEnd(world, row, refusal, Duration::zero(), now);
+    return;
+  }
+  const bool no_progress =
+      row.m_resumed_at && row.m_bytes_received == *row.m_resumed_at;
+  if (!no_progress) {
+    ResumeAttempt(world, row, now);
+    return;
+  }
+  // The adapter ended the attempt. No event is valid until the resume.
+  row.m_attempt = AttemptId();
+  const TimePoint when = now + world.m_request_flow_parameters.m_resume_delay;
+  SetWakeup(world, row, std::min(when, row.m_deadline));
+}
+
+void HandleBytes(RequestRow& row, std::int64_t bytes) {
+  NUTMEG_CHECK(bytes >= 0, "a count of bytes is not negative");
+  row.m_bytes_received += bytes;
+  row.m_bytes_relayed += bytes;
+}
+
+void HandleComplete(World& world,
+                    RequestRow& row,
+                    AttemptEvent& event,
+                    TimePoint now) {
+  NUTMEG_CHECK(row.m_bytes_relayed == row.m_bytes_received,
+               "bytes relayed equal bytes received");
+  row.m_complete = true;
+  NoteCompletion(world, row, now);
+  EndAttempt(world, row, false, now);
+  if (!RecordOutcome(world, row, event, now)) {
+    EndAnswered(world, row, now);
+    return;
+  }
+  world.m_requests.SetPhase(row, RequestPhase::kRecording, now);
+  SetWakeup(world, row, now + world.m_request_flow_parameters.m_record_wait);
+}
+
+/// The connection ended, or fell silent, before the answer was whole.
+void HandleBreak(World& world,
+                 RequestRow& row,
+                 const AttemptEvent& event,
+                 TimePoint now) {
+  const bool timed_out = event.m_kind == AttemptEventKind::kTimeout;
+  const Refusal refusal =
+      timed_out ? Refusal::kUpstreamTimeout : Refusal::kUpstreamFailed;
+  if (row.m_phase == RequestPhase::kDispatched && !row.m_may_have_run) {
+    RetryOrEnd(world, row, Refusal::kNoUpstream, Duration::zero(), now);
+    return;
+  }
+  if (event.m_kind == AttemptEventKind::kBroken) {
+    row.m_hold_until = std::max(row.m_hold_until, NoteBreak(world, row, now));
+  }
+  ResumeOrRetry(world, row, refusal, now);
+}
+
+void HandleConnectFailed(World& world, RequestRow& row, TimePoint now) {
+  if (row.m_resumes > 0) {
+    ResumeOrRetry(world, row, Refusal::kUpstreamFailed, now);
+    return;
+  }
+  RetryOrEnd(world, row, Refusal::kNoUpstream, Duration::zero(), now);
+}
+
+void HandleRefused(World& world,
+                   RequestRow& row,
+                   const AttemptEvent& event,
+                   TimePoint now) {
+  if (row.m_resumes == 0) {
+    row.m_may_have_run = row.m_earlier_may_have_run;
+  }
+  RetryOrEnd(world, row, Refusal::kNoUpstream, event.m_retry_after, now);
+}
+
+void HandleBytesSent(World& world, RequestRow& row, TimePoint now) {
+  row.m_earlier_may_have_run = row.m_may_have_run;
+  row.m_may_have_run = true;
+  if (row.m_phase == RequestPhase::kDispatched) {
+    world.m_requests.SetPhase(row, RequestPhase::kSent, now);
+  }
+}
+
+void HandleHeaders(World& world, RequestRow& row, TimePoint now) {
+  if (row.m_resumes > 0) {
+    NoteStreamKept(world, row.m_upstream);
+  }
+  if (row.m_phase == RequestPhase::kSent) {
+    world.m_requests.SetPhase(row, RequestPhase::kStreaming, now);
+  }
+}
+
+}  // namespace
+
+void ResumeAttempt(World& world, RequestRow& row, TimePoint now) {
+  const UpstreamRow* upstream = world.m_upstreams.Find(row.m_upstream);
+  if (upstream == nullptr) {
+    RetryOrEnd(world, row, Refusal::kUpstreamFailed, Duration::zero(), now);
+    return;
+  }
+  ++row.m_resumes;
+  ++world.m_request_flow.m_counters.m_resumes;
+  row.m_resumed_at = row.m_bytes_received;
+  row.m_attempt = world.NewAttempt();
+  world.m_actions.emplace_back(
+      DispatchAttempt{.m_request = row.m_request.m_id,
+                      .m_attempt = row.m_attempt,
+                      .m_upstream = row.m_upstream,
+                      .m_endpoint = upstream->m_endpoint,
+                      .m_resume = true,
+                      .m_resume_offset = row.m_bytes_received});
+}
+
+void HandleAttemptEvent(World& world, AttemptEvent& event, TimePoint now) {
+  RequestRow* row = world.m_requests.Find(event.m_request);
+  if (row == nullptr || row->m_phase == RequestPhase::kDone ||
+      row->m_attempt != event.m_attempt) {
+    return;
+  }
+  HandleBytes(*row, event.m_bytes);
+  switch (event.m_kind) {
+    case AttemptEventKind::kBytesSent:
+      HandleBytesSent(world, *row, now);
+      break;
+    case AttemptEventKind::kHeaders:
+      HandleHeaders(world, *row, now);
+      break;
+    case AttemptEventKind::kAnswerBytes:
+      break;
+    case AttemptEventKind::kComplete:
+      HandleComplete(world, *row, event, now);
+      break;
+    case AttemptEventKind::kNotKept:
+      RetryOrEnd(world, *row, Refusal::kUpstreamFailed, Duration::zero(), now);
+      break;
+    case AttemptEventKind::kConnectFailed:
+      HandleConnectFailed(world, *row, now);
+      break;
+    case AttemptEventKind::kRefused:
+      HandleRefused(world, *row, event, now);
+      break;
+    case AttemptEventKind::kBroken:
+    case AttemptEventKind::kIncomplete:
+    case AttemptEventKind::kTimeout:
+    case AttemptEventKind::kWrongRequestId:
+      HandleBreak(world, *row, event, now);
+      break;
+  }
+}
+
+}  // namespace nutmeghollow::detail
--- /dev/null
+++ b/src/libnutmeg/own_claims.cpp
@@ -0,0 +1,517 @@
+// Claims of this process, from the insert until their end is stored.
+#include <utility>
+
+#include "claim_internals.h"
+#include "nutmeghollow/world.h"
+#include "request_endings.h"
+
+namespace nutmeghollow {
+namespace {
+
+using detail::QueueClaimRead;
+using detail::QueueClaimWrite;
+
+/// Row values above this size are refused by the table service.
+constexpr std::size_t kRowLimit = 60 << 10;
+
+std::string Hex(std::uint64_t value) {
+  constexpr std::string_view digits = "0123456789abcdef";
+  std::string text(16, '0');
+  for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
+    *digit = digits[value & 15];
+    value >>= 4;
+  }
+  return text;
+}
+
+const std::string& ProcessName(World& world) {
+  std::string& name = world.m_claims.m_process;
+  if (name.empty()) {
+    name =
+        world.m_instances.m_self.str() + "/" + Hex(world.m_hooks.m_random());
+  }
+  return name;
+}
+
+OwnClaim* FindOwn(World& world, const std::string& row_key) {
+  const auto found = world.m_claims.m_own.find(row_key);
+  return found == world.m_claims.m_own.end() ? nullptr : &found->second;
+}
+
+std::string RowKeyOf(const NewRequest& request) {
+  return ClaimRowKey(request.m_customer, request.m_service,
+                     request.m_idempotency_key);
+}
+
+/// @return the claim that a request made, or null.
+const OwnClaim* ClaimOf(const World& world, const RequestRow& row) {
+  if (!row.m_at_most_once || row.m_request.m_idempotency_key.empty()) {
+    return nullptr;
+  }
+  const auto found = world.m_claims.m_own.find(RowKeyOf(row.m_request));
+  const bool own = found != world.m_claims.m_own.end() &&
+                   found->second.m_request == row.m_request.m_id;
+  return own ? &found->second : nullptr;
+}
+
+OwnClaim* ClaimOf(World& world, const RequestRow& row) {
+  return const_cast<OwnClaim*>(ClaimOf(std::as_const(world), row));
+}
+
+/// @return the request of a claim while it waits for an answer, or null.
+RequestRow* ActiveRequest(World& world, const OwnClaim& claim) {
+  return claim.m_request_ended ? nullptr
+                               : world.m_requests.Find(claim.m_request);
+}
+
+void SetDue(World& world,
+            const std::string& row_key,
+            OwnClaim& claim,
+            TimePoint when) {
+  auto& due = world.m_claims.m_due;
+  due.erase({claim.m_due, row_key});
+  claim.m_due = when;
+  due.emplace(when, row_key);
+}
+
+bool IsUnsettled(const OwnClaim& claim) {
+  return claim.m_phase != OwnClaimPhase::kSettled;
+}
+
+void EraseOwn(World& world, const std::string& row_key) {
+  ClaimTable& claims = world.m_claims;
+  const auto found = claims.m_own.find(row_key);
+  if (found == claims.m_own.end()) {
+    return;
+  }
+  if (IsUnsettled(found->second)) {
+    --claims.m_unsettled;
+  }
+  claims.m_due.erase({found->second.m_due, row_key});
+  claims.m_own.erase(found);
+}
+
+/// Stores the end of a claim, once its row's version is known.
+void Store(World& world, const std::string& row_key, OwnClaim& claim) {
+  if (claim.m_busy) {
+    return;
+  }
+  claim.m_busy = true;
+  if (!claim.m_version) {
+    QueueClaimRead(world, row_key);
+    return;
+  }
+  ClaimWrite write{row_key, *claim.m_version, std::nullopt};
+  if (!claim.m_withdraw) {
+    write.m_value = FormatClaim(claim.m_record);
+  }
+  QueueClaimWrite(world, std::move(write));
+}
+
+void StartSettling(World& world, const std::string& row_key, OwnClaim& claim) {
+  claim.m_phase = OwnClaimPhase::kSettling;
+  Store(world, row_key, claim);
+}
+
+void MarkSettled(World& world,
+                 const std::string& row_key,
+                 OwnClaim& claim,
+                 TimePoint now) {
+  --world.m_claims.m_unsettled;
+  claim.m_phase = OwnClaimPhase::kSettled;
+  RequestRow* row = ActiveRequest(world, claim);
+  if (row != nullptr && row->m_phase == RequestPhase::kRecording) {
+    detail::EndAnswered(world, *row, now);
+  }
+  if (claim.m_withdraw) {
+    EraseOwn(world, row_key);
+  } else {
+    SetDue(world, row_key, claim, now + world.m_claim_parameters.m_memory);
+  }
+}
+
+/// The claim's row is in the table service.
+void Hold(World& world,
+          const std::string& row_key,
+          OwnClaim& claim,
+          std::optional<RowVersion> version,
+          TimePoint now) {
+  claim.m_phase = OwnClaimPhase::kHeld;
+  claim.m_version = version;
+  RequestRow* row = ActiveRequest(world, claim);
+  if (row == nullptr) {
+    claim.m_withdraw = true;
+    StartSettling(world, row_key, claim);
+    return;
+  }
+  if (!version) {
+    // The version is needed to store the end; read it while the call runs.
+    claim.m_busy = true;
+    QueueClaimRead(world, row_key);
+  }
+  detail::SetWakeup(world, *row, row->m_deadline);
+  world.m_requests.SetPhase(*row, RequestPhase::kQueued, now);
+}
+
+void WriteInsert(World& world, const std::string& row_key, OwnClaim& claim) {
+  claim.m_busy = true;
+  QueueClaimWrite(world,
+                  {row_key, claim.m_replaces, FormatClaim(claim.m_record)});
+}
+
+/// The insert met the given row. @param record its content, if it is a claim.
+void FindOnInsert(World& world,
+                  const StoreRow& found,
+                  const std::optional<ClaimRecord>& record,
+                  OwnClaim& claim,
+                  TimePoint now) {
+  const std::string row_key = found.m_key;
+  if (record && record->m_token == claim.m_record.m_token) {
+    Hold(world, row_key, claim, found.m_version, now);
+    return;
+  }
+  RequestRow* row = ActiveRequest(world, claim);
+  if (row == nullptr) {
+    // Never dispatched. Should the insert still arrive, this process answers
+    // that it does not know the token, which means the same.
+    EraseOwn(world, row_key);
+    return;
+  }
+  const bool absent = found.m_version == RowVersion();
+  if (absent || found.m_version == claim.m_replaces) {
+    claim.m_replaces = found.m_version;
+    WriteInsert(world, row_key, claim);
+    return;
+  }
+  EraseOwn(world, row_key);
+  if (!record) {
+    row->m_earlier_outcome = Outcome::kUnknown;
+    detail::EndRefused(world, *row, Refusal::kKeyUnknown, Duration::zero(),
+                       now);
+    return;
+  }
+  detail::HandleFoundClaim(world, *row, row_key, *record, found.m_version, now);
+}
+
+/// The row of a claim that is to be settled is as given.
+void FindOnSettling(World& world,
+                    const StoreRow& found,
+                    const std::optional<ClaimRecord>& record,
+                    OwnClaim& claim,
+                    TimePoint now) {
+  const bool absent = found.m_version == RowVersion();
+  if (record && record->m_token == claim.m_record.m_token) {
+    const bool same = record->m_state == claim.m_record.m_state;
+    const bool better = record->m_state == ClaimState::kDone;
+    claim.m_version = found.m_version;
+    if (!claim.m_withdraw && (same || better)) {
+      MarkSettled(world, found.m_key, claim, now);
+    } else {
+      Store(world, found.m_key, claim);
+    }
+    return;
+  }
+  if (absent && !claim.m_withdraw) {
+    claim.m_version = RowVersion();
+    Store(world, found.m_key, claim);
+    return;
+  }
+  NUTMEG_CHECK(claim.m_withdraw,
+               "nobody takes over a claim that may have been dispatched");
+  MarkSettled(world, found.m_key, claim, now);
+}
+
+/// The row of a held claim is as given.
+void FindOnHeld(const StoreRow& found,
+                const std::optional<ClaimRecord>& record,
+                OwnClaim& claim) {
+  if (record && record->m_token == claim.m_record.m_token) {
+    claim.m_version = found.m_version;
+  } else {
+    // Somebody removed it, so that it protects nothing any more.
+    claim.m_dispatch_limit = TimePoint::min();
+  }
+}
+
+void HandleRow(World& world, const StoreRow& found, TimePoint now) {
+  OwnClaim* claim = FindOwn(world, found.m_key);
+  if (claim == nullptr) {
+    return;
+  }
+  claim->m_busy = false;
+  const std::optional<ClaimRecord> record =
+      found.m_version == RowVersion() ? std::nullopt
+                                      : ParseClaim(found.m_value);
+  switch (claim->m_phase) {
+    case OwnClaimPhase::kInserting:
+      FindOnInsert(world, found, record, *claim, now);
+      break;
+    case OwnClaimPhase::kHeld:
+      FindOnHeld(found, record, *claim);
+      break;
+    case OwnClaimPhase::kSettling:
+      FindOnSettling(world, found, record, *claim, now);
+      break;
+    case OwnClaimPhase::kSettled:
+      break;
+  }
+}
+
+/// Decides about a repeat of a request that this process claimed.
+void HandleOwnRepeat(World& world,
+                     RequestRow& row,
+                     const std::string& row_key,
+                     OwnClaim& claim,
+                     TimePoint now) {
+  const ClaimRecord record = claim.m_record;
+  if (record.m_digest != row.m_request.m_digest) {
+    detail::EndRefused(world, row, Refusal::kKeyReused, Duration::zero(), now);
+  } else if (record.m_state == ClaimState::kDone) {
+    detail::HandleFoundClaim(world, row, row_key, record, RowVersion(), now);
+  } else if (claim.m_phase == OwnClaimPhase::kSettled) {
+    // The row may have been settled by somebody else since.
+    EraseOwn(world, row_key);
+    detail::InsertClaim(world, row, row_key, RowVersion(), now);
+  } else if (claim.m_request_ended &&
+             record.m_state != ClaimState::kUnknown) {
+    detail::EndRefused(world, row, Refusal::kStoreUnavailable,
+                       Duration::zero(), now);
+  } else {
+    row.m_earlier_outcome = Outcome::kUnknown;
+    detail::EndRefused(world, row, Refusal::kKeyInProgress, Duration::zero(),
+                       now);
+  }
+}
+
+void Begin(World& world, RequestRow& row, TimePoint now) {
+  const std::string row_key = RowKeyOf(row.m_request);
+  ++world.m_claims.m_counters.m_claims;
+  OwnClaim* claim = FindOwn(world, row_key);
+  if (claim == nullptr) {
+    detail::InsertClaim(world, row, row_key, RowVersion(), now);
+  } else {
+    HandleOwnRepeat(world, row, row_key, *claim, now);
+  }
+}
+
+}  // namespace
+
+namespace detail {
+
+void InsertClaim(World& world,
+                 RequestRow& row,
+                 const std::string& row_key,
+                 RowVersion replaces,
+                 TimePoint now) {
+  const ClaimParameters& parameters = world.m_claim_parameters;
+  if (world.m_claims.m_own.size() >= parameters.m_limit) {
+    EndRefused(world, row, Refusal::kStoreUnavailable, Duration::zero(), now);
+    return;
+  }
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const WallTime wall = world.m_hooks.m_wall_time();
+  const auto window =
+      duration_cast<milliseconds>(parameters.m_dispatch_window).count();
+  EraseOwn(world, row_key);
+  // The claim waits for its own row from here on, not for another's.
+  row.m_earlier_outcome.reset();
+  OwnClaim& claim = world.m_claims.m_own[row_key];
+  ++world.m_claims.m_unsettled;
+  claim.m_request = row.m_request.m_id;
+  claim.m_replaces = replaces;
+  claim.m_dispatch_limit =
+      now + parameters.m_dispatch_window - parameters.m_claimer_margin;
+  claim.m_record.m_digest = row.m_request.m_digest;
+  claim.m_record.m_claimer = world.m_instances.m_self;
+  claim.m_record.m_token =
+      ProcessName(world) + "/" + Hex(world.m_hooks.m_random());
+  claim.m_record.m_created = wall;
+  claim.m_record.m_dispatch_until = WallTime(wall.value() + window);
+  WriteInsert(world, row_key, claim);
+}
+
+void HandleClaimWritten(World& world,
+                        const std::string& row_key,
+                        TimePoint now) {
+  OwnClaim* claim = FindOwn(world, row_key);
+  if (claim == nullptr) {
+    return;
+  }
+  claim->m_busy = false;
+  if (claim->m_phase == OwnClaimPhase::kInserting) {
+    Hold(world, row_key, *claim, std::nullopt, now);
+  } else if (claim->m_phase == OwnClaimPhase::kSettling) {
+    MarkSettled(world, row_key, *claim, now);
+  }
+}
+
+void HandleClaimConflict(World& world, const StoreRow& found, TimePoint now) {
+  HandleRow(world, found, now);
+}
+
+void HandleClaimRead(World& world, const StoreRow& found, TimePoint now) {
+  HandleRow(world, found, now);
+}
+
+void HandleClaimUnavailable(World& world,
+                            const std::string& row_key,
+                            TimePoint now) {
+  OwnClaim* claim = FindOwn(world, row_key);
+  if (claim == nullptr) {
+    return;
+  }
+  claim->m_busy = false;
+  const bool nothing_written = claim->m_phase == OwnClaimPhase::kInserting &&
+                               !claim->m_insert_unknown;
+  if (!nothing_written) {
+    SetDue(world, row_key, *claim,
+           now + world.m_claim_parameters.m_store_retry);
+    return;
+  }
+  RequestRow* row = ActiveRequest(world, *claim);
+  EraseOwn(world, row_key);
+  if (row != nullptr) {
+    EndRefused(world, *row, Refusal::kStoreUnavailable, Duration::zero(), now);
+  }
+}
+
+void HandleClaimReadFailed(World& world,
+                           const std::string& row_key,
+                           TimePoint now) {
+  OwnClaim* claim = FindOwn(world, row_key);
+  if (claim != nullptr) {
+    claim->m_busy = false;
+    SetDue(world, row_key, *claim,
+           now + world.m_claim_parameters.m_store_retry);
+  }
+}
+
+void RunDueClaims(World& world, TimePoint now) {
+  auto& due = world.m_claims.m_due;
+  while (!due.empty() && due.begin()->first <= now) {
+    const std::string row_key = due.begin()->second;
+    due.erase(due.begin());
+    OwnClaim* claim = FindOwn(world, row_key);
+    if (claim == nullptr || claim->m_busy) {
+      continue;
+    }
+    if (claim->m_phase == OwnClaimPhase::kSettled) {
+      EraseOwn(world, row_key);
+    } else if (claim->m_phase == OwnClaimPhase::kSettling) {
+      Store(world, row_key, *claim);
+    } else if (!claim->m_version) {
+      claim->m_busy = true;
+      QueueClaimRead(world, row_key);
+    }
+  }
+}
+
+}  // namespace detail
+
+void RunClaims(World& world, TimePoint now) {
+  detail::HandleClaimStoreResults(world, now);
+  detail::RunRepeats(world, now);
+  for (RequestId id : std::exchange(world.m_claims.m_starting, {})) {
+    RequestRow* row = world.m_requests.Find(id);
+    if (row != nullptr && row->m_phase == RequestPhase::kClaiming) {
+      Begin(world, *row, now);
+    }
+  }
+  detail::RunDueClaims(world, now);
+  detail::RunClaimExpiry(world, now);
+  detail::RunClaimCommands(world);
+  detail::FlushClaimStore(world);
+}
+
+void StartClaim(World& world, const RequestRow& row) {
+  world.m_claims.m_starting.push_back(row.m_request.m_id);
+}
+
+std::optional<TimePoint> ClaimDispatchLimit(const World& world,
+                                            const RequestRow& row) {
+  if (!row.m_at_most_once || row.m_request.m_idempotency_key.empty()) {
+    return std::nullopt;
+  }
+  const OwnClaim* claim = ClaimOf(world, row);
+  const bool held = claim != nullptr && claim->m_phase == OwnClaimPhase::kHeld;
+  return held ? claim->m_dispatch_limit : TimePoint::min();
+}
+
+bool RecordOutcome(World& world,
+                   const RequestRow& row,
+                   AttemptEvent& event,
+                   TimePoint /*now*/) {
+  OwnClaim* claim = ClaimOf(world, row);
+  if (claim == nullptr || claim->m_phase != OwnClaimPhase::kHeld) {
+    return false;
+  }
+  ClaimRecord& record = claim->m_record;
+  const auto limit =
+      static_cast<std::size_t>(world.m_claim_parameters.m_body_limit.value());
+  record.m_state = ClaimState::kDone;
+  record.m_status = event.m_status;
+  record.m_content_type = std::move(event.m_content_type);
+  record.m_body_kept =
+      row.m_bytes_relayed == 0 && event.m_body.size() <= limit;
+  if (record.m_body_kept) {
+    record.m_body = std::move(event.m_body);
+    const std::string text = FormatClaim(record);
+    const std::optional<ClaimRecord> reread = ParseClaim(text);
+    // A row cannot hold every text: bytes that are not UTF-8 would change.
+    record.m_body_kept = text.size() <= kRowLimit && reread &&
+                         reread->m_body == record.m_body;
+  }
+  if (!record.m_body_kept) {
+    record.m_body.clear();
+  }
+  StartSettling(world, RowKeyOf(row.m_request), *claim);
+  return true;
+}
+
+void SettleClaimOfEndedRequest(World& world,
+                               const RequestRow& row,
+                               TimePoint /*now*/) {
+  world.m_claims.m_repeats.erase(row.m_request.m_id);
+  OwnClaim* claim = ClaimOf(world, row);
+  if (claim == nullptr) {
+    return;
+  }
+  claim->m_request_ended = true;
+  if (claim->m_phase == OwnClaimPhase::kInserting) {
+    claim->m_withdraw = true;
+    return;
+  }
+  if (claim->m_phase != OwnClaimPhase::kHeld) {
+    return;
+  }
+  if (DeriveOutcome(row) == Outcome::kNotRun) {
+    claim->m_withdraw = true;
+  } else {
+    claim->m_record.m_state = ClaimState::kUnknown;
+  }
+  StartSettling(world, RowKeyOf(row.m_request), *claim);
+}
+
+ClaimerAnswer AnswerClaimQuestion(const World& world,
+                                  const std::string& row_key,
+                                  const std::string& token) {
+  const ClaimTable& claims = world.m_claims;
+  if (claims.m_process.empty() ||
+      !token.starts_with(claims.m_process + "/")) {
+    return ClaimerAnswer::kNotMine;
+  }
+  const auto found = claims.m_own.find(row_key);
+  if (found == claims.m_own.end() ||
+      found->second.m_record.m_token != token) {
+    return ClaimerAnswer::kGaveUp;
+  }
+  const OwnClaim& claim = found->second;
+  if (claim.m_withdraw) {
+    return ClaimerAnswer::kGaveUp;
+  }
+  return claim.m_phase == OwnClaimPhase::kSettled ? ClaimerAnswer::kSettled
+                                                  : ClaimerAnswer::kInProgress;
+}
+
+}  // namespace nutmeghollow
