--- a/src/include/nutmeghollow/gossip.h
+++ b/src/include/nutmeghollow/gossip.h
@@ -105,12 +105,12 @@
   GossipKind m_kind = GossipKind::kPush;
   /// Number of the probe, chosen by the one who asked.
   std::uint32_t m_probe = 0;
-  InstanceId m_target;          ///< With kPingRequest.
-  Incarnation m_incarnation;    ///< Of the sender.
-  bool m_leaving = false;       ///< The sender is about to stop.
+  InstanceId m_target;        ///< With kPingRequest.
+  Incarnation m_incarnation;  ///< Of the sender.
+  bool m_leaving = false;     ///< The sender is about to stop.
   /// The sender heard of an instance whose addresses it does not know.
   bool m_want_details = false;
-  Revision m_revision;          ///< In force at the sender.
+  Revision m_revision;  ///< In force at the sender.
   Revision m_highest_seen;
   /// Sum over the members that the sender knows, to find differences.
   std::uint32_t m_member_digest = 0;
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -16,8 +16,10 @@
 #include "nutmeghollow/admission.h"
 #include "nutmeghollow/budget.h"
 #include "nutmeghollow/check.h"
+#include "nutmeghollow/claims.h"
 #include "nutmeghollow/configuration.h"
 #include "nutmeghollow/configuration_system.h"
+#include "nutmeghollow/drain.h"
 #include "nutmeghollow/gossip.h"
 #include "nutmeghollow/instances.h"
 #include "nutmeghollow/lease.h"
@@ -30,6 +32,8 @@
 #include "nutmeghollow/placement.h"
 #include "nutmeghollow/planned_changes.h"
 #include "nutmeghollow/probing.h"
+#include "nutmeghollow/quarantine.h"
+#include "nutmeghollow/request_flow.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
@@ -79,8 +83,17 @@
   MembershipState m_membership;
   GossipState m_gossip;
   ProbingState m_probing;
+  RequestFlowParameters m_request_flow_parameters;
+  RequestFlowState m_request_flow;
+  ClaimParameters m_claim_parameters;
+  ClaimTable m_claims;
+  QuarantineParameters m_quarantine_parameters;
+  QuarantineState m_quarantine;
+  DrainParameters m_drain_parameters;
+  DrainState m_drain;
 
   RequestInbox m_request_inbox;
+  ClaimInbox m_claim_inbox;
   ConfigurationInbox m_configuration_inbox;
   MembershipInbox m_membership_inbox;
   ProbingInbox m_probing_inbox;
