Connect the caller API to the upstream client

Cause: the upstream client holds whole answers and filters header fields itself. Change: the caller API hands over requests with a sink for the answer. Conclusion: one place decides what a caller sees.

--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -20,39 +20,6 @@
 /// Longest idempotency key that is accepted.
 constexpr std::size_t kKeyLimit = 255;
 
-/// Fields that belong to one connection or that this instance sets itself.
-bool IsForwarded(const std::string& name) {
-  static const std::set<std::string> own{"connection",
-                                         "keep-alive",
-                                         "proxy-authenticate",
-                                         "proxy-connection",
-                                         "te",
-                                         "trailer",
-                                         "transfer-encoding",
-                                         "upgrade",
-                                         "content-length",
-                                         "host",
-                                         "authorization",
-                                         "expect",
-                                         "date",
-                                         "x-request-id",
-                                         "nutmeg-outcome",
-                                         "x-priority",
-                                         "x-chat-id",
-                                         "accept-encoding"};
-  return own.count(name) == 0;
-}
-
-net::HeaderList ForwardedHeaders(const net::HeaderMap& headers) {
-  net::HeaderList forwarded;
-  for (const auto& [name, value] : headers) {
-    if (IsForwarded(name)) {
-      forwarded.emplace_back(name, value);
-    }
-  }
-  return forwarded;
-}
-
 std::string PercentEncode(std::string_view text, std::string_view kept) {
   std::string encoded;
   for (const char c : text) {
@@ -247,11 +214,8 @@
         added.m_chat = chat.m_chat;
         added.m_digest = chat.m_digest;
         added.m_streamed = chat.m_streamed;
-        OutgoingRequest outgoing;
-        outgoing.m_path = "/v1/chat/completions";
-        outgoing.m_headers = {{"Content-Type", "application/json"},
-                              {"Accept", chat.m_streamed ? "text/event-stream"
-                                                         : "application/json"}};
+        net::OutgoingRequest outgoing;
+        outgoing.m_path = request.m_path;
         Submit(exchange, std::move(added), std::move(outgoing));
         return {};
       },
@@ -298,32 +262,30 @@
   added.m_digest = RequestDigest(
       HashPair(HashPair(HashText(request.m_method), HashText(added.m_path)),
                HashText(request.m_body)));
-  OutgoingRequest outgoing;
+  net::OutgoingRequest outgoing;
   outgoing.m_path = added.m_path;
-  outgoing.m_headers = ForwardedHeaders(request.m_headers);
   Submit(exchange, std::move(added), std::move(outgoing));
 }
 
 void CallerApi::Submit(const Exchange& exchange,
                        NewRequest request,
-                       OutgoingRequest outgoing) {
+                       net::OutgoingRequest outgoing) {
   const net::HttpRequest& http = exchange->Request();
   request.m_id = RequestId(++m_last_request);
   request.m_public_id = NewPublicId();
   request.m_body_size = Bytes(static_cast<std::int64_t>(http.m_body.size()));
   request.m_timeout = m_settings->m_callers.m_request_timeout;
-  outgoing.m_public_id = request.m_public_id;
   outgoing.m_kind = request.m_kind;
-  outgoing.m_streamed = request.m_streamed;
   outgoing.m_method = http.m_method;
+  outgoing.m_headers.assign(http.m_headers.begin(), http.m_headers.end());
+  outgoing.m_public_id = request.m_public_id;
+  outgoing.m_priority = PriorityRank(request.m_customer);
+  outgoing.m_streamed = request.m_streamed;
   // Shares the exchange's copy of the body instead of making another.
   outgoing.m_body = std::shared_ptr<const std::string>(exchange, &http.m_body);
-  Waiting waiting;
-  waiting.m_exchange = exchange;
-  waiting.m_outgoing = std::move(outgoing);
-  waiting.m_started_at = net::BootTime();
   const RequestId id = request.m_id;
-  m_waiting.emplace(id, std::move(waiting));
+  m_waiting.emplace(
+      id, Waiting{exchange, request.m_public_id, net::BootTime(), false});
   exchange->OnGone([this, id] {
     if (m_waiting.erase(id) > 0) {
       m_metrics->Count("nutmeg_callers_gone_total");
@@ -331,7 +293,35 @@
     }
   });
   exchange->OnDrained([this, id] { m_hooks.m_caller_ready(id); });
-  m_hooks.m_submit(request);
+  m_hooks.m_submit(request, std::move(outgoing), MakeSink(id));
+}
+
+int CallerApi::PriorityRank(const CustomerId& customer) const {
+  auto row = m_world->m_customers.find(customer);
+  if (row == m_world->m_customers.end()) {
+    return PriorityRow().m_rank;
+  }
+  auto priority = m_world->m_priorities.find(row->second.m_priority);
+  return priority == m_world->m_priorities.end() ? PriorityRow().m_rank
+                                                 : priority->second.m_rank;
+}
+
+net::AnswerSink CallerApi::MakeSink(RequestId request) {
+  net::AnswerSink sink;
+  sink.m_begin = [this, request](int status, const net::HeaderList& headers) {
+    BeginAnswer(request, status, headers);
+  };
+  sink.m_write = [this, request](std::string_view data) {
+    auto found = m_waiting.find(request);
+    return found == m_waiting.end() || found->second.m_exchange->Write(data);
+  };
+  sink.m_end = [this, request] { EndAnswer(request); };
+  sink.m_abort = [this, request] { AbortAnswer(request); };
+  sink.m_whole = [this, request](int status, const net::HeaderList& headers,
+                                 std::string body) {
+    GiveWholeAnswer(request, status, headers, std::move(body));
+  };
+  return sink;
 }
 
 std::optional<CustomerId> CallerApi::Authenticate(const Exchange& exchange) {
@@ -369,124 +359,102 @@
   }
 }
 
-void CallerApi::Refuse(const RefuseRequest& refusal) {
-  auto node = m_waiting.extract(refusal.m_request);
+std::optional<CallerApi::Waiting> CallerApi::TakeWaiting(RequestId request,
+                                                         Outcome outcome) {
+  auto node = m_waiting.extract(request);
   if (node.empty()) {
+    return std::nullopt;
+  }
+  m_metrics->Count("nutmeg_requests_total",
+                   fmt::format("outcome=\"{}\"", OutcomeWord(outcome)));
+  return std::move(node.mapped());
+}
+
+void CallerApi::Refuse(const RefuseRequest& refusal) {
+  const auto waiting = TakeWaiting(refusal.m_request, refusal.m_outcome);
+  if (!waiting) {
     return;
   }
-  const Waiting& waiting = node.mapped();
-  m_metrics->Count(
-      "nutmeg_requests_total",
-      fmt::format("outcome=\"{}\"", OutcomeWord(refusal.m_outcome)));
-  if (waiting.m_began) {
-    waiting.m_exchange->AbortStream();
+  if (waiting->m_began) {
+    waiting->m_exchange->AbortStream();
     return;
   }
-  Problem problem;
-  problem.m_status = refusal.m_status;
-  problem.m_type = RefusalType(refusal.m_refusal);
-  problem.m_title = refusal.m_title;
-  problem.m_detail = refusal.m_detail;
+  Problem problem =
+      RequestProblem(refusal.m_status, RefusalType(refusal.m_refusal),
+                     refusal.m_title, refusal.m_detail);
   problem.m_outcome = refusal.m_outcome;
   problem.m_retry_after = refusal.m_retry_after;
-  SendProblem(waiting.m_exchange, problem, waiting.m_outgoing.m_public_id);
+  SendProblem(waiting->m_exchange, problem, waiting->m_public_id);
 }
 
 void CallerApi::Replay(const ReplayAnswer& replay) {
-  auto node = m_waiting.extract(replay.m_request);
-  if (node.empty()) {
+  const auto waiting = TakeWaiting(replay.m_request, Outcome::kCompleted);
+  if (!waiting) {
     return;
   }
-  const Waiting& waiting = node.mapped();
-  m_metrics->Count("nutmeg_requests_total", "outcome=\"completed\"");
-  waiting.m_exchange->Respond(
+  waiting->m_exchange->Respond(
       replay.m_status,
       {{"Content-Type", replay.m_content_type},
        {"Nutmeg-Outcome", OutcomeWord(Outcome::kCompleted)},
        {"Nutmeg-Replayed", "true"},
-       {"X-Request-Id", waiting.m_outgoing.m_public_id.str()}},
+       {"X-Request-Id", waiting->m_public_id.str()}},
       replay.m_body);
 }
 
-void CallerApi::Finish(const FinishRelay& finish) {
-  auto node = m_waiting.extract(finish.m_request);
-  if (node.empty()) {
-    return;
-  }
-  Waiting& waiting = node.mapped();
-  m_metrics->Count(
-      "nutmeg_requests_total",
-      fmt::format("outcome=\"{}\"", OutcomeWord(finish.m_outcome)));
-  const bool whole = finish.m_outcome == Outcome::kCompleted;
-  if (waiting.m_began && whole) {
-    waiting.m_exchange->EndStream();
-  } else if (waiting.m_began) {
-    waiting.m_exchange->AbortStream();
-  } else if (whole) {
-    waiting.m_exchange->Respond(waiting.m_status,
-                                AnswerHeaderList(waiting, finish.m_outcome),
-                                std::move(waiting.m_body));
-  } else {
-    Problem problem = RequestProblem(
-        502, "upstream-failed", "Upstream failed",
-        "the upstream's answer broke off; the request may have run");
-    problem.m_outcome = finish.m_outcome;
-    SendProblem(waiting.m_exchange, problem, waiting.m_outgoing.m_public_id);
-  }
-}
-
-const OutgoingRequest* CallerApi::FindOutgoing(RequestId request) const {
-  auto found = m_waiting.find(request);
-  return found == m_waiting.end() ? nullptr : &found->second.m_outgoing;
-}
-
-void CallerApi::AnswerHeaders(RequestId request,
-                              int status,
-                              const net::HeaderMap& headers) {
+void CallerApi::BeginAnswer(RequestId request,
+                            int status,
+                            const net::HeaderList& headers) {
   auto found = m_waiting.find(request);
-  if (found == m_waiting.end() || found->second.m_began) {
+  if (found == m_waiting.end()) {
     return;
   }
   Waiting& waiting = found->second;
-  waiting.m_status = status;
-  waiting.m_headers = ForwardedHeaders(headers);
-  waiting.m_body.clear();
+  waiting.m_began = true;
+  const std::chrono::duration<double> wait =
+      net::BootTime() - waiting.m_started_at;
+  m_metrics->Observe("nutmeg_first_byte_seconds", wait.count());
+  // The outcome holds if the stream ends in the regular way; one that breaks
+  // off closes the connection without the end of the chunked coding.
+  net::HeaderList all = headers;
+  all.emplace_back("Nutmeg-Outcome", OutcomeWord(Outcome::kCompleted));
+  all.emplace_back("X-Request-Id", waiting.m_public_id.str());
+  waiting.m_exchange->BeginStream(status, all);
 }
 
-bool CallerApi::AnswerBytes(RequestId request, std::string_view data) {
-  auto found = m_waiting.find(request);
-  if (found == m_waiting.end()) {
-    return true;
-  }
-  Waiting& waiting = found->second;
-  if (!waiting.m_outgoing.m_streamed) {
-    waiting.m_body.append(data);
-    return true;
-  }
-  if (!waiting.m_began) {
-    BeginStream(&waiting);
+void CallerApi::EndAnswer(RequestId request) {
+  if (const auto waiting = TakeWaiting(request, Outcome::kCompleted)) {
+    waiting->m_exchange->EndStream();
   }
-  return waiting.m_exchange->Write(data);
 }
 
-void CallerApi::BeginStream(Waiting* waiting) {
-  waiting->m_began = true;
-  m_metrics->Observe(
-      "nutmeg_first_byte_seconds",
-      std::chrono::duration<double>(net::BootTime() - waiting->m_started_at)
-          .count());
-  // The outcome holds if the stream ends with its end marker; a stream that
-  // breaks off closes the connection without the end of the chunked coding.
-  waiting->m_exchange->BeginStream(
-      waiting->m_status, AnswerHeaderList(*waiting, Outcome::kCompleted));
+void CallerApi::AbortAnswer(RequestId request) {
+  const auto waiting = TakeWaiting(request, Outcome::kUnknown);
+  if (!waiting) {
+    return;
+  }
+  if (waiting->m_began) {
+    waiting->m_exchange->AbortStream();
+    return;
+  }
+  Problem problem = RequestProblem(
+      502, "upstream-failed", "Upstream failed",
+      "the upstream's answer broke off; the request may have run");
+  problem.m_outcome = Outcome::kUnknown;
+  SendProblem(waiting->m_exchange, problem, waiting->m_public_id);
 }
 
-net::HeaderList CallerApi::AnswerHeaderList(const Waiting& waiting,
-                                            Outcome outcome) const {
-  net::HeaderList headers = waiting.m_headers;
-  headers.emplace_back("Nutmeg-Outcome", OutcomeWord(outcome));
-  headers.emplace_back("X-Request-Id", waiting.m_outgoing.m_public_id.str());
-  return headers;
+void CallerApi::GiveWholeAnswer(RequestId request,
+                                int status,
+                                const net::HeaderList& headers,
+                                std::string body) {
+  const auto waiting = TakeWaiting(request, Outcome::kCompleted);
+  if (!waiting) {
+    return;
+  }
+  net::HeaderList all = headers;
+  all.emplace_back("Nutmeg-Outcome", OutcomeWord(Outcome::kCompleted));
+  all.emplace_back("X-Request-Id", waiting->m_public_id.str());
+  waiting->m_exchange->Respond(status, all, std::move(body));
 }
 
 void CallerApi::SendProblem(const Exchange& exchange,
--- a/src/nutmegd/caller_api.h
+++ b/src/nutmegd/caller_api.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "libnet/http_server.h"
+#include "libnet/upstream_client.h"
 #include "nutmegd/chat_request.h"
 #include "nutmegd/problem.h"
 #include "nutmegd/settings.h"
@@ -26,27 +27,19 @@
 
 /// What the caller API asks of the rest of the daemon.
 struct CallerApiHooks {
-  /// Hands a new request to the decision library.
-  std::function<void(const NewRequest& request)> m_submit;
+  /// Hands a new request, and where its answer goes, to the daemon.
+  std::function<void(const NewRequest& request,
+                     net::OutgoingRequest outgoing,
+                     net::AnswerSink sink)>
+      m_submit;
   /// Tells that nobody waits for a request's answer any more.
   std::function<void(RequestId request)> m_caller_gone;
+  /// Tells that a caller who reads slowly can take more bytes.
+  std::function<void(RequestId request)> m_caller_ready;
   /// Chooses the instances that a caller should use, best first.
   std::function<std::vector<Endpoint>(const std::optional<ChatKey>& chat,
                                       const std::optional<RouteId>& route)>
       m_choose_entry;
-  /// Tells that a caller who reads slowly can take more bytes.
-  std::function<void(RequestId request)> m_caller_ready;
-};
-
-/// A request as it goes out to an upstream.
-struct OutgoingRequest {
-  PublicRequestId m_public_id;
-  RequestKind m_kind = RequestKind::kChat;
-  bool m_streamed = false;
-  std::string m_method;
-  std::string m_path;  ///< With the query.
-  net::HeaderList m_headers;
-  std::shared_ptr<const std::string> m_body;
 };
 
 /// Serves callers on one HTTP server.
@@ -61,20 +54,10 @@
   /// Handles one HTTP request.
   void Handle(std::shared_ptr<net::HttpExchange> exchange);
 
-  // Actions of the decision library.
+  /// Gives a caller the answer made by this instance.
   void Refuse(const RefuseRequest& refusal);
+  /// Gives a caller the recorded answer of an earlier request.
   void Replay(const ReplayAnswer& replay);
-  void Finish(const FinishRelay& finish);
-
-  /// @return what to send to an upstream, or null when the request has ended.
-  const OutgoingRequest* FindOutgoing(RequestId request) const;
-  /// Status and header fields of an upstream's answer arrived.
-  void AnswerHeaders(RequestId request,
-                     int status,
-                     const net::HeaderMap& headers);
-  /// A part of an upstream's answer arrived. @return false when the caller
-  /// reads too slowly: the adapter waits for the hook m_caller_ready.
-  bool AnswerBytes(RequestId request, std::string_view data);
 
   /// Makes the answer to an error that the HTTP server finds by itself.
   static net::HttpErrorAnswer ServerError(int status,
@@ -84,12 +67,9 @@
   /// A caller that waits for the end of a request.
   struct Waiting {
     std::shared_ptr<net::HttpExchange> m_exchange;
-    OutgoingRequest m_outgoing;
+    PublicRequestId m_public_id;
     TimePoint m_started_at{};
     bool m_began = false;  ///< A stream to the caller was started.
-    int m_status = 200;
-    net::HeaderList m_headers;  ///< Of the upstream's answer.
-    std::string m_body;         ///< Collected when not streamed.
   };
   using Exchange = std::shared_ptr<net::HttpExchange>;
 
@@ -103,14 +83,24 @@
   std::optional<CustomerId> Authenticate(const Exchange& exchange);
   void Submit(const Exchange& exchange,
               NewRequest request,
-              OutgoingRequest outgoing);
+              net::OutgoingRequest outgoing);
+  net::AnswerSink MakeSink(RequestId request);
+  void BeginAnswer(RequestId request,
+                   int status,
+                   const net::HeaderList& headers);
+  void EndAnswer(RequestId request);
+  void AbortAnswer(RequestId request);
+  void GiveWholeAnswer(RequestId request,
+                       int status,
+                       const net::HeaderList& headers,
+                       std::string body);
+  /// @return the caller that waits for a request, which then no longer does.
+  std::optional<Waiting> TakeWaiting(RequestId request, Outcome outcome);
   void SendProblem(const Exchange& exchange,
                    const Problem& problem,
                    const PublicRequestId& request_id);
   void SendJson(const Exchange& exchange, const std::string& body);
-  void BeginStream(Waiting* waiting);
-  net::HeaderList AnswerHeaderList(const Waiting& waiting,
-                                   Outcome outcome) const;
+  int PriorityRank(const CustomerId& customer) const;
   PublicRequestId NewPublicId();
   void RefreshTokenIndex();
   bool Ready() const;
