Add the daemon's views for operators

Cause: explain, request and status need JSON answers. Change: views of explanations, claims and status.

--- /dev/null
+++ b/src/nutmegd/operator_views.cpp
@@ -0,0 +1,136 @@
+#include "nutmegd/operator_views.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace nutmeghollow {
+namespace {
+
+using nlohmann::ordered_json;
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+ordered_json OptionalAge(const std::optional<Duration>& age) {
+  return age ? ordered_json(Milliseconds(*age)) : ordered_json();
+}
+
+const char* StatusWord(UpstreamStatus status) {
+  switch (status) {
+    case UpstreamStatus::kUsable:
+      return "usable";
+    case UpstreamStatus::kSuspect:
+      return "suspect";
+    case UpstreamStatus::kEjected:
+      return "ejected";
+    case UpstreamStatus::kLeaving:
+      return "leaving";
+  }
+  return "usable";
+}
+
+ordered_json EngineView(const ExplainedEngine& engine) {
+  return {{"engine", engine.m_id.str()},
+          {"status", StatusWord(engine.m_status)},
+          {"owner", engine.m_owner.str()},
+          {"local_running", engine.m_local_running},
+          {"remote_running", engine.m_remote_running},
+          {"inner_limit", engine.m_inner_limit},
+          {"bound_limit", engine.m_bound_limit},
+          {"capacity", engine.m_capacity},
+          {"warmth", engine.m_warmth},
+          {"report_age_ms", OptionalAge(engine.m_report_age)},
+          {"peer_age_ms", OptionalAge(engine.m_peer_age)}};
+}
+
+/// HTTP status and result word for the end of a command about a claim.
+struct ClaimEnding {
+  int m_status;
+  const char* m_result;
+  const char* m_detail;
+};
+
+ClaimEnding EndingOf(ClaimCommandStatus status) {
+  switch (status) {
+    case ClaimCommandStatus::kShown:
+      return {200, "ok", ""};
+    case ClaimCommandStatus::kResolved:
+      return {200, "accepted", "the outcome is recorded"};
+    case ClaimCommandStatus::kNotFound:
+      return {404, "not_found", "no request with this key is recorded"};
+    case ClaimCommandStatus::kAlreadySettled:
+      return {409, "refused", "the outcome is recorded already and stays"};
+    case ClaimCommandStatus::kInProgress:
+      return {409, "refused",
+              "the instance that claimed it may still be working on it"};
+    case ClaimCommandStatus::kConflict:
+      return {409, "conflict", "it changed meanwhile; show it again"};
+    case ClaimCommandStatus::kUnavailable:
+      return {503, "refused",
+              "the platform's table service was not reached; nothing changed"};
+    case ClaimCommandStatus::kUnknown:
+      return {504, "unknown",
+              "the answer of the table service was lost; request show tells"};
+  }
+  return {500, "refused", "internal error"};
+}
+
+}  // namespace
+
+net::OperatorAnswer ExplanationAnswer(const Explanation& explanation) {
+  if (!explanation.m_route_found) {
+    const ordered_json view{{"result", "not_found"},
+                            {"detail", "no such route"}};
+    return {404, view.dump()};
+  }
+  ordered_json order = ordered_json::array();
+  for (const ExplainedEngine& engine : explanation.m_order) {
+    order.push_back(EngineView(engine));
+  }
+  ordered_json last;
+  if (explanation.m_last) {
+    last = {{"engine", explanation.m_last->m_upstream.str()},
+            {"reason", PlacementReasonName(explanation.m_last->m_reason)},
+            {"age_ms", OptionalAge(explanation.m_last_age)}};
+  }
+  const ordered_json view{
+      {"result", "ok"},
+      {"home", explanation.m_home.str()},
+      {"entry_owner", explanation.m_steering_owner.str()},
+      {"entry_owner_is_this_instance", explanation.m_steered_here},
+      {"mean_load", explanation.m_mean_load},
+      {"bound", explanation.m_bound},
+      {"last_placement_here", last},
+      {"order", order}};
+  return {200, view.dump()};
+}
+
+net::OperatorAnswer ClaimAnswerForOperator(const ClaimCommandResult& result) {
+  const ClaimEnding ending = EndingOf(result.m_status);
+  ordered_json view{{"result", ending.m_result}};
+  if (*ending.m_detail != '\0') {
+    view["detail"] = ending.m_detail;
+  }
+  if (!result.m_row.empty()) {
+    view["request"] = ordered_json::parse(result.m_row, nullptr, false);
+  }
+  return {ending.m_status, view.dump()};
+}
+
+std::string StatusFields(const World& world) {
+  const ControlBudget& budget = world.m_budget;
+  const ordered_json view{
+      {"draining", world.m_draining},
+      {"requests_in_progress", world.m_requests.size()},
+      {"failed_checks", FailedChecks()},
+      {"control",
+       {{"bytes_per_second_budget", budget.m_rate.value()},
+        {"bytes_in_last_second", budget.m_last_second},
+        {"bytes_in_peak_second", budget.m_peak_second}}}};
+  return view.dump();
+}
+
+}  // namespace nutmeghollow
