--- a/testsuite/checks.py
+++ b/testsuite/checks.py
@@ -10,7 +10,7 @@
 
 def run_counts(fleet, results):
     """Compares what callers were told with what engines and services ran."""
-    ran = {request for _, request, _ in fleet.records()}
+    ran = {line["run"] for line in fleet.records() if "run" in line}
     runs_of_key = collections.Counter()
     for line in fleet.ledger():
         if "run" in line:
@@ -51,6 +51,15 @@
             check(not failed, f"{instance.m_name}: {failed} failed checks")
 
 
+def check_crashes(fleet, most=2):
+    """Fails when one request crashed more engines than allowed."""
+    crashes = collections.Counter(
+        line["prompt"] for line in fleet.records() if line.get("crash"))
+    worst = max(crashes.values(), default=0)
+    check(worst <= most, f"one request crashed {worst} engines")
+    return crashes
+
+
 class Watcher(threading.Thread):
     """Calls a function again and again beside the case."""
 
@@ -71,6 +80,29 @@
         self.join()
 
 
+class Supervisor:
+    """Starts processes again that ended, as the users' platform does."""
+
+    def __init__(self, fleet, members, rest=1.0):
+        self.m_fleet = fleet
+        self.m_members = members
+        self.m_rest = rest
+        self.m_ended = {}
+        self.m_watcher = Watcher(0.1, self._look)
+
+    def _look(self):
+        now = time.monotonic()
+        for member in self.m_members:
+            if member.m_process.running():
+                self.m_ended.pop(member.m_name, None)
+            elif now - self.m_ended.setdefault(member.m_name, now) > self.m_rest:
+                self.m_ended.pop(member.m_name)
+                self.m_fleet.restart(member)
+
+    def finish(self):
+        self.m_watcher.finish()
+
+
 class RevisionWatch:
     """Notes each fall of a revision within the life of an instance."""
 
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -231,7 +231,8 @@
         self.publish_instances()
         for instance in self.m_instances:
             self.start_instance(instance)
-        self.wait_operator(self.m_instances[0])
+        if self.m_instances:
+            self.wait_operator(self.m_instances[0])
 
     def _assign_addresses(self):
         for member in [self.m_proxy, self.m_platform, *self.m_engines,
@@ -299,6 +300,16 @@
         self._start(instance, "nutmegd", f"--settings={settings}",
                     listen=False)
 
+    def restart(self, member):
+        """Starts a member again, after ending what is left of it."""
+        member.m_process.kill()
+        if member in self.m_engines:
+            self.start_engine(member)
+        elif member in self.m_services:
+            self.start_service(member)
+        else:
+            self.start_instance(member)
+
     def _settings_text(self, instance):
         digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         return f"""[instance]
@@ -401,6 +412,13 @@
                       f"data_centre={member.m_data_centre}",
                       f"region={member.m_region}")
 
+    def partition(self, first, second, blocked=True):
+        """Cuts, or joins, two groups of instances in both directions."""
+        for targets, senders in ((first, second), (second, first)):
+            self.proxy(["peer-" + target.m_name for target in targets],
+                       sources=[sender.m_ip for sender in senders],
+                       blocked=blocked)
+
     # Waiting and observing.
 
     def ready(self, instance):
@@ -440,14 +458,13 @@
         return load
 
     def records(self):
-        """Returns the ids of requests that ran at an engine, in order."""
-        runs = []
+        """Returns what the engines noted: a line per run and per order."""
+        lines = []
         for engine in self.m_engines:
             path = os.path.join(self.m_folder, engine.m_name + ".record")
             for line in read_json_lines(path):
-                if "run" in line:
-                    runs.append((engine.m_name, line["run"], line["crash"]))
-        return runs
+                lines.append({"engine": engine.m_name, **line})
+        return lines
 
     def ledger(self):
         """Returns the lines of the service's ledger."""
