--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -16,7 +16,14 @@
   // The call of each system goes here, in this order: control budget,
   // membership, probing, configuration, lease, orders, quarantine, claims,
   // admission, placement, request flow, drain.
+  RunControlBudget(world, now);
+  RunMembership(world, now);
+  RunProbing(world, now);
   RunConfiguration(world, now);
+  RunPlannedChanges(world, now);
+  RunOperatorCommands(world, now);
+  RunLease(world, now);
+  RunOrders(world, now);
   RunAdmission(world, now);
   RunPlacement(world, now);
   return std::exchange(world.m_actions, {});
