--- a/src/nutmegload/caller.cpp
+++ b/src/nutmegload/caller.cpp
@@ -58,6 +58,7 @@
 
   // The current try.
   std::string m_address;
+  TimePoint m_sent_at{};
   TryResult m_result;
   AnswerReader m_reader;
   std::string m_bytes;
@@ -145,6 +146,7 @@
 
 void Caller::Send(const StatePtr& state, const std::string& address) {
   state->m_address = address;
+  state->m_sent_at = net::BootTime();
   net::HttpCallEvents events;
   events.m_on_headers = [state](int status, const net::HeaderMap& headers) {
     state->m_result.m_status = status;
@@ -163,7 +165,9 @@
     state->m_reader.AddStreamBytes(data);
     if (state->m_result.m_first_token == Duration{} &&
         !state->m_reader.Text().empty()) {
-      state->m_result.m_first_token = net::BootTime() - state->m_started_at;
+      const TimePoint now = net::BootTime();
+      state->m_result.m_first_token = now - state->m_started_at;
+      state->m_result.m_first_token_since_send = now - state->m_sent_at;
     }
     return true;
   };
--- a/src/nutmegload/measures.cpp
+++ b/src/nutmegload/measures.cpp
@@ -103,6 +103,7 @@
   m_call_ms.push_back(Milliseconds(duration));
   if (call.m_streamed) {
     m_first_token_ms.push_back(Milliseconds(last.m_first_token));
+    m_since_send_ms.push_back(Milliseconds(last.m_first_token_since_send));
     customer.m_first_token_ms.push_back(Milliseconds(last.m_first_token));
   }
   if (call.m_kind != CallKind::kService) {
@@ -123,7 +124,6 @@
   if (!m_trace.is_open()) {
     return;
   }
-  auto hashes = standins::PrefixHashes(call.m_model, call.m_messages);
   auto extended = call.m_messages;
   extended.push_back({"assistant", last.m_answer});
   const auto with_answer = standins::PrefixHashes(call.m_model, extended);
@@ -163,6 +163,7 @@
           {"statuses", m_statuses},
           {"most_tries", m_most_tries},
           {"ttft_ms", Percentiles(m_first_token_ms)},
+          {"ttft_since_send_ms", Percentiles(m_since_send_ms)},
           {"call_ms", Percentiles(m_call_ms)},
           {"customers", customers},
           {"prompt_tokens", m_prompt_tokens},
--- a/src/nutmegload/measures.h
+++ b/src/nutmegload/measures.h
@@ -33,6 +33,7 @@
   bool m_connect_failed = false;
   std::string m_answer;
   Duration m_first_token{};  ///< From the start of the call; zero if none.
+  Duration m_first_token_since_send{};  ///< From the start of this try.
   std::int64_t m_prompt_tokens = 0;
   std::int64_t m_cached_tokens = 0;
   std::string m_detail;
@@ -83,6 +84,7 @@
   std::map<std::string, CustomerMeasures> m_customers;
   std::map<std::int64_t, Second> m_seconds;
   std::vector<double> m_first_token_ms;
+  std::vector<double> m_since_send_ms;
   std::vector<double> m_call_ms;
   std::vector<std::string> m_not_run_ids;
   std::vector<std::string> m_completed_keys;
--- a/src/standins/main/fault_proxy.cpp
+++ b/src/standins/main/fault_proxy.cpp
@@ -9,7 +9,8 @@
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  struct ev_loop* loop = EV_DEFAULT;
+  // Its delays are below the millisecond that epoll_wait can wait for.
+  struct ev_loop* loop = ev_default_loop(EVBACKEND_SELECT);
   nutmeghollow::standins::FaultProxy proxy(loop);
   nutmeghollow::standins::Serve(
       loop, FLAGS_listen,
--- /dev/null
+++ b/testsuite/measure.py
@@ -0,0 +1,294 @@
+"""Measures both deployments and writes build/measure/summary.json.
+
+Each deployment runs three times with the same calls: with the fleet's own
+placement, and with random and least-loaded placement as baselines.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import threading
+import time
+
+from checks import ControlWatch, RevisionWatch, SkewWatch, Watcher
+from checks import run_counts
+from harness import CaseFailure, Fleet, run_case, wait_until
+from replay import best_reuse
+
+CLIENT_DELAY_US = 1000
+PROBE_SECONDS = 6
+STEADY = (8, 24)   # Seconds of a run; caches are warm from the first.
+SURGE = (24, 32)
+CHURN = 34
+AFTER_CHURN = (40, 50)
+RUN_SECONDS = 50
+BASELINE_SECONDS = 32
+CACHE_TOKENS = 150000
+RATE = 110
+
+DEPLOYMENTS = {
+    "vuhf": {
+        "data_centres": [(name, "nl-midden") for name in
+                         ("utrecht-a", "amersfoort-b", "zeist-c")],
+        "delay_us": 900, "services": 3,
+        "mix": "long:4,short:3,label:1,service:1"},
+    "skattekrukke": {
+        "data_centres": [(f"dk-east-{name}", "dk-east") for name in "abcd"],
+        "delay_us": 1500, "services": 4,
+        "mix": "long:2,short:3,label:4,service:2"},
+}
+CUSTOMERS = {f"customer-{n}": (8, 6, 4)[n] if n < 3 else 1 for n in range(10)}
+SETTINGS = """
+[drain]
+keep_ms = 2000
+limit_ms = 20000
+"""
+
+
+def make_fleet(build, name, deployment, policy):
+    fleet = Fleet(
+        build, f"measure_{name}_{policy}", engines=12,
+        services=deployment["services"], proxy=True,
+        data_centres=deployment["data_centres"],
+        delay_us=deployment["delay_us"], settings=SETTINGS, policy=policy,
+        engine_flags=["--token_rate=60", "--batch_half=24",
+                      f"--cache_tokens={CACHE_TOKENS}"])
+    return fleet
+
+
+def prepare(fleet):
+    """Sets the latency of callers, and paths from callers to the engines."""
+    fleet.proxy([i.m_name for i in fleet.m_instances],
+                delay_us=CLIENT_DELAY_US)
+    fleet.m_direct = [fleet.m_ports.pick() for _ in fleet.m_engines]
+    fleet.post(fleet.m_proxy, "/links", {"links": [
+        {"name": "direct-" + engine.m_name, "listen": address,
+         "target": engine.m_address, "delay_us": CLIENT_DELAY_US}
+        for engine, address in zip(fleet.m_engines, fleet.m_direct)]})
+    fleet.configure(customers=list(CUSTOMERS))
+    fleet.wait_ready()
+
+
+def start_load(fleet, deployment, seconds):
+    return fleet.start_load(
+        rate=RATE, seconds=seconds, mix=deployment["mix"], seed=1,
+        customers=",".join(f"{n}:{w}" for n, w in CUSTOMERS.items()),
+        surge_customer="customer-0", surge_from=SURGE[0], surge_to=SURGE[1])
+
+
+def added_ttft(fleet):
+    """The same calls through the fleet and straight to the engines."""
+    flags = {"rate": 20, "seconds": PROBE_SECONDS, "mix": "short:1",
+             "turns": 1, "customers": "customer-9:1"}
+    routed = fleet.start_load(seed=101, **flags)
+    direct = fleet.start_load(seed=102, direct=",".join(fleet.m_direct),
+                              **flags)
+    routed = routed.wait()["ttft_since_send_ms"]
+    direct = direct.wait()["ttft_since_send_ms"]
+    return {f"added_ttft_ms_{p}": round(routed[p] - direct[p], 3)
+            for p in ("p50", "p95")}
+
+
+def reuse(result, window):
+    rows = [r for r in result["seconds"] if window[0] <= r[0] < window[1]]
+    prompt = sum(row[2] for row in rows)
+    return round(sum(row[1] for row in rows) / prompt, 4) if prompt else 0.0
+
+
+class ChangeWatch:
+    """Makes a change a second and notes how long until it is in force."""
+
+    def __init__(self, fleet):
+        self.m_fleet = fleet
+        self.m_worst = 0.0
+        self.m_missed = []
+        self.m_count = 0
+        self.m_watcher = Watcher(1.0, self._change)
+
+    def _change(self):
+        self.m_count += 1
+        code, answer = self.m_fleet.ctl("priority", "set", "p",
+                                        f"rank={self.m_count}",
+                                        at=self.m_fleet.m_instances[-1])
+        accepted = time.monotonic()
+        if code != 0:
+            self.m_missed.append(answer)
+            return
+        # Instances that are being replaced catch up when they are back.
+        steady = [i for i in self.m_fleet.m_instances
+                  if not getattr(i, "m_replaced", False)]
+        try:
+            for instance in steady:
+                wait_until(lambda i=instance:
+                           (self.m_fleet.revision(i) or 0) >=
+                           answer["revision"] or
+                           getattr(i, "m_replaced", False),
+                           19, "in force", period=0.01)
+        except CaseFailure as failure:
+            self.m_missed.append(str(failure))
+        self.m_worst = max(self.m_worst, time.monotonic() - accepted)
+
+    def finish(self):
+        self.m_watcher.finish()
+        return round(self.m_worst * 1000)
+
+
+def replace_engine(fleet, engine):
+    """An engine leaves, is replaced when it is idle, and comes back empty.
+    Returns for how long it got new work."""
+    fleet.control(engine, leaving=True)
+    time.sleep(4)
+    stopped = fleet.stats(engine)["last_work_after_leaving_ms"]
+    for _ in range(100):
+        if fleet.stats(engine)["running"] == 0:
+            break
+        time.sleep(0.1)
+    fleet.restart(engine)
+    return stopped
+
+
+def replace_instance(fleet, instance):
+    instance.m_replaced = True
+    instance.m_process.signal(signal.SIGTERM)
+    instance.m_process.wait(20)
+    fleet.restart(instance)
+    wait_until(lambda: fleet.ready(instance), 15, "the instance is back")
+    instance.m_replaced = False
+
+
+def churn(fleet, stopped):
+    """Replaces two engines and two instances at the same time."""
+    def engines():
+        for engine in fleet.m_engines[:2]:
+            stopped.append(replace_engine(fleet, engine))
+
+    thread = threading.Thread(target=engines)
+    thread.start()
+    for instance in fleet.m_instances[:2]:
+        replace_instance(fleet, instance)
+    thread.join()
+
+
+def measure_own(build, name, deployment):
+    with make_fleet(build, name, deployment, "bounded") as fleet:
+        prepare(fleet)
+        summary = added_ttft(fleet)
+        skew, control = SkewWatch(fleet), ControlWatch(fleet)
+        revisions, changes = RevisionWatch(fleet), ChangeWatch(fleet)
+        started = time.monotonic()
+        load = start_load(fleet, deployment, RUN_SECONDS)
+        time.sleep(CHURN - (time.monotonic() - started))
+        stopped = []
+        churn(fleet, stopped)
+        result = load.wait()
+        skew.finish()
+        counts = run_counts(fleet, [result])
+        summary.update({
+            "cache_reuse": reuse(result, STEADY),
+            "cache_reuse_after_churn": reuse(result, AFTER_CHURN),
+            "cache_reuse_ceiling": best_reuse(load.m_trace, 12, CACHE_TOKENS,
+                                              STEADY),
+            "skew_peak": round(skew.peak(*STEADY), 3),
+            "skew_peak_surge": round(skew.peak(*SURGE), 3),
+            "control_bytes_per_second_peak": round(
+                max(control.finish(), default=0)),
+            "config_in_force_ms_max": changes.finish(),
+            "leaving_stop_ms_max": max(stopped),
+            "reverted_configs": len(revisions.finish()),
+        })
+        for key in ("wrong_answers", "cut_answers", "false_not_run",
+                    "doubled_requests"):
+            summary[key] = counts[key]
+        # Beside the keys that users read: what a figure above rests on.
+        summary["detail"] = {
+            "started": result["started"], "completed": result["completed"],
+            "tries": result["tries"], "lost_bookings": counts["lost_bookings"],
+            "changes": changes.m_count, "changes_missed": changes.m_missed,
+            "ttft_ms": result["ttft_ms"],
+            "largest_customer_ttft_ms": result["customers"]["customer-0"][
+                "ttft_ms"],
+            "smallest_customer_ttft_ms": result["customers"]["customer-9"][
+                "ttft_ms"],
+            "problems": result["problems"][:20]}
+        return summary, result, skew.m_samples
+
+
+def measure_baseline(build, name, deployment, policy):
+    with make_fleet(build, name, deployment, policy) as fleet:
+        prepare(fleet)
+        skew = SkewWatch(fleet)
+        result = start_load(fleet, deployment, BASELINE_SECONDS).wait()
+        skew.finish()
+        return {"cache_reuse": reuse(result, STEADY),
+                "skew_peak": round(skew.peak(*STEADY), 3),
+                "skew_peak_surge": round(skew.peak(*SURGE), 3),
+                "ttft_ms_p50": result["ttft_ms"]["p50"],
+                "ttft_ms_p95": result["ttft_ms"]["p95"]}
+
+
+def plot(folder, name, result, samples):
+    """Writes NAME.svg: load per engine, and reuse, over time."""
+    data = os.path.join(folder, name)
+    with open(data + ".load", "w", encoding="utf-8") as file:
+        for at, loads in samples:
+            file.write(" ".join(map(str, [at, *loads])) + "\n")
+    with open(data + ".reuse", "w", encoding="utf-8") as file:
+        for second, cached, prompt, _ in result["seconds"]:
+            file.write(f"{second} {cached / max(prompt, 1)}\n")
+    script = f"""
+set terminal svg size 900,700
+set output '{data}.svg'
+set multiplot layout 2,1 title '{name}'
+set key off
+set ylabel 'requests in an engine'
+plot for [i=2:13] '{data}.load' using 1:i with lines
+set yrange [0:1]
+set xlabel 'seconds'
+set ylabel 'prompt tokens from cache'
+plot '{data}.reuse' with linespoints
+"""
+    try:
+        subprocess.run(["gnuplot"], input=script, text=True, check=True,
+                       timeout=30)
+    except (OSError, subprocess.SubprocessError) as error:
+        print(f"no plot: {error}")
+
+
+def print_table(summary):
+    names = list(summary)
+    keys = [k for k in summary[names[0]] if k not in ("baseline", "detail")]
+    print(f"\n{'':32}" + "".join(f"{name:>16}" for name in names))
+    for key in keys:
+        print(f"{key:32}" +
+              "".join(f"{summary[name][key]:>16}" for name in names))
+    for policy in summary[names[0]]["baseline"]:
+        for key in summary[names[0]]["baseline"][policy]:
+            label = f"{policy} {key}"
+            print(f"{label:32}" + "".join(
+                f"{summary[name]['baseline'][policy][key]:>16}"
+                for name in names))
+
+
+def main(arguments):
+    folder = os.path.join(os.path.abspath(arguments.build), "measure")
+    os.makedirs(folder, exist_ok=True)
+    summary = {}
+    for name, deployment in DEPLOYMENTS.items():
+        print(f"{name}: bounded placement", flush=True)
+        own, result, samples = measure_own(arguments.build, name, deployment)
+        plot(folder, name, result, samples)
+        own["baseline"] = {}
+        for policy in ("random", "least_loaded"):
+            print(f"{name}: {policy} placement", flush=True)
+            own["baseline"][policy] = measure_baseline(
+                arguments.build, name, deployment, policy)
+        summary[name] = own
+    path = os.path.join(folder, "summary.json")
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump(summary, file, indent=1)
+    print_table(summary)
+    print(f"\nwritten: {os.path.relpath(path)}, and a plot of each deployment")
+
+
+run_case(main)
