--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -21,6 +21,8 @@
   RunOperatorCommands(world, now);
   RunLease(world, now);
   RunOrders(world, now);
+  RunAdmission(world, now);
+  RunPlacement(world, now);
   return std::exchange(world.m_actions, {});
 }
 
