--- a/src/include/nutmeghollow/configuration_schema.h
+++ b/src/include/nutmeghollow/configuration_schema.h
@@ -24,7 +24,8 @@
   WallTime m_at;                      ///< When it is due.
   ObjectKey m_key;                    ///< Object to write or delete.
   std::optional<std::string> m_json;  ///< Unset to delete the object.
-  OperatorId m_operator;              ///< Who planned it.
+  bool m_merge = false;   ///< Only the given fields change (RFC 7396).
+  OperatorId m_operator;  ///< Who planned it.
 };
 
 /// Parsers of one kind each. Findings are appended; fields with findings keep
@@ -50,6 +51,16 @@
                                  const std::string& json,
                                  Findings& findings);
 
+/// @return the object that a planned change leads to, given the present
+/// configuration; unset when the change deletes it.
+std::optional<std::string> PlannedObject(const ConfigurationTable& table,
+                                         const PlannedChange& change);
+
+/// Merges fields into an object (RFC 7396).
+/// @param object a JSON object, or null for none.
+/// @return the merged object; `fields` as it is when it is not valid JSON.
+std::string MergeFields(const std::string* object, const std::string& fields);
+
 /// Checks one object by itself: identifier, size, syntax, fields and types.
 Findings ValidateObject(const ObjectKey& key, const std::string& json);
 
--- a/src/libnutmeg/configuration_references.cpp
+++ b/src/libnutmeg/configuration_references.cpp
@@ -1,4 +1,6 @@
 // Checks of the references between configuration objects.
+#include <utility>
+
 #include "nutmeghollow/configuration_schema.h"
 
 namespace nutmeghollow {
@@ -125,6 +127,25 @@
   }
 }
 
+/// Checks a planned change of some fields as if it were due now.
+void CheckPlannedMerge(const ConfigurationTable& table,
+                       const ObjectKey& key,
+                       const std::string& json,
+                       Findings& findings) {
+  if (key.m_kind != ObjectKind::kPlannedChange || !findings.empty()) {
+    return;
+  }
+  const PlannedChange planned = ParsePlannedChange(key.m_id, json, findings);
+  if (!planned.m_merge) {
+    return;
+  }
+  const std::optional<std::string> object = PlannedObject(table, planned);
+  for (Finding& finding : ValidateChange(table, planned.m_key, object)) {
+    findings.push_back({PlaceOf(key) + "/object: " + finding.m_place,
+                        std::move(finding.m_message)});
+  }
+}
+
 }  // namespace
 
 Findings ValidateChange(const ConfigurationTable& table,
@@ -135,6 +156,7 @@
     findings = ValidateObject(key, *json);
     CheckOutgoing(table, key, *json, findings);
     CheckTokens(table, key, *json, findings);
+    CheckPlannedMerge(table, key, *json, findings);
   } else if (table.Find(key) == nullptr) {
     findings.push_back({PlaceOf(key), "does not exist"});
   }
--- a/src/libnutmeg/configuration_schema.cpp
+++ b/src/libnutmeg/configuration_schema.cpp
@@ -263,7 +263,8 @@
   if (object != nullptr && !object->is_null()) {
     change.m_json = object->dump();
   }
-  if (kind_valid && change.m_json) {
+  reader.ReadFlag("merge", change.m_merge);
+  if (kind_valid && change.m_json && !change.m_merge) {
     for (Finding& finding : ValidateObject(change.m_key, *change.m_json)) {
       findings.push_back({place + "/object: " + finding.m_place,
                           std::move(finding.m_message)});
@@ -273,6 +274,26 @@
   return change;
 }
 
+std::optional<std::string> PlannedObject(const ConfigurationTable& table,
+                                         const PlannedChange& change) {
+  if (!change.m_json || !change.m_merge) {
+    return change.m_json;
+  }
+  const ObjectRow* row = table.Find(change.m_key);
+  return MergeFields(row == nullptr ? nullptr : &row->m_json, *change.m_json);
+}
+
+std::string MergeFields(const std::string* object, const std::string& fields) {
+  const Json patch = Json::parse(fields, nullptr, false);
+  if (patch.is_discarded()) {
+    return fields;
+  }
+  Json merged =
+      object == nullptr ? Json::object() : Json::parse(*object, nullptr, false);
+  merged.merge_patch(patch);
+  return merged.dump();
+}
+
 Findings ValidateObject(const ObjectKey& key, const std::string& json) {
   Findings findings;
   const std::string place = PlaceOf(key.m_kind, key.m_id);
--- a/src/libnutmeg/operator_commands.cpp
+++ b/src/libnutmeg/operator_commands.cpp
@@ -134,16 +134,14 @@
   if (command.m_action == CommandAction::kDelete) {
     return std::nullopt;
   }
-  Json json = Json::parse(command.m_json, nullptr, false);
+  const bool merge = command.m_action == CommandAction::kMerge;
+  const std::string text =
+      merge ? MergeFields(current == nullptr ? nullptr : &current->m_json,
+                          command.m_json)
+            : command.m_json;
+  Json json = Json::parse(text, nullptr, false);
   if (json.is_discarded()) {
-    return command.m_json;  // The schema reports it.
-  }
-  if (command.m_action == CommandAction::kMerge) {
-    Json merged = current == nullptr
-                      ? Json::object()
-                      : Json::parse(current->m_json, nullptr, false);
-    merged.merge_patch(json);
-    json = std::move(merged);
+    return text;  // The schema reports it.
   }
   if (command.m_key.m_kind == ObjectKind::kPlannedChange && json.is_object()) {
     json["operator"] = command.m_operator.str();
@@ -159,13 +157,15 @@
   Findings findings;
   const PlannedChange planned = ParsePlannedChange(
       plan.m_id, world.m_configuration.Find(plan)->m_json, findings);
+  const std::optional<std::string> object =
+      PlannedObject(world.m_configuration, planned);
   for (Finding& finding :
-       ValidateChange(world.m_configuration, planned.m_key, planned.m_json)) {
+       ValidateChange(world.m_configuration, planned.m_key, object)) {
     findings.push_back(std::move(finding));
   }
   std::vector<ConfigurationChange> changes;
   if (findings.empty()) {
-    changes.push_back({Revision(), planned.m_key, planned.m_json});
+    changes.push_back({Revision(), planned.m_key, object});
     note = "planned as change/" + plan.m_id;
   } else {
     note = "planned change refused when due:";
--- a/src/nutmegctl/nutmegctl.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-int main() {
-  return 0;
-}
