--- a/src/include/nutmeghollow/membership.h
+++ b/src/include/nutmeghollow/membership.h
@@ -79,7 +79,7 @@
 };
 
 /// A listed instance that has not been heard from.
-struct Candidate {
+struct ContactCandidate {
   ListedInstance m_listed;
   TimePoint m_next_contact{};
   Duration m_backoff{};
@@ -114,7 +114,7 @@
   MembershipParameters m_parameters;
   MembershipCounters m_counters;
   std::map<InstanceId, MemberState> m_members;
-  std::map<InstanceId, Candidate> m_candidates;
+  std::map<InstanceId, ContactCandidate> m_candidates;
   std::vector<InstanceId> m_order;  ///< Shuffled ring of probe targets.
   std::size_t m_next_in_order = 0;
   std::optional<PendingProbe> m_pending;
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -13,13 +13,18 @@
 #include <vector>
 
 #include "nutmeghollow/actions.h"
+#include "nutmeghollow/admission.h"
 #include "nutmeghollow/budget.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/configuration_system.h"
 #include "nutmeghollow/gossip.h"
 #include "nutmeghollow/instances.h"
+#include "nutmeghollow/limits.h"
+#include "nutmeghollow/loads.h"
 #include "nutmeghollow/membership.h"
 #include "nutmeghollow/peers.h"
+#include "nutmeghollow/placement.h"
 #include "nutmeghollow/probing.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
@@ -49,6 +54,7 @@
   CustomerTable m_customers;
   RequestTable m_requests;
   ConfigurationTable m_configuration;
+  ConfigurationState m_configuration_state;
   PeerTable m_peers;
   SuspectTable m_suspects;
 
@@ -56,6 +62,15 @@
   MembershipState m_membership;
   GossipState m_gossip;
   ProbingState m_probing;
+  LimitParameters m_limit_parameters;
+  LoadParameters m_load_parameters;
+  AdmissionParameters m_admission_parameters;
+  PlacementParameters m_placement_parameters;
+  LimitState m_limits;
+  LoadState m_loads;
+  AdmissionState m_admission;
+  PlacementState m_placement;
+  ReservationInbox m_reservation_inbox;
 
   RequestInbox m_request_inbox;
   ConfigurationInbox m_configuration_inbox;
--- a/src/libnet/event_loop.h
+++ b/src/libnet/event_loop.h
@@ -24,7 +24,7 @@
   /// Runs the callback every `period`.
   void StartRepeating(Duration period);
   void Stop();
-  bool active() const;
+  bool Active() const;
 
  private:
   static void OnTimer(struct ev_loop* loop, ev_timer* watcher, int events);
@@ -45,6 +45,9 @@
   DescriptorWatcher(const DescriptorWatcher&) = delete;
   DescriptorWatcher& operator=(const DescriptorWatcher&) = delete;
 
+  /// Changes what is waited for; 0 waits for nothing.
+  void SetEvents(int events);
+
  private:
   static void OnReady(struct ev_loop* loop, ev_io* watcher, int events);
 
--- a/src/libnutmeg/membership.cpp
+++ b/src/libnutmeg/membership.cpp
@@ -22,12 +22,12 @@
   if (listed.empty()) {
     return;
   }
-  std::map<InstanceId, Candidate> candidates;
+  std::map<InstanceId, ContactCandidate> candidates;
   for (ListedInstance& instance : listed) {
     if (instance.m_id == world.m_instances.m_self) {
       continue;
     }
-    Candidate candidate;
+    ContactCandidate candidate;
     auto known = membership.m_candidates.find(instance.m_id);
     if (known != membership.m_candidates.end()) {
       candidate = known->second;
--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -19,6 +19,9 @@
   RunControlBudget(world, now);
   RunMembership(world, now);
   RunProbing(world, now);
+  RunConfiguration(world, now);
+  RunAdmission(world, now);
+  RunPlacement(world, now);
   return std::exchange(world.m_actions, {});
 }
 
