--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -69,6 +69,11 @@
   std::int64_t m_slot = 0;         ///< Number of the current slot.
   std::int64_t m_last_second = 0;  ///< Bytes in the last ten slots.
   std::int64_t m_peak_second = 0;  ///< Highest value of m_last_second.
+  /// Since when m_last_second is above the rate; the maximum if it is not.
+  TimePoint m_excess_since = TimePoint::max();
+  /// Longest time that m_last_second stayed above the rate. A burst of one
+  /// second keeps the sum of the last second high for two.
+  Duration m_longest_excess{};
 
   /// @return the counters of a class.
   const ControlCounters& Counters(ControlClass control_class) const {
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -70,6 +70,10 @@
   PeerTable m_peers;
   SuspectTable m_suspects;
 
+  ControlBudget m_budget;
+  MembershipState m_membership;
+  GossipState m_gossip;
+  ProbingState m_probing;
   LimitParameters m_limit_parameters;
   LoadParameters m_load_parameters;
   AdmissionParameters m_admission_parameters;
@@ -79,10 +83,6 @@
   AdmissionState m_admission;
   PlacementState m_placement;
   ReservationInbox m_reservation_inbox;
-  ControlBudget m_budget;
-  MembershipState m_membership;
-  GossipState m_gossip;
-  ProbingState m_probing;
   RequestFlowParameters m_request_flow_parameters;
   RequestFlowState m_request_flow;
   ClaimParameters m_claim_parameters;
--- a/src/libnutmeg/gossip.capnp.h
+++ b/src/libnutmeg/gossip.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -40,9 +40,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(db1e1a9b125f3052, 0, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -55,9 +57,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(86a032c84c591bf7, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -70,9 +74,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9c17ca63057a162f, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -85,9 +91,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f0ee31d2bcb92304, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -100,9 +108,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d25236ec8656db2a, 1, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -115,9 +125,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(de6bc11ec1751406, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -130,9 +142,11 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(af0ace16a0f7a2dd, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -145,20 +159,22 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a598a18fcecb8a98, 5, 7)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Details::Reader {
-public:
+ public:
   typedef Details Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -171,18 +187,18 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasCallerEndpoint() const;
-  inline  ::capnp::Text::Reader getCallerEndpoint() const;
+  inline ::capnp::Text::Reader getCallerEndpoint() const;
 
   inline bool hasPeerEndpoint() const;
-  inline  ::capnp::Text::Reader getPeerEndpoint() const;
+  inline ::capnp::Text::Reader getPeerEndpoint() const;
 
   inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
+  inline ::capnp::Text::Reader getRegion() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -195,50 +211,54 @@
 };
 
 class Details::Builder {
-public:
+ public:
   typedef Details Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
   inline bool hasCallerEndpoint();
-  inline  ::capnp::Text::Builder getCallerEndpoint();
-  inline void setCallerEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCallerEndpoint(unsigned int size);
-  inline void adoptCallerEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCallerEndpoint();
+  inline ::capnp::Text::Builder getCallerEndpoint();
+  inline void setCallerEndpoint(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initCallerEndpoint(unsigned int size);
+  inline void adoptCallerEndpoint(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownCallerEndpoint();
 
   inline bool hasPeerEndpoint();
-  inline  ::capnp::Text::Builder getPeerEndpoint();
-  inline void setPeerEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPeerEndpoint(unsigned int size);
-  inline void adoptPeerEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPeerEndpoint();
+  inline ::capnp::Text::Builder getPeerEndpoint();
+  inline void setPeerEndpoint(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initPeerEndpoint(unsigned int size);
+  inline void adoptPeerEndpoint(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownPeerEndpoint();
 
   inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
   inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+  inline ::capnp::Text::Builder getRegion();
+  inline void setRegion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRegion();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -249,14 +269,14 @@
 
 #if !CAPNP_LITE
 class Details::Pipeline {
-public:
+ public:
   typedef Details Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -265,11 +285,11 @@
 #endif  // !CAPNP_LITE
 
 class Member::Reader {
-public:
+ public:
   typedef Member Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -282,16 +302,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline ::capnp::Text::Reader getId() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint8_t getStatus() const;
+  inline ::uint8_t getStatus() const;
 
   inline bool hasDetails() const;
-  inline  ::nutmeghollow::wire::Details::Reader getDetails() const;
+  inline ::nutmeghollow::wire::Details::Reader getDetails() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -304,42 +324,47 @@
 };
 
 class Member::Builder {
-public:
+ public:
   typedef Member Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline ::capnp::Text::Builder getId();
+  inline void setId(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownId();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-  inline  ::uint8_t getStatus();
-  inline void setStatus( ::uint8_t value);
+  inline ::uint8_t getStatus();
+  inline void setStatus(::uint8_t value);
 
   inline bool hasDetails();
-  inline  ::nutmeghollow::wire::Details::Builder getDetails();
-  inline void setDetails( ::nutmeghollow::wire::Details::Reader value);
-  inline  ::nutmeghollow::wire::Details::Builder initDetails();
-  inline void adoptDetails(::capnp::Orphan< ::nutmeghollow::wire::Details>&& value);
-  inline ::capnp::Orphan< ::nutmeghollow::wire::Details> disownDetails();
-
-private:
+  inline ::nutmeghollow::wire::Details::Builder getDetails();
+  inline void setDetails(::nutmeghollow::wire::Details::Reader value);
+  inline ::nutmeghollow::wire::Details::Builder initDetails();
+  inline void adoptDetails(
+      ::capnp::Orphan<::nutmeghollow::wire::Details>&& value);
+  inline ::capnp::Orphan<::nutmeghollow::wire::Details> disownDetails();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -350,15 +375,16 @@
 
 #if !CAPNP_LITE
 class Member::Pipeline {
-public:
+ public:
   typedef Member Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::nutmeghollow::wire::Details::Pipeline getDetails();
-private:
+  inline ::nutmeghollow::wire::Details::Pipeline getDetails();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -367,11 +393,11 @@
 #endif  // !CAPNP_LITE
 
 class Confirmation::Reader {
-public:
+ public:
   typedef Confirmation Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -383,11 +409,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getInstance() const;
+  inline ::uint32_t getInstance() const;
 
-  inline  ::uint32_t getRevision() const;
+  inline ::uint32_t getRevision() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -400,28 +426,32 @@
 };
 
 class Confirmation::Builder {
-public:
+ public:
   typedef Confirmation Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getInstance();
-  inline void setInstance( ::uint32_t value);
+  inline ::uint32_t getInstance();
+  inline void setInstance(::uint32_t value);
 
-  inline  ::uint32_t getRevision();
-  inline void setRevision( ::uint32_t value);
+  inline ::uint32_t getRevision();
+  inline void setRevision(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -432,14 +462,14 @@
 
 #if !CAPNP_LITE
 class Confirmation::Pipeline {
-public:
+ public:
   typedef Confirmation Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -448,11 +478,11 @@
 #endif  // !CAPNP_LITE
 
 class Verdict::Reader {
-public:
+ public:
   typedef Verdict Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -464,15 +494,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getUpstream() const;
+  inline ::uint32_t getUpstream() const;
 
-  inline  ::uint16_t getRunning() const;
+  inline ::uint16_t getRunning() const;
 
-  inline  ::uint8_t getAge() const;
+  inline ::uint8_t getAge() const;
 
-  inline  ::uint8_t getState() const;
+  inline ::uint8_t getState() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -485,34 +515,38 @@
 };
 
 class Verdict::Builder {
-public:
+ public:
   typedef Verdict Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getUpstream();
-  inline void setUpstream( ::uint32_t value);
+  inline ::uint32_t getUpstream();
+  inline void setUpstream(::uint32_t value);
 
-  inline  ::uint16_t getRunning();
-  inline void setRunning( ::uint16_t value);
+  inline ::uint16_t getRunning();
+  inline void setRunning(::uint16_t value);
 
-  inline  ::uint8_t getAge();
-  inline void setAge( ::uint8_t value);
+  inline ::uint8_t getAge();
+  inline void setAge(::uint8_t value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+  inline ::uint8_t getState();
+  inline void setState(::uint8_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -523,14 +557,14 @@
 
 #if !CAPNP_LITE
 class Verdict::Pipeline {
-public:
+ public:
   typedef Verdict Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -539,11 +573,11 @@
 #endif  // !CAPNP_LITE
 
 class Load::Reader {
-public:
+ public:
   typedef Load Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -555,11 +589,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getUpstream() const;
+  inline ::uint32_t getUpstream() const;
 
-  inline  ::uint32_t getRunning() const;
+  inline ::uint32_t getRunning() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -572,28 +606,32 @@
 };
 
 class Load::Builder {
-public:
+ public:
   typedef Load Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getUpstream();
-  inline void setUpstream( ::uint32_t value);
+  inline ::uint32_t getUpstream();
+  inline void setUpstream(::uint32_t value);
 
-  inline  ::uint32_t getRunning();
-  inline void setRunning( ::uint32_t value);
+  inline ::uint32_t getRunning();
+  inline void setRunning(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -604,14 +642,14 @@
 
 #if !CAPNP_LITE
 class Load::Pipeline {
-public:
+ public:
   typedef Load Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -620,11 +658,11 @@
 #endif  // !CAPNP_LITE
 
 class Demand::Reader {
-public:
+ public:
   typedef Demand Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -636,15 +674,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getCustomer() const;
+  inline ::uint32_t getCustomer() const;
 
-  inline  ::uint16_t getRunning() const;
+  inline ::uint16_t getRunning() const;
 
-  inline  ::uint16_t getQueued() const;
+  inline ::uint16_t getQueued() const;
 
-  inline  ::uint32_t getRate() const;
+  inline ::uint32_t getRate() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -657,34 +695,38 @@
 };
 
 class Demand::Builder {
-public:
+ public:
   typedef Demand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getCustomer();
-  inline void setCustomer( ::uint32_t value);
+  inline ::uint32_t getCustomer();
+  inline void setCustomer(::uint32_t value);
 
-  inline  ::uint16_t getRunning();
-  inline void setRunning( ::uint16_t value);
+  inline ::uint16_t getRunning();
+  inline void setRunning(::uint16_t value);
 
-  inline  ::uint16_t getQueued();
-  inline void setQueued( ::uint16_t value);
+  inline ::uint16_t getQueued();
+  inline void setQueued(::uint16_t value);
 
-  inline  ::uint32_t getRate();
-  inline void setRate( ::uint32_t value);
+  inline ::uint32_t getRate();
+  inline void setRate(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -695,14 +737,14 @@
 
 #if !CAPNP_LITE
 class Demand::Pipeline {
-public:
+ public:
   typedef Demand Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -711,11 +753,11 @@
 #endif  // !CAPNP_LITE
 
 class Suspect::Reader {
-public:
+ public:
   typedef Suspect Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -727,16 +769,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getDigest() const;
+  inline ::uint64_t getDigest() const;
 
   inline bool hasCrashedUpstreams() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashedUpstreams() const;
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+  getCrashedUpstreams() const;
 
   inline bool getQuarantined() const;
 
-  inline  ::uint32_t getSecondsLeft() const;
+  inline ::uint32_t getSecondsLeft() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -749,39 +792,49 @@
 };
 
 class Suspect::Builder {
-public:
+ public:
   typedef Suspect Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getDigest();
-  inline void setDigest( ::uint64_t value);
+  inline ::uint64_t getDigest();
+  inline void setDigest(::uint64_t value);
 
   inline bool hasCrashedUpstreams();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashedUpstreams();
-  inline void setCrashedUpstreams( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setCrashedUpstreams(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashedUpstreams(unsigned int size);
-  inline void adoptCrashedUpstreams(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCrashedUpstreams();
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+  getCrashedUpstreams();
+  inline void setCrashedUpstreams(
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashedUpstreams(::kj::ArrayPtr<const ::uint32_t> value);
+  inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+  initCrashedUpstreams(unsigned int size);
+  inline void adoptCrashedUpstreams(
+      ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+  disownCrashedUpstreams();
 
   inline bool getQuarantined();
   inline void setQuarantined(bool value);
 
-  inline  ::uint32_t getSecondsLeft();
-  inline void setSecondsLeft( ::uint32_t value);
+  inline ::uint32_t getSecondsLeft();
+  inline void setSecondsLeft(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -792,14 +845,14 @@
 
 #if !CAPNP_LITE
 class Suspect::Pipeline {
-public:
+ public:
   typedef Suspect Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -808,11 +861,11 @@
 #endif  // !CAPNP_LITE
 
 class Message::Reader {
-public:
+ public:
   typedef Message Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -824,46 +877,58 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind() const;
+  inline ::uint8_t getKind() const;
 
   inline bool getLeaving() const;
 
   inline bool getWantDetails() const;
 
-  inline  ::uint32_t getProbe() const;
+  inline ::uint32_t getProbe() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline ::uint64_t getRevision() const;
 
-  inline  ::uint64_t getHighestSeen() const;
+  inline ::uint64_t getHighestSeen() const;
 
   inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline ::capnp::Text::Reader getTarget() const;
 
   inline bool hasMembers() const;
-  inline  ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline ::capnp::List<::nutmeghollow::wire::Member,
+                       ::capnp::Kind::STRUCT>::Reader
+  getMembers() const;
 
   inline bool hasConfirmations() const;
-  inline  ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Reader getConfirmations() const;
+  inline ::capnp::List<::nutmeghollow::wire::Confirmation,
+                       ::capnp::Kind::STRUCT>::Reader
+  getConfirmations() const;
 
   inline bool hasVerdicts() const;
-  inline  ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+  inline ::capnp::List<::nutmeghollow::wire::Verdict,
+                       ::capnp::Kind::STRUCT>::Reader
+  getVerdicts() const;
 
   inline bool hasLoads() const;
-  inline  ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+  inline ::capnp::List<::nutmeghollow::wire::Load,
+                       ::capnp::Kind::STRUCT>::Reader
+  getLoads() const;
 
   inline bool hasDemands() const;
-  inline  ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+  inline ::capnp::List<::nutmeghollow::wire::Demand,
+                       ::capnp::Kind::STRUCT>::Reader
+  getDemands() const;
 
   inline bool hasSuspects() const;
-  inline  ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+  inline ::capnp::List<::nutmeghollow::wire::Suspect,
+                       ::capnp::Kind::STRUCT>::Reader
+  getSuspects() const;
 
-  inline  ::uint32_t getMemberDigest() const;
+  inline ::uint32_t getMemberDigest() const;
 
   inline bool getLoadsWhole() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -876,23 +941,27 @@
 };
 
 class Message::Builder {
-public:
+ public:
   typedef Message Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
+  inline ::uint8_t getKind();
+  inline void setKind(::uint8_t value);
 
   inline bool getLeaving();
   inline void setLeaving(bool value);
@@ -900,74 +969,129 @@
   inline bool getWantDetails();
   inline void setWantDetails(bool value);
 
-  inline  ::uint32_t getProbe();
-  inline void setProbe( ::uint32_t value);
+  inline ::uint32_t getProbe();
+  inline void setProbe(::uint32_t value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline ::uint64_t getRevision();
+  inline void setRevision(::uint64_t value);
 
-  inline  ::uint64_t getHighestSeen();
-  inline void setHighestSeen( ::uint64_t value);
+  inline ::uint64_t getHighestSeen();
+  inline void setHighestSeen(::uint64_t value);
 
   inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline ::capnp::Text::Builder getTarget();
+  inline void setTarget(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownTarget();
 
   inline bool hasMembers();
-  inline  ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline ::capnp::List<::nutmeghollow::wire::Member,
+                       ::capnp::Kind::STRUCT>::Builder
+  getMembers();
+  inline void setMembers(::capnp::List<::nutmeghollow::wire::Member,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::Member,
+                       ::capnp::Kind::STRUCT>::Builder
+  initMembers(unsigned int size);
+  inline void adoptMembers(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Member,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>
+  disownMembers();
 
   inline bool hasConfirmations();
-  inline  ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Builder getConfirmations();
-  inline void setConfirmations( ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Builder initConfirmations(unsigned int size);
-  inline void adoptConfirmations(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>> disownConfirmations();
+  inline ::capnp::List<::nutmeghollow::wire::Confirmation,
+                       ::capnp::Kind::STRUCT>::Builder
+  getConfirmations();
+  inline void setConfirmations(
+      ::capnp::List<::nutmeghollow::wire::Confirmation,
+                    ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::Confirmation,
+                       ::capnp::Kind::STRUCT>::Builder
+  initConfirmations(unsigned int size);
+  inline void adoptConfirmations(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Confirmation,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::Confirmation, ::capnp::Kind::STRUCT>>
+  disownConfirmations();
 
   inline bool hasVerdicts();
-  inline  ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
-  inline void setVerdicts( ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
-  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
+  inline ::capnp::List<::nutmeghollow::wire::Verdict,
+                       ::capnp::Kind::STRUCT>::Builder
+  getVerdicts();
+  inline void setVerdicts(::capnp::List<::nutmeghollow::wire::Verdict,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::Verdict,
+                       ::capnp::Kind::STRUCT>::Builder
+  initVerdicts(unsigned int size);
+  inline void adoptVerdicts(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Verdict,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>
+  disownVerdicts();
 
   inline bool hasLoads();
-  inline  ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+  inline ::capnp::List<::nutmeghollow::wire::Load,
+                       ::capnp::Kind::STRUCT>::Builder
+  getLoads();
+  inline void setLoads(::capnp::List<::nutmeghollow::wire::Load,
+                                     ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::Load,
+                       ::capnp::Kind::STRUCT>::Builder
+  initLoads(unsigned int size);
+  inline void adoptLoads(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Load,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>
+  disownLoads();
 
   inline bool hasDemands();
-  inline  ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Builder getDemands();
-  inline void setDemands( ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
-  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
+  inline ::capnp::List<::nutmeghollow::wire::Demand,
+                       ::capnp::Kind::STRUCT>::Builder
+  getDemands();
+  inline void setDemands(::capnp::List<::nutmeghollow::wire::Demand,
+                                       ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::Demand,
+                       ::capnp::Kind::STRUCT>::Builder
+  initDemands(unsigned int size);
+  inline void adoptDemands(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Demand,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>
+  disownDemands();
 
   inline bool hasSuspects();
-  inline  ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
-  inline void setSuspects( ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
-  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
-
-  inline  ::uint32_t getMemberDigest();
-  inline void setMemberDigest( ::uint32_t value);
+  inline ::capnp::List<::nutmeghollow::wire::Suspect,
+                       ::capnp::Kind::STRUCT>::Builder
+  getSuspects();
+  inline void setSuspects(::capnp::List<::nutmeghollow::wire::Suspect,
+                                        ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::Suspect,
+                       ::capnp::Kind::STRUCT>::Builder
+  initSuspects(unsigned int size);
+  inline void adoptSuspects(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Suspect,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>
+  disownSuspects();
+
+  inline ::uint32_t getMemberDigest();
+  inline void setMemberDigest(::uint32_t value);
 
   inline bool getLoadsWhole();
   inline void setLoadsWhole(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -978,14 +1102,14 @@
 
 #if !CAPNP_LITE
 class Message::Pipeline {
-public:
+ public:
   typedef Message Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -996,856 +1120,1014 @@
 // =======================================================================================
 
 inline bool Details::Reader::hasCallerEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Details::Builder::hasCallerEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader Details::Reader::getCallerEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Details::Reader::getCallerEndpoint() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Details::Builder::getCallerEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Details::Builder::getCallerEndpoint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Details::Builder::setCallerEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Details::Builder::setCallerEndpoint(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder Details::Builder::initCallerEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Details::Builder::initCallerEndpoint(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void Details::Builder::adoptCallerEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownCallerEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownCallerEndpoint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Details::Reader::hasPeerEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Details::Builder::hasPeerEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader Details::Reader::getPeerEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Details::Reader::getPeerEndpoint() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Details::Builder::getPeerEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Details::Builder::getPeerEndpoint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Details::Builder::setPeerEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Details::Builder::setPeerEndpoint(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder Details::Builder::initPeerEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Details::Builder::initPeerEndpoint(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
 }
 inline void Details::Builder::adoptPeerEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownPeerEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownPeerEndpoint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Details::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Details::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader Details::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Details::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Details::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Details::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Details::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Details::Builder::setDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder Details::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Details::Builder::initDataCentre(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      size);
 }
 inline void Details::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Details::Reader::hasRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Details::Builder::hasRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader Details::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Details::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Details::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Details::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Details::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Details::Builder::setRegion(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder Details::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Details::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      size);
 }
 inline void Details::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Member::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Member::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Member::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Member::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setId(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Member::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
-inline void Member::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Member::Builder::adoptId(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Member::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint8_t Member::Reader::getStatus() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint8_t Member::Reader::getStatus() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() *
+                                         ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Member::Builder::getStatus() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint8_t Member::Builder::getStatus() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() *
+                                          ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setStatus( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Member::Builder::setStatus(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
 inline bool Member::Reader::hasDetails() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Member::Builder::hasDetails() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::nutmeghollow::wire::Details::Reader Member::Reader::getDetails() const {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::Details>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::nutmeghollow::wire::Details::Reader Member::Reader::getDetails()
+    const {
+  return ::capnp::_::PointerHelpers<::nutmeghollow::wire::Details>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::nutmeghollow::wire::Details::Builder Member::Builder::getDetails() {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::Details>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::nutmeghollow::wire::Details::Builder Member::Builder::getDetails() {
+  return ::capnp::_::PointerHelpers<::nutmeghollow::wire::Details>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::nutmeghollow::wire::Details::Pipeline Member::Pipeline::getDetails() {
-  return  ::nutmeghollow::wire::Details::Pipeline(_typeless.getPointerField(1));
+inline ::nutmeghollow::wire::Details::Pipeline Member::Pipeline::getDetails() {
+  return ::nutmeghollow::wire::Details::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Member::Builder::setDetails( ::nutmeghollow::wire::Details::Reader value) {
-  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::Details>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Member::Builder::setDetails(
+    ::nutmeghollow::wire::Details::Reader value) {
+  ::capnp::_::PointerHelpers<::nutmeghollow::wire::Details>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::nutmeghollow::wire::Details::Builder Member::Builder::initDetails() {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::Details>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::nutmeghollow::wire::Details::Builder Member::Builder::initDetails() {
+  return ::capnp::_::PointerHelpers<::nutmeghollow::wire::Details>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Member::Builder::adoptDetails(
-    ::capnp::Orphan< ::nutmeghollow::wire::Details>&& value) {
-  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::Details>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::nutmeghollow::wire::Details>&& value) {
+  ::capnp::_::PointerHelpers<::nutmeghollow::wire::Details>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::nutmeghollow::wire::Details> Member::Builder::disownDetails() {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::Details>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::nutmeghollow::wire::Details>
+Member::Builder::disownDetails() {
+  return ::capnp::_::PointerHelpers<::nutmeghollow::wire::Details>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Confirmation::Reader::getInstance() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Confirmation::Reader::getInstance() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Confirmation::Builder::getInstance() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Confirmation::Builder::getInstance() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Confirmation::Builder::setInstance( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Confirmation::Builder::setInstance(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint32_t Confirmation::Reader::getRevision() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Confirmation::Reader::getRevision() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Confirmation::Builder::getRevision() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Confirmation::Builder::getRevision() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Confirmation::Builder::setRevision( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Confirmation::Builder::setRevision(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint32_t Verdict::Reader::getUpstream() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Verdict::Reader::getUpstream() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Verdict::Builder::getUpstream() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Verdict::Builder::getUpstream() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setUpstream( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setUpstream(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint16_t Verdict::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Verdict::Reader::getRunning() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Verdict::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Verdict::Builder::getRunning() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setRunning(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint8_t Verdict::Reader::getAge() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t Verdict::Reader::getAge() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<6>() *
+                                         ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Verdict::Builder::getAge() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t Verdict::Builder::getAge() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<6>() *
+                                          ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setAge( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setAge(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
-inline  ::uint8_t Verdict::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline ::uint8_t Verdict::Reader::getState() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<7>() *
+                                         ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Verdict::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline ::uint8_t Verdict::Builder::getState() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<7>() *
+                                          ::capnp::ELEMENTS);
 }
-inline void Verdict::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Verdict::Builder::setState(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
-inline  ::uint32_t Load::Reader::getUpstream() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Reader::getUpstream() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getUpstream() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Builder::getUpstream() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setUpstream( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setUpstream(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint32_t Load::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Reader::getRunning() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Builder::getRunning() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setRunning(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint32_t Demand::Reader::getCustomer() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Demand::Reader::getCustomer() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Demand::Builder::getCustomer() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Demand::Builder::getCustomer() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setCustomer( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Demand::Builder::setCustomer(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint16_t Demand::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Demand::Reader::getRunning() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Demand::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Demand::Builder::getRunning() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Demand::Builder::setRunning(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint16_t Demand::Reader::getQueued() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint16_t Demand::Reader::getQueued() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Demand::Builder::getQueued() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint16_t Demand::Builder::getQueued() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setQueued( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Demand::Builder::setQueued(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint32_t Demand::Reader::getRate() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Demand::Reader::getRate() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Demand::Builder::getRate() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Demand::Builder::getRate() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setRate( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Demand::Builder::setRate(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Suspect::Reader::getDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Suspect::Reader::getDigest() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Suspect::Builder::getDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Suspect::Builder::getDigest() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Suspect::Builder::setDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Suspect::Builder::setDigest(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool Suspect::Reader::hasCrashedUpstreams() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Suspect::Builder::hasCrashedUpstreams() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Suspect::Reader::getCrashedUpstreams() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::getCrashedUpstreams() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Suspect::Builder::setCrashedUpstreams( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Suspect::Builder::setCrashedUpstreams(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Suspect::Builder::initCrashedUpstreams(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader
+Suspect::Reader::getCrashedUpstreams() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+Suspect::Builder::getCrashedUpstreams() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::get(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Suspect::Builder::setCrashedUpstreams(
+    ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          value);
+}
+inline void Suspect::Builder::setCrashedUpstreams(
+    ::kj::ArrayPtr<const ::uint32_t> value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::set(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>::Builder
+Suspect::Builder::initCrashedUpstreams(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::init(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+          size);
 }
 inline void Suspect::Builder::adoptCrashedUpstreams(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::
+      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Suspect::Builder::disownCrashedUpstreams() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>
+Suspect::Builder::disownCrashedUpstreams() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::uint32_t, ::capnp::Kind::PRIMITIVE>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Suspect::Reader::getQuarantined() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool Suspect::Builder::getQuarantined() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<64>() *
+                                     ::capnp::ELEMENTS);
 }
 inline void Suspect::Builder::setQuarantined(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
+                              value);
 }
 
-inline  ::uint32_t Suspect::Reader::getSecondsLeft() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Suspect::Reader::getSecondsLeft() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Suspect::Builder::getSecondsLeft() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Suspect::Builder::getSecondsLeft() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Suspect::Builder::setSecondsLeft( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Suspect::Builder::setSecondsLeft(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint8_t Message::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Message::Reader::getKind() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                         ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Message::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Message::Builder::getKind() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setKind(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                   value);
 }
 
 inline bool Message::Reader::getLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
 inline bool Message::Builder::getLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 inline void Message::Builder::setLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Message::Reader::getWantDetails() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
 inline bool Message::Builder::getWantDetails() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 inline void Message::Builder::setWantDetails(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Message::Reader::getProbe() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getProbe() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getProbe() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getProbe() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setProbe( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setProbe(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Message::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Message::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Message::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Reader::getRevision() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Message::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Builder::getRevision() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setRevision(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
-inline  ::uint64_t Message::Reader::getHighestSeen() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Reader::getHighestSeen() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Message::Builder::getHighestSeen() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Builder::getHighestSeen() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setHighestSeen( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setHighestSeen(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool Message::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
 }
-inline  ::capnp::Text::Reader Message::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Message::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Message::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Message::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setTarget(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
 }
-inline  ::capnp::Text::Builder Message::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Message::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
 }
 inline void Message::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Message::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Message::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setMembers( ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::Member,
+                     ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::Member,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setMembers(
+    ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>::Reader
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::Member,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+           size);
 }
 inline void Message::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>> Message::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Member,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>
+Message::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Member, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasConfirmations() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasConfirmations() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getConfirmations() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getConfirmations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setConfirmations( ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initConfirmations(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::Confirmation,
+                     ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getConfirmations() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::Confirmation, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::Confirmation,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getConfirmations() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::Confirmation, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setConfirmations(
+    ::capnp::List<::nutmeghollow::wire::Confirmation,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::nutmeghollow::wire::Confirmation,
+                                           ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::Confirmation,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initConfirmations(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::Confirmation, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+           size);
 }
 inline void Message::Builder::adoptConfirmations(
-    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>> Message::Builder::disownConfirmations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Confirmation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Confirmation,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::nutmeghollow::wire::Confirmation,
+                                           ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::nutmeghollow::wire::Confirmation, ::capnp::Kind::STRUCT>>
+Message::Builder::disownConfirmations() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::Confirmation, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasVerdicts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasVerdicts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getVerdicts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getVerdicts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setVerdicts( ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initVerdicts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::Verdict,
+                     ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::Verdict,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setVerdicts(
+    ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>::Reader
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::Verdict,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initVerdicts(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+           size);
 }
 inline void Message::Builder::adoptVerdicts(
-    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>> Message::Builder::disownVerdicts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Verdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Verdict,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>
+Message::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Verdict, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasLoads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasLoads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getLoads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setLoads( ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initLoads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setLoads(
+    ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>::Reader
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+           size);
 }
 inline void Message::Builder::adoptLoads(
-    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>> Message::Builder::disownLoads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Load,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>
+Message::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Load, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasDemands() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasDemands() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getDemands() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setDemands( ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initDemands(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::Demand,
+                     ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::Demand,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setDemands(
+    ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>::Reader
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::Demand,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+           size);
 }
 inline void Message::Builder::adoptDemands(
-    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>> Message::Builder::disownDemands() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Demand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Demand,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<
+    ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>
+Message::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Demand, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasSuspects() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
+              .isNull();
 }
 inline bool Message::Builder::hasSuspects() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getSuspects() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setSuspects( ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initSuspects(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::Suspect,
+                     ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::Suspect,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSuspects(
+    ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>::Reader
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::Suspect,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+           size);
 }
 inline void Message::Builder::adoptSuspects(
-    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::Suspect,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
+            kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>> Message::Builder::disownSuspects() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::Suspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<
+    ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>
+Message::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::nutmeghollow::wire::Suspect, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Message::Reader::getMemberDigest() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getMemberDigest() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() *
+                                          ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getMemberDigest() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getMemberDigest() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() *
+                                           ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setMemberDigest( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setMemberDigest(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
+                                    value);
 }
 
 inline bool Message::Reader::getLoadsWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
 inline bool Message::Builder::getLoadsWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<10>() *
+                                     ::capnp::ELEMENTS);
 }
 inline void Message::Builder::setLoadsWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<10>() * ::capnp::ELEMENTS,
+                              value);
 }
 
-}  // namespace
-}  // namespace
+}  // namespace wire
+}  // namespace nutmeghollow
 
 CAPNP_END_HEADER
-
