--- a/src/include/nutmeghollow/placement.h
+++ b/src/include/nutmeghollow/placement.h
@@ -18,6 +18,7 @@
 
 #include "nutmeghollow/admission.h"
 #include "nutmeghollow/chats.h"
+#include "nutmeghollow/owners.h"
 #include "nutmeghollow/placement_policy.h"
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/types.h"
--- a/src/libnutmeg/configuration_apply.cpp
+++ b/src/libnutmeg/configuration_apply.cpp
@@ -30,6 +30,8 @@
   CustomerRow& target = world.m_customers[customer];
   parsed.m_running = target.m_running;
   parsed.m_queued = target.m_queued;
+  parsed.m_rate = target.m_rate;
+  parsed.m_rate_at = target.m_rate_at;
   target = std::move(parsed);
 }
 
