--- a/src/include/nutmeghollow/requests.h
+++ b/src/include/nutmeghollow/requests.h
@@ -80,6 +80,8 @@
   RequestDigest m_digest;
   IdempotencyKey m_idempotency_key;  ///< Empty when the caller sent none.
   bool m_streamed = false;
+  /// The messages hold no earlier answer, so no engine holds a useful prefix.
+  bool m_first_turn = false;
   Bytes m_body_size;
   Duration m_timeout = std::chrono::seconds(120);  ///< From arrival.
 };
@@ -119,6 +121,13 @@
   Duration m_retry_after{};            ///< Zero when a retry does not help.
 };
 
+/// A request entered phase kQueued, or left the phases of waiting (kQueued,
+/// kAdmitted, kReserving) for another one.
+struct QueueChange {
+  RequestId m_request;
+  bool m_entered = false;
+};
+
 /// Requests by id, with an index by phase in order of arrival.
 class RequestTable {
  public:
@@ -133,6 +142,8 @@
   void Remove(RequestId id);
   /// @return the requests in a phase, oldest first. Copy before moving any.
   const std::set<RequestId>& InPhase(RequestPhase phase) const;
+  /// @return the queue changes since the last call, in order.
+  std::vector<QueueChange> TakeQueueChanges();
   std::size_t size() const { return m_rows.size(); }
   const std::map<RequestId, RequestRow>& Rows() const { return m_rows; }
 
@@ -140,6 +151,7 @@
   std::map<RequestId, RequestRow> m_rows;
   std::array<std::set<RequestId>, static_cast<int>(RequestPhase::kCount)>
       m_by_phase;
+  std::vector<QueueChange> m_queue_changes;
 };
 
 /// What happened to an attempt at an upstream.
@@ -165,6 +177,8 @@
   int m_status = 0;  ///< HTTP status, with kHeaders and kRefused.
   /// Answer bytes relayed since the event before; with any kind.
   std::int64_t m_bytes = 0;
+  /// With kComplete: bytes of a whole answer that the adapter holds.
+  std::int64_t m_held_bytes = 0;
   Duration m_retry_after{};  ///< With kRefused; zero when none was given.
   /// With kComplete of a plain service: the answer, to be recorded.
   std::string m_content_type;
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -13,12 +13,17 @@
 #include <vector>
 
 #include "nutmeghollow/actions.h"
+#include "nutmeghollow/admission.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/claims.h"
 #include "nutmeghollow/configuration.h"
+#include "nutmeghollow/configuration_system.h"
 #include "nutmeghollow/drain.h"
 #include "nutmeghollow/instances.h"
+#include "nutmeghollow/limits.h"
+#include "nutmeghollow/loads.h"
 #include "nutmeghollow/peers.h"
+#include "nutmeghollow/placement.h"
 #include "nutmeghollow/quarantine.h"
 #include "nutmeghollow/request_flow.h"
 #include "nutmeghollow/requests.h"
@@ -49,6 +54,7 @@
   CustomerTable m_customers;
   RequestTable m_requests;
   ConfigurationTable m_configuration;
+  ConfigurationState m_configuration_state;
   PeerTable m_peers;
   SuspectTable m_suspects;
 
@@ -60,6 +66,15 @@
   QuarantineState m_quarantine;
   DrainParameters m_drain_parameters;
   DrainState m_drain;
+  LimitParameters m_limit_parameters;
+  LoadParameters m_load_parameters;
+  AdmissionParameters m_admission_parameters;
+  PlacementParameters m_placement_parameters;
+  LimitState m_limits;
+  LoadState m_loads;
+  AdmissionState m_admission;
+  PlacementState m_placement;
+  ReservationInbox m_reservation_inbox;
 
   RequestInbox m_request_inbox;
   ClaimInbox m_claim_inbox;
--- a/src/libnutmeg/claim_records.cpp
+++ b/src/libnutmeg/claim_records.cpp
@@ -43,8 +43,8 @@
 std::string ClaimRowKey(const CustomerId& customer,
                         const ServiceId& service,
                         const IdempotencyKey& key) {
-  return "claim/" + Escape(customer.str()) + "/" + Escape(service.str()) +
-         "/" + Escape(key.str());
+  return "claim/" + Escape(customer.str()) + "/" + Escape(service.str()) + "/" +
+         Escape(key.str());
 }
 
 std::string FormatClaim(const ClaimRecord& record) {
--- a/src/libnutmeg/claim_repeats.cpp
+++ b/src/libnutmeg/claim_repeats.cpp
@@ -213,8 +213,7 @@
   }
   repeat = found->second;
   RequestRow* row = world.m_requests.Find(id);
-  const bool waits =
-      row != nullptr && row->m_phase == RequestPhase::kClaiming;
+  const bool waits = row != nullptr && row->m_phase == RequestPhase::kClaiming;
   return waits ? row : nullptr;
 }
 
--- a/src/libnutmeg/claim_store.cpp
+++ b/src/libnutmeg/claim_store.cpp
@@ -55,11 +55,9 @@
                     const StoreResult& result,
                     TimePoint now) {
   for (const ClaimWrite& write : operation.m_writes) {
-    const bool differs =
-        std::any_of(result.m_rows.begin(), result.m_rows.end(),
-                    [&write](const StoreRow& row) {
-                      return row.m_key == write.m_row_key;
-                    });
+    const bool differs = std::any_of(
+        result.m_rows.begin(), result.m_rows.end(),
+        [&write](const StoreRow& row) { return row.m_key == write.m_row_key; });
     if (differs) {
       HandleClaimConflict(world, RowOf(result.m_rows, write.m_row_key), now);
     } else {
--- a/src/libnutmeg/claim_upkeep.cpp
+++ b/src/libnutmeg/claim_upkeep.cpp
@@ -142,9 +142,8 @@
       old.push_back(row);
     }
   }
-  const bool more =
-      static_cast<int>(result.m_rows.size()) >=
-      world.m_claim_parameters.m_scan_limit;
+  const bool more = static_cast<int>(result.m_rows.size()) >=
+                    world.m_claim_parameters.m_scan_limit;
   claims.m_scanned_to = more ? result.m_rows.back().m_key : "";
   DeleteRows(world, old);
 }
--- a/src/libnutmeg/own_claims.cpp
+++ b/src/libnutmeg/own_claims.cpp
@@ -27,8 +27,7 @@
 const std::string& ProcessName(World& world) {
   std::string& name = world.m_claims.m_process;
   if (name.empty()) {
-    name =
-        world.m_instances.m_self.str() + "/" + Hex(world.m_hooks.m_random());
+    name = world.m_instances.m_self.str() + "/" + Hex(world.m_hooks.m_random());
   }
   return name;
 }
@@ -239,9 +238,9 @@
     return;
   }
   claim->m_busy = false;
-  const std::optional<ClaimRecord> record =
-      found.m_version == RowVersion() ? std::nullopt
-                                      : ParseClaim(found.m_value);
+  const std::optional<ClaimRecord> record = found.m_version == RowVersion()
+                                                ? std::nullopt
+                                                : ParseClaim(found.m_value);
   switch (claim->m_phase) {
     case OwnClaimPhase::kInserting:
       FindOnInsert(world, found, record, *claim, now);
@@ -272,10 +271,9 @@
     // The row may have been settled by somebody else since.
     EraseOwn(world, row_key);
     detail::InsertClaim(world, row, row_key, RowVersion(), now);
-  } else if (claim.m_request_ended &&
-             record.m_state != ClaimState::kUnknown) {
-    detail::EndRefused(world, row, Refusal::kStoreUnavailable,
-                       Duration::zero(), now);
+  } else if (claim.m_request_ended && record.m_state != ClaimState::kUnknown) {
+    detail::EndRefused(world, row, Refusal::kStoreUnavailable, Duration::zero(),
+                       now);
   } else {
     row.m_earlier_outcome = Outcome::kUnknown;
     detail::EndRefused(world, row, Refusal::kKeyInProgress, Duration::zero(),
@@ -362,8 +360,8 @@
     return;
   }
   claim->m_busy = false;
-  const bool nothing_written = claim->m_phase == OwnClaimPhase::kInserting &&
-                               !claim->m_insert_unknown;
+  const bool nothing_written =
+      claim->m_phase == OwnClaimPhase::kInserting && !claim->m_insert_unknown;
   if (!nothing_written) {
     SetDue(world, row_key, *claim,
            now + world.m_claim_parameters.m_store_retry);
@@ -453,14 +451,14 @@
   record.m_status = event.m_status;
   record.m_content_type = std::move(event.m_content_type);
   record.m_body_kept =
-      row.m_bytes_relayed == 0 && event.m_body.size() <= limit;
+      row.m_bytes_relayed == event.m_held_bytes && event.m_body.size() <= limit;
   if (record.m_body_kept) {
     record.m_body = std::move(event.m_body);
     const std::string text = FormatClaim(record);
     const std::optional<ClaimRecord> reread = ParseClaim(text);
     // A row cannot hold every text: bytes that are not UTF-8 would change.
-    record.m_body_kept = text.size() <= kRowLimit && reread &&
-                         reread->m_body == record.m_body;
+    record.m_body_kept =
+        text.size() <= kRowLimit && reread && reread->m_body == record.m_body;
   }
   if (!record.m_body_kept) {
     record.m_body.clear();
@@ -497,13 +495,11 @@
                                   const std::string& row_key,
                                   const std::string& token) {
   const ClaimTable& claims = world.m_claims;
-  if (claims.m_process.empty() ||
-      !token.starts_with(claims.m_process + "/")) {
+  if (claims.m_process.empty() || !token.starts_with(claims.m_process + "/")) {
     return ClaimerAnswer::kNotMine;
   }
   const auto found = claims.m_own.find(row_key);
-  if (found == claims.m_own.end() ||
-      found->second.m_record.m_token != token) {
+  if (found == claims.m_own.end() || found->second.m_record.m_token != token) {
     return ClaimerAnswer::kGaveUp;
   }
   const OwnClaim& claim = found->second;
--- a/src/libnutmeg/quarantine.cpp
+++ b/src/libnutmeg/quarantine.cpp
@@ -41,14 +41,14 @@
 bool OthersLiveOn(const World& world,
                   const UpstreamId& upstream,
                   const PossibleCrash& crash) {
-  return std::any_of(
-      crash.m_in_flight.begin(), crash.m_in_flight.end(), [&](RequestId id) {
-        const RequestRow* row = world.m_requests.Find(id);
-        return row != nullptr && !crash.m_broken.contains(id) &&
-               row->m_upstream == upstream &&
-               (row->m_phase == RequestPhase::kSent ||
-                row->m_phase == RequestPhase::kStreaming);
-      });
+  return std::any_of(crash.m_in_flight.begin(), crash.m_in_flight.end(),
+                     [&](RequestId id) {
+                       const RequestRow* row = world.m_requests.Find(id);
+                       return row != nullptr && !crash.m_broken.contains(id) &&
+                              row->m_upstream == upstream &&
+                              (row->m_phase == RequestPhase::kSent ||
+                               row->m_phase == RequestPhase::kStreaming);
+                     });
 }
 
 void GiveVerdict(World& world,
@@ -127,8 +127,8 @@
     return false;
   }
   const SuspectRow& row = found->second;
-  const int crashes = std::max(
-      row.m_crashes, static_cast<int>(row.m_crashed_upstreams.size()));
+  const int crashes =
+      std::max(row.m_crashes, static_cast<int>(row.m_crashed_upstreams.size()));
   return row.m_quarantined ||
          crashes >= world.m_quarantine_parameters.m_crash_limit;
 }
--- a/src/libnutmeg/request_endings.cpp
+++ b/src/libnutmeg/request_endings.cpp
@@ -6,9 +6,6 @@
 
 #include "nutmeghollow/claims.h"
 #include "nutmeghollow/world.h"
-#if __has_include("nutmeghollow/placement.h")
-#include "nutmeghollow/placement.h"
-#endif
 
 namespace nutmeghollow::detail {
 namespace {
@@ -65,18 +62,6 @@
   world.m_requests.SetPhase(row, RequestPhase::kDone, now);
 }
 
-void Release(World& world, RequestRow& row, TimePoint now) {
-  if (!row.m_holds_placement) {
-    return;
-  }
-#if __has_include("nutmeghollow/placement.h")
-  ReleasePlacement(world, row, now);
-#endif
-  row.m_holds_placement = false;
-  (void)world;
-  (void)now;
-}
-
 }  // namespace
 
 const RefusalText& TextOf(Refusal refusal) {
@@ -110,7 +95,9 @@
     }
     LeaveSuspectPlace(world, row);
   }
-  Release(world, row, now);
+  if (row.m_holds_placement) {
+    ReleasePlacement(world, row, now);
+  }
 }
 
 void EndRefused(World& world,
--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -12,10 +12,18 @@
   return AttemptId(++m_last_attempt);
 }
 
-std::vector<Action> Tick(World& world, TimePoint /*now*/) {
+std::vector<Action> Tick(World& world, TimePoint now) {
   // The call of each system goes here, in this order: control budget,
   // membership, probing, configuration, lease, orders, quarantine, claims,
   // admission, placement, request flow, drain.
+  RunConfiguration(world, now);
+  RunRequestIntake(world, now);
+  RunQuarantine(world, now);
+  RunClaims(world, now);
+  RunAdmission(world, now);
+  RunPlacement(world, now);
+  RunRequestFlow(world, now);
+  RunDrain(world, now);
   return std::exchange(world.m_actions, {});
 }
 
