--- a/src/include/nutmeghollow/requests.h
+++ b/src/include/nutmeghollow/requests.h
@@ -177,6 +177,8 @@
   int m_status = 0;  ///< HTTP status, with kHeaders and kRefused.
   /// Answer bytes relayed since the event before; with any kind.
   std::int64_t m_bytes = 0;
+  /// With kComplete: bytes of a whole answer that the adapter holds.
+  std::int64_t m_held_bytes = 0;
   Duration m_retry_after{};  ///< With kRefused; zero when none was given.
   /// With kComplete of a plain service: the answer, to be recorded.
   std::string m_content_type;
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -74,6 +74,14 @@
   MembershipState m_membership;
   GossipState m_gossip;
   ProbingState m_probing;
+  RequestFlowParameters m_request_flow_parameters;
+  RequestFlowState m_request_flow;
+  ClaimParameters m_claim_parameters;
+  ClaimTable m_claims;
+  QuarantineParameters m_quarantine_parameters;
+  QuarantineState m_quarantine;
+  DrainParameters m_drain_parameters;
+  DrainState m_drain;
   LimitParameters m_limit_parameters;
   LoadParameters m_load_parameters;
   AdmissionParameters m_admission_parameters;
@@ -83,14 +91,6 @@
   AdmissionState m_admission;
   PlacementState m_placement;
   ReservationInbox m_reservation_inbox;
-  RequestFlowParameters m_request_flow_parameters;
-  RequestFlowState m_request_flow;
-  ClaimParameters m_claim_parameters;
-  ClaimTable m_claims;
-  QuarantineParameters m_quarantine_parameters;
-  QuarantineState m_quarantine;
-  DrainParameters m_drain_parameters;
-  DrainState m_drain;
 
   RequestInbox m_request_inbox;
   ClaimInbox m_claim_inbox;
--- a/src/libnet/upstream_client.cpp
+++ b/src/libnet/upstream_client.cpp
@@ -276,6 +276,7 @@
   AttemptEvent event{relay.m_id, relay.m_attempt, AttemptEventKind::kComplete};
   event.m_status = relay.m_status;
   event.m_bytes = std::exchange(relay.m_unreported, 0);
+  event.m_held_bytes = static_cast<std::int64_t>(relay.m_held.size());
   if (relay.m_request.m_kind == RequestKind::kService) {
     event.m_content_type = relay.m_content_type;
     event.m_body = relay.m_held;
--- a/src/libnutmeg/attempt_events.cpp
+++ b/src/libnutmeg/attempt_events.cpp
@@ -4,20 +4,12 @@
 #include <utility>
 
 #include "nutmeghollow/claims.h"
-#include "nutmeghollow/limits.h"
 #include "nutmeghollow/world.h"
 #include "request_endings.h"
 
 namespace nutmeghollow::detail {
 namespace {
 
-bool PayForRetry(World& world, const RequestRow& row, TimePoint now) {
-  if (row.m_request.m_kind == RequestKind::kService) {
-    return TakeRetryToken(world, row.m_request.m_service, now);
-  }
-  return TakeRetryToken(world, row.m_request.m_route, now);
-}
-
 Duration RetryDelay(World& world) {
   const RequestFlowParameters& parameters = world.m_request_flow_parameters;
   const Duration span =
@@ -30,6 +22,13 @@
          Duration(world.m_hooks.m_random() % range);
 }
 
+bool PayForRetry(World& world, const RequestRow& row, TimePoint now) {
+  const NewRequest& request = row.m_request;
+  return request.m_kind == RequestKind::kChat
+             ? TakeRetryToken(world, request.m_route, now)
+             : TakeRetryToken(world, request.m_service, now);
+}
+
 /// @return true when another attempt may be made: it cannot do harm, the
 /// caller still waits, and the retry budget pays.
 bool MayRetry(World& world,
@@ -119,6 +118,8 @@
                     TimePoint now) {
   NUTMEG_CHECK(row.m_bytes_relayed == row.m_bytes_received,
                "bytes relayed equal bytes received");
+  row.m_bytes_received += event.m_held_bytes;
+  row.m_bytes_relayed += event.m_held_bytes;
   row.m_complete = true;
   NoteCompletion(world, row, now);
   EndAttempt(world, row, false, now);
--- a/src/libnutmeg/claim_internals.h
+++ b/src/libnutmeg/claim_internals.h
@@ -23,7 +23,9 @@
                  RowVersion replaces,
                  TimePoint now);
 /// The write of an own claim took effect.
-void HandleClaimWritten(World& world, const std::string& row_key, TimePoint now);
+void HandleClaimWritten(World& world,
+                        const std::string& row_key,
+                        TimePoint now);
 /// The write of an own claim met another version of the row.
 void HandleClaimConflict(World& world, const StoreRow& found, TimePoint now);
 /// The write of an own claim was refused by the table service.
--- a/src/libnutmeg/request_endings.cpp
+++ b/src/libnutmeg/request_endings.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "nutmeghollow/claims.h"
-#include "nutmeghollow/placement.h"
 #include "nutmeghollow/world.h"
 
 namespace nutmeghollow::detail {
@@ -63,14 +62,6 @@
   world.m_requests.SetPhase(row, RequestPhase::kDone, now);
 }
 
-void Release(World& world, RequestRow& row, TimePoint now) {
-  if (!row.m_holds_placement) {
-    return;
-  }
-  ReleasePlacement(world, row, now);
-  row.m_holds_placement = false;
-}
-
 }  // namespace
 
 const RefusalText& TextOf(Refusal refusal) {
@@ -104,7 +95,9 @@
     }
     LeaveSuspectPlace(world, row);
   }
-  Release(world, row, now);
+  if (row.m_holds_placement) {
+    ReleasePlacement(world, row, now);
+  }
 }
 
 void EndRefused(World& world,
