--- a/src/nutmegload/workload.cpp
+++ b/src/nutmegload/workload.cpp
@@ -211,12 +211,12 @@
 }
 
 std::string Workload::DrawText(int shortest, int longest) {
-  constexpr int letters = 26;
+  constexpr int kLetters = 26;
   const int size =
       static_cast<int>(DrawNumber(shortest, longest) * m_options.m_size_factor);
   std::string text(std::max(size, 1), ' ');
   for (char& letter : text) {
-    letter = static_cast<char>('a' + m_random() % letters);
+    letter = static_cast<char>('a' + m_random() % kLetters);
   }
   return text;
 }
--- a/src/standins/answer.cpp
+++ b/src/standins/answer.cpp
@@ -97,6 +97,7 @@
       limit > 0 ? limit
                 : kShortestAnswer + static_cast<int>(seed % kAnswerSpread);
   std::vector<std::string> tokens;
+  tokens.reserve(count);
   for (int i = 0; i < count; ++i) {
     tokens.push_back(TokenText(XXH3_64bits_withSeed(&i, sizeof(i), seed)));
   }
--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -194,14 +194,14 @@
 }
 
 void Engine::HandleCacheEvents(net::HttpExchange& exchange) {
-  constexpr std::size_t answer_limit = 500;
+  constexpr std::size_t kAnswerLimit = 500;
   const auto after =
       static_cast<std::uint64_t>(QueryNumber(exchange.Request(), "after", 0));
   const TimePoint newest = net::BootTime() - m_options.m_event_delay;
   auto events = nlohmann::json::array();
   for (const auto& event : m_events) {
     if (event.m_seq <= after || event.m_at > newest ||
-        events.size() >= answer_limit) {
+        events.size() >= kAnswerLimit) {
       continue;
     }
     events.push_back({{"seq", event.m_seq},
--- a/src/standins/engine_batch.cpp
+++ b/src/standins/engine_batch.cpp
@@ -60,6 +60,7 @@
 std::vector<std::int64_t> MessageTokens(
     const std::vector<ChatMessage>& messages) {
   std::vector<std::int64_t> tokens;
+  tokens.reserve(messages.size());
   for (const auto& message : messages) {
     tokens.push_back(CountTokens(message.m_content));
   }
--- a/src/standins/standins_test.cpp
+++ b/src/standins/standins_test.cpp
@@ -44,13 +44,13 @@
 class PrefixCacheTest : public testing::TestWithParam<CacheCase> {};
 
 TEST_P(PrefixCacheTest, HoldsRecentPrefixes) {
-  constexpr std::int64_t tokens_each = 10;
-  PrefixCache cache(3 * tokens_each);
+  constexpr std::int64_t kTokensEach = 10;
+  PrefixCache cache(3 * kTokensEach);
   for (const auto& hashes : GetParam().m_stored) {
-    cache.Store(hashes, std::vector<std::int64_t>(hashes.size(), tokens_each));
+    cache.Store(hashes, std::vector<std::int64_t>(hashes.size(), kTokensEach));
   }
   EXPECT_EQ(cache.Match(GetParam().m_asked), GetParam().m_held);
-  EXPECT_LE(cache.Used(), 3 * tokens_each);
+  EXPECT_LE(cache.Used(), 3 * kTokensEach);
 }
 
 INSTANTIATE_TEST_SUITE_P(
