--- a/src/nutmegd/operator_views.cpp
+++ b/src/nutmegd/operator_views.cpp
@@ -92,7 +92,7 @@
   }
   ordered_json last;
   if (explanation.m_last) {
-    last = {{"engine", explanation.m_last->m_upstream.str()},
+    last = {{"engine", explanation.m_last->m_last.str()},
             {"reason", PlacementReasonName(explanation.m_last->m_reason)},
             {"age_ms", OptionalAge(explanation.m_last_age)}};
   }
@@ -122,14 +122,13 @@
 
 std::string StatusFields(const World& world) {
   const ControlBudget& budget = world.m_budget;
-  const ordered_json view{
-      {"draining", world.m_draining},
-      {"requests_in_progress", world.m_requests.size()},
-      {"failed_checks", FailedChecks()},
-      {"control",
-       {{"bytes_per_second_budget", budget.m_rate.value()},
-        {"bytes_in_last_second", budget.m_last_second},
-        {"bytes_in_peak_second", budget.m_peak_second}}}};
+  const ordered_json view{{"draining", world.m_draining},
+                          {"requests_in_progress", world.m_requests.size()},
+                          {"failed_checks", FailedChecks()},
+                          {"control",
+                           {{"bytes_per_second_budget", budget.m_rate.value()},
+                            {"bytes_in_last_second", budget.m_last_second},
+                            {"bytes_in_peak_second", budget.m_peak_second}}}};
   return view.dump();
 }
 
