--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -14,18 +14,32 @@
 
 #include "nutmeghollow/actions.h"
 #include "nutmeghollow/admission.h"
+#include "nutmeghollow/budget.h"
 #include "nutmeghollow/check.h"
+#include "nutmeghollow/claims.h"
 #include "nutmeghollow/configuration.h"
 #include "nutmeghollow/configuration_system.h"
+#include "nutmeghollow/drain.h"
+#include "nutmeghollow/gossip.h"
 #include "nutmeghollow/instances.h"
 #include "nutmeghollow/lease.h"
 #include "nutmeghollow/limits.h"
 #include "nutmeghollow/loads.h"
+<<<<<<< HEAD
+=======
+#include "nutmeghollow/membership.h"
+>>>>>>> main
 #include "nutmeghollow/operator_commands.h"
 #include "nutmeghollow/orders.h"
 #include "nutmeghollow/peers.h"
 #include "nutmeghollow/placement.h"
 #include "nutmeghollow/planned_changes.h"
+<<<<<<< HEAD
+=======
+#include "nutmeghollow/probing.h"
+#include "nutmeghollow/quarantine.h"
+#include "nutmeghollow/request_flow.h"
+>>>>>>> main
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
@@ -71,9 +85,24 @@
   AdmissionState m_admission;
   PlacementState m_placement;
   ReservationInbox m_reservation_inbox;
+  ControlBudget m_budget;
+  MembershipState m_membership;
+  GossipState m_gossip;
+  ProbingState m_probing;
+  RequestFlowParameters m_request_flow_parameters;
+  RequestFlowState m_request_flow;
+  ClaimParameters m_claim_parameters;
+  ClaimTable m_claims;
+  QuarantineParameters m_quarantine_parameters;
+  QuarantineState m_quarantine;
+  DrainParameters m_drain_parameters;
+  DrainState m_drain;
 
   RequestInbox m_request_inbox;
+  ClaimInbox m_claim_inbox;
   ConfigurationInbox m_configuration_inbox;
+  MembershipInbox m_membership_inbox;
+  ProbingInbox m_probing_inbox;
   /// Ends of table service operations, by the system that asked.
   std::array<std::vector<StoreResult>, static_cast<int>(StorePurpose::kCount)>
       m_store_results;
