--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -25,21 +25,15 @@
 #include "nutmeghollow/lease.h"
 #include "nutmeghollow/limits.h"
 #include "nutmeghollow/loads.h"
-<<<<<<< HEAD
-=======
 #include "nutmeghollow/membership.h"
->>>>>>> main
 #include "nutmeghollow/operator_commands.h"
 #include "nutmeghollow/orders.h"
 #include "nutmeghollow/peers.h"
 #include "nutmeghollow/placement.h"
 #include "nutmeghollow/planned_changes.h"
-<<<<<<< HEAD
-=======
 #include "nutmeghollow/probing.h"
 #include "nutmeghollow/quarantine.h"
 #include "nutmeghollow/request_flow.h"
->>>>>>> main
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
