--- a/src/libnutmeg/budget.cpp
+++ b/src/libnutmeg/budget.cpp
@@ -79,6 +79,13 @@
   budget.m_slots[budget.m_slot % ControlBudget::kSlots] += size;
   budget.m_last_second += size;
   budget.m_peak_second = std::max(budget.m_peak_second, budget.m_last_second);
+  if (budget.m_last_second <= budget.m_rate.value()) {
+    budget.m_excess_since = TimePoint::max();
+    return;
+  }
+  budget.m_excess_since = std::min(budget.m_excess_since, now);
+  budget.m_longest_excess =
+      std::max(budget.m_longest_excess, now - budget.m_excess_since);
 }
 
 /// Reduces the tokens, down to a debt of one second.
@@ -150,6 +157,7 @@
   }
   budget.m_rate = RateFor(budget.m_parameters, LiveInstances(world));
   Refill(budget, now);
+  CountInSlot(budget, 0, now);
 }
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/own_claims.cpp
+++ b/src/libnutmeg/own_claims.cpp
@@ -450,7 +450,8 @@
   record.m_state = ClaimState::kDone;
   record.m_status = event.m_status;
   record.m_content_type = std::move(event.m_content_type);
-  record.m_body_kept = row.m_bytes_relayed == 0 && event.m_body.size() <= limit;
+  record.m_body_kept =
+      row.m_bytes_relayed == event.m_held_bytes && event.m_body.size() <= limit;
   if (record.m_body_kept) {
     record.m_body = std::move(event.m_body);
     const std::string text = FormatClaim(record);
