--- a/src/include/nutmeghollow/gossip.h
+++ b/src/include/nutmeghollow/gossip.h
@@ -158,7 +158,7 @@
   /// Fleets up to this size tell loads to every peer, larger ones to owners.
   int m_load_to_all_limit = 16;
   /// Time after which a peer is told all loads again, changed or not.
-  Duration m_whole_interval = std::chrono::seconds(5);
+  Duration m_whole_interval = std::chrono::seconds(3);
   Duration m_demand_interval = std::chrono::seconds(2);
   int m_demand_customers = 8;  ///< Busiest customers that are announced.
   /// Announcements of peers older than this are forgotten.
--- a/src/include/nutmeghollow/probing.h
+++ b/src/include/nutmeghollow/probing.h
@@ -53,7 +53,7 @@
   /// Verdicts older than this no longer count.
   Duration m_verdict_expiry = std::chrono::seconds(30);
   /// A verdict is announced again after this time even when it is unchanged.
-  Duration m_announce_period = std::chrono::seconds(5);
+  Duration m_announce_period = std::chrono::seconds(3);
   /// Traffic failures in a row that make an upstream suspect here.
   int m_traffic_failures = 3;
   /// Bytes that a probe is expected to cost in both directions.
--- /dev/null
+++ b/src/libnet/upstream_prober.cpp
@@ -0,0 +1,109 @@
+#include "libnet/upstream_prober.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace nutmeghollow::net {
+namespace {
+
+constexpr Bytes kBodyLimit{4096};
+/// IP and TCP headers of the segments of a probe on an open connection:
+/// request, answer, and the acknowledgement of the answer.
+constexpr std::int64_t kSegmentBytes = 3 * 52;
+/// Request line and headers that the client adds.
+constexpr std::int64_t kRequestBytes = 60;
+constexpr std::int64_t kStatusLineBytes = 19;
+constexpr std::int64_t kHeaderSeparators = 4;
+constexpr int kAgeLimitMs = 60000;
+
+/// @return the bytes of a probe on the wire, in both directions.
+Bytes WireBytes(const HttpAnswer& answer) {
+  std::int64_t size = kSegmentBytes + kRequestBytes + kStatusLineBytes +
+                      static_cast<std::int64_t>(answer.m_body.size());
+  for (const auto& [name, value] : answer.m_headers) {
+    size += static_cast<std::int64_t>(name.size() + value.size()) +
+            kHeaderSeparators;
+  }
+  return Bytes(size);
+}
+
+int CountField(const nlohmann::json& body, const char* name, int limit) {
+  auto found = body.find(name);
+  if (found == body.end() || !found->is_number()) {
+    return 0;
+  }
+  return static_cast<int>(
+      std::clamp(found->get<double>(), 0.0, static_cast<double>(limit)));
+}
+
+ProbeResult MakeResult(const UpstreamId& upstream,
+                       const HttpAnswer& answer,
+                       TimePoint sent_at,
+                       TimePoint now) {
+  ProbeResult result{.m_upstream = upstream, .m_round_trip = now - sent_at};
+  result.m_wire_bytes = WireBytes(answer);
+  if (answer.m_end.m_kind != HttpEndKind::kComplete || answer.m_status != 200) {
+    return result;
+  }
+  const std::optional<HealthAnswer> health = ParseHealth(answer.m_body);
+  if (!health) {
+    return result;
+  }
+  result.m_ok = true;
+  result.m_leaving = health->m_leaving;
+  if (health->m_has_load) {
+    result.m_report = LoadReport{.m_running = health->m_running,
+                                 .m_queued = health->m_queued,
+                                 .m_taken_at = now - health->m_age,
+                                 .m_received_at = now};
+  }
+  return result;
+}
+
+}  // namespace
+
+std::optional<HealthAnswer> ParseHealth(std::string_view body) {
+  constexpr int kCountLimit = 1 << 20;
+  HealthAnswer health;
+  if (body.empty() || body.front() != '{') {
+    return health;
+  }
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  auto status = json.find("status");
+  health.m_leaving = status != json.end() && *status == "leaving";
+  health.m_has_load = json.contains("running");
+  health.m_running = CountField(json, "running", kCountLimit);
+  health.m_queued = CountField(json, "queued", kCountLimit);
+  health.m_age =
+      std::chrono::milliseconds(CountField(json, "age_ms", kAgeLimitMs));
+  return health;
+}
+
+UpstreamProber::UpstreamProber(HttpClient& client,
+                               std::function<TimePoint()> now,
+                               std::function<void(ProbeResult)> on_result)
+    : m_client(client),
+      m_now(std::move(now)),
+      m_on_result(std::move(on_result)) {}
+
+void UpstreamProber::Probe(const ProbeUpstream& action) {
+  HttpCall call;
+  call.m_endpoint = action.m_endpoint;
+  call.m_path = "/health";
+  call.m_connect_timeout = action.m_timeout;
+  call.m_first_byte_timeout = action.m_timeout;
+  call.m_idle_timeout = action.m_timeout;
+  call.m_total_timeout = action.m_timeout;
+  const TimePoint sent_at = m_now();
+  Fetch(
+      m_client, std::move(call), kBodyLimit,
+      [this, upstream = action.m_upstream, sent_at](const HttpAnswer& answer) {
+        m_on_result(MakeResult(upstream, answer, sent_at, m_now()));
+      });
+}
+
+}  // namespace nutmeghollow::net
--- a/src/libnutmeg/dissemination.cpp
+++ b/src/libnutmeg/dissemination.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <cstdlib>
+#include <set>
 
 namespace nutmeghollow::detail {
 namespace {
@@ -84,36 +85,78 @@
   });
 }
 
-/// Tells the owner with the largest unannounced change about its load.
-void PushLoads(World& world, TimePoint now) {
-  GossipState& gossip = world.m_gossip;
-  std::map<InstanceId, int> changes;
+/// @return the peers that are told about the own loads at once: all in a
+/// small fleet, in a large one the owners of upstreams in use here.
+std::set<InstanceId> LoadAudience(const World& world) {
+  std::set<InstanceId> audience;
+  const auto& order = world.m_membership.m_order;
+  if (static_cast<int>(order.size()) <
+      world.m_gossip.m_parameters.m_load_to_all_limit) {
+    audience.insert(order.begin(), order.end());
+    return audience;
+  }
+  for (const auto& [id, row] : world.m_upstreams.m_rows) {
+    if (!row.m_owner.empty() && row.m_owner != world.m_instances.m_self &&
+        row.m_local_running > 0) {
+      audience.insert(row.m_owner);
+    }
+  }
+  return audience;
+}
+
+/// @return how much an announcement of loads to a peer would say. What only
+/// an owner can hold exactly counts more.
+int UntoldLoad(const World& world, const InstanceId& peer, TimePoint now) {
+  constexpr int kOwnerWeight = 4;
+  const GossipParameters& parameters = world.m_gossip.m_parameters;
+  const bool tell_all = static_cast<int>(world.m_instances.m_rows.size()) <=
+                        parameters.m_load_to_all_limit;
+  auto told = world.m_gossip.m_told.find(peer);
+  const bool known = told != world.m_gossip.m_told.end();
+  const bool outdated =
+      !known || now - told->second.m_whole_at >= parameters.m_whole_interval;
+  int untold = 0;
   for (const auto& [id, row] : world.m_upstreams.m_rows) {
-    if (row.m_owner.empty() || row.m_owner == world.m_instances.m_self) {
+    const bool owned = row.m_owner == peer;
+    if (!owned && !tell_all) {
       continue;
     }
-    const auto& loads = gossip.m_told[row.m_owner].m_loads;
-    auto known = loads.find(id);
-    const int last = known == loads.end() ? 0 : known->second;
-    if (row.m_local_running != last) {
-      changes[row.m_owner] += std::abs(row.m_local_running - last);
+    int last = 0;
+    if (known) {
+      auto load = told->second.m_loads.find(id);
+      last = load == told->second.m_loads.end() ? 0 : load->second;
     }
+    const int change =
+        outdated ? row.m_local_running : std::abs(row.m_local_running - last);
+    untold += owned ? kOwnerWeight * change : change;
   }
-  auto largest = std::max_element(
-      changes.begin(), changes.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (largest == changes.end()) {
+  return untold;
+}
+
+/// Tells the peer for which it matters most about the own loads.
+void PushLoads(World& world, TimePoint now) {
+  if (AvailableControlBytes(world, ControlClass::kLoad, now).value() == 0) {
     return;
   }
-  const InstanceRow* row = world.m_instances.Find(largest->first);
-  if (row == nullptr || row->m_status == InstanceStatus::kDead ||
-      AvailableControlBytes(world, ControlClass::kLoad, now).value() == 0) {
-    return;
+  const InstanceRow* best = nullptr;
+  int best_untold = 0;
+  for (const InstanceId& id : LoadAudience(world)) {
+    const InstanceRow* row = world.m_instances.Find(id);
+    if (row == nullptr || row->m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    const int untold = UntoldLoad(world, id, now);
+    if (untold > best_untold) {
+      best = row;
+      best_untold = untold;
+    }
+  }
+  if (best != nullptr) {
+    const GossipMessage message =
+        BuildMessage(world, GossipKind::kPush, best->m_id, now);
+    SendGossip(world, message, best->m_id, best->m_peer_endpoint,
+               ControlClass::kLoad, now);
   }
-  const GossipMessage message =
-      BuildMessage(world, GossipKind::kPush, row->m_id, now);
-  SendGossip(world, message, row->m_id, row->m_peer_endpoint,
-             ControlClass::kLoad, now);
 }
 
 /// Forgets announcements that are old or come from dead instances.
