--- a/src/libnutmeg/world.cpp
+++ b/src/libnutmeg/world.cpp
@@ -16,8 +16,15 @@
   // The call of each system goes here, in this order: control budget,
   // membership, probing, configuration, lease, orders, quarantine, claims,
   // admission, placement, request flow, drain.
-  RunConfiguration(world, now);
   RunRequestIntake(world, now);
+  RunControlBudget(world, now);
+  RunMembership(world, now);
+  RunProbing(world, now);
+  RunConfiguration(world, now);
+  RunPlannedChanges(world, now);
+  RunOperatorCommands(world, now);
+  RunLease(world, now);
+  RunOrders(world, now);
   RunQuarantine(world, now);
   RunClaims(world, now);
   RunAdmission(world, now);
