--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -18,6 +18,7 @@
 #include "libnet/http_server.h"
 #include "libnet/log.h"
 #include "libnet/operator_api.h"
+#include "libnet/peer_transport.h"
 #include "libnet/platform_client.h"
 #include "libnet/upstream_client.h"
 #include "libnet/upstream_prober.h"
@@ -85,11 +86,6 @@
   return row;
 }
 
-ListedInstance ListedFrom(const net::InstanceListEntry& entry) {
-  return {entry.m_id,          entry.m_caller_endpoint, entry.m_peer_endpoint,
-          entry.m_data_centre, entry.m_region,          entry.m_leaving};
-}
-
 }  // namespace
 
 class Daemon::Impl {
@@ -123,6 +119,9 @@
   void Do(const ScanStore& action) { m_store.m_scan(action); }
   void Do(const CommitStore& action) { m_store.m_commit(action); }
   void Do(const ProbeUpstream& action) { m_prober.Probe(action); }
+  void Do(const SendDatagram& action) {
+    m_peer_transport->Send(action.m_to, action.m_endpoint, action.m_payload);
+  }
   void Do(const AskService& action);
   void Do(const ExitProcess& action);
   template <typename Other>
@@ -147,6 +146,7 @@
   std::map<CommandId, net::OperatorAnswerCallback> m_claim_commands;
   std::uint64_t m_last_claim_command = 0;
 
+  std::unique_ptr<net::PeerTransport> m_peer_transport;
   net::HttpServer m_caller_server;
   net::HttpServer m_operator_server;
   net::SignalWatcher m_terminate;
@@ -216,6 +216,15 @@
   SetCheckHandler(LogCheckFailure);
   SetUpWorld();
   RegisterWorldMetrics(&m_metrics, &m_world);
+  const InstanceId& self = m_settings.m_instance.m_id;
+  m_peer_transport = std::make_unique<net::PeerTransport>(
+      loop, m_settings.m_instance.m_peer_address,
+      net::DatagramSeal(self, m_world.m_instances.Find(self)->m_incarnation,
+                        m_settings.m_fleet.m_keys),
+      [this](ReceivedDatagram datagram) {
+        m_world.m_membership_inbox.m_datagrams.push_back(std::move(datagram));
+        Wake();
+      });
   m_tick_timer.StartRepeating(kTickPeriod);
   m_list_timer.StartRepeating(m_settings.m_platform.m_list_poll);
   FetchInstanceList();
@@ -350,13 +359,10 @@
 }
 
 void Daemon::Impl::FetchInstanceList() {
-  m_instance_list.m_fetch(
-      [this](const std::vector<net::InstanceListEntry>& entries) {
-        for (const net::InstanceListEntry& entry : entries) {
-          m_world.m_membership_inbox.m_listed.push_back(ListedFrom(entry));
-        }
-        Wake();
-      });
+  m_instance_list.m_fetch([this](std::vector<ListedInstance> listed) {
+    m_world.m_membership_inbox.m_listed = std::move(listed);
+    Wake();
+  });
 }
 
 void Daemon::Impl::StartDrain(const char* reason) {
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -4,6 +4,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
 #include <fstream>
 #include <functional>
 #include <set>
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr std::size_t kDigestHexLength = 64;
-constexpr std::size_t kSmallestKeyHexLength = 64;
 
 bool IsHex(const std::string& text) {
   return std::all_of(text.begin(), text.end(),
@@ -249,15 +249,26 @@
     if (target.m_key_file.empty()) {
       return;
     }
+    const auto report = [&](const std::string& message) {
+      reader->AddFinding(reader->Node("key_file"), "key_file", message);
+    };
     std::ifstream file(target.m_key_file);
-    if (!(file >> target.m_key)) {
-      reader->AddFinding(reader->Node("key_file"), "key_file",
-                         "the file cannot be read");
-    } else if (!IsHex(target.m_key) ||
-               target.m_key.size() < kSmallestKeyHexLength) {
-      reader->AddFinding(reader->Node("key_file"), "key_file",
-                         "the file must hold at least 64 hex digits");
+    if (!file) {
+      report("the file cannot be read");
+      return;
     }
+    std::stringstream text;
+    text << file.rdbuf();
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_ASSIGN(target.m_keys, net::ParseFleetKeys(text.str()));
+          return {};
+        },
+        [&](const net::BadFleetKey& error) {
+          report(fmt::format("line {} of the file: {}", error.m_line,
+                             error.m_reason));
+        },
+        [&] { report("the file cannot be used"); });
   }
 
   void ReadPlatform() {
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "libnet/fleet_key.h"
 #include "libnet/log.h"
 #include "nutmeghollow/types.h"
 
@@ -52,10 +53,11 @@
 
 /// [fleet]: how instances talk to one another.
 struct FleetSettings {
-  /// key_file: file that holds the fleet key in hex. Required.
+  /// key_file: file that holds the fleet keys in hex, one a line; the first
+  /// one signs and all are accepted. Required.
   std::string m_key_file;
-  /// The key itself, read from the file.
-  std::string m_key;
+  /// The keys themselves, read from the file.
+  net::FleetKeys m_keys;
   /// seeds: "IP:PORT" peer addresses to ask while the platform's list is not
   /// available.
   std::vector<Endpoint> m_seeds;
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -101,7 +101,7 @@
         connection.request(method, path, data, headers or {})
         answer = connection.getresponse()
         text = answer.read().decode("utf-8", "replace")
-        return answer.status, dict(answer.getheaders()), text
+        return answer.status, answer.headers, text
     except (OSError, http.client.HTTPException) as error:
         return 0, {}, str(error)
     finally:
