Test the configuration under races, lost answers, outages and partitions

Cause: nothing showed that an accepted change is in force everywhere and never reverts. A non-polling instance waits 0.3 s for a peer to confirm a revision before it reads the table service itself.

--- a/src/include/nutmeghollow/configuration_system.h
+++ b/src/include/nutmeghollow/configuration_system.h
@@ -27,6 +27,9 @@
   Duration m_fetch_timeout = std::chrono::milliseconds(500);
   /// Fetches from peers that may fail before the table service is read.
   int m_fetch_attempts = 2;
+  /// An instance that is behind and does not poll reads the table service
+  /// only after this time, so that peers can confirm the revision first.
+  Duration m_peer_grace = std::chrono::milliseconds(300);
   /// Pause after a failed read of the table service.
   Duration m_retry_delay = std::chrono::milliseconds(500);
   /// An instance that reached neither the table service nor any peer for this
@@ -66,6 +69,7 @@
   InstanceId m_fetch_from;  ///< Peer asked; empty when none.
   TimePoint m_fetch_deadline{};
   int m_failed_fetches = 0;  ///< In a row.
+  std::optional<TimePoint> m_behind_since;
 };
 
 /// Runs the configuration system.
--- /dev/null
+++ b/src/libnutmeg/configuration_fleet_for_test.h
@@ -0,0 +1,354 @@
+/// @file
+/// Several instances over one table service in memory, for tests of the
+/// configuration, the lease and orders.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "nutmeghollow/world.h"
+
+namespace nutmeghollow {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The table service. An answer can be lost after the commit took effect.
+class TableStoreForTest {
+ public:
+  StoreResult Run(const ReadStore& read) const {
+    StoreResult result{read.m_operation, StoreStatus::kDone, {}};
+    for (const std::string& key : read.m_keys) {
+      if (m_rows.contains(key)) {
+        result.m_rows.push_back(m_rows.at(key));
+      }
+    }
+    return result;
+  }
+
+  StoreResult Run(const ScanStore& scan) const {
+    StoreResult result{scan.m_operation, StoreStatus::kDone, {}};
+    for (auto row = m_rows.upper_bound(std::max(scan.m_prefix, scan.m_after));
+         row != m_rows.end() && row->first.starts_with(scan.m_prefix) &&
+         result.m_rows.size() < static_cast<std::size_t>(scan.m_limit);
+         ++row) {
+      result.m_rows.push_back(row->second);
+    }
+    return result;
+  }
+
+  StoreResult Run(const CommitStore& commit) {
+    StoreResult result{commit.m_operation, StoreStatus::kDone, {}};
+    for (const StorePrecondition& wanted : commit.m_preconditions) {
+      auto row = m_rows.find(wanted.m_key);
+      const StoreRow found =
+          row == m_rows.end() ? StoreRow{wanted.m_key, "", {}} : row->second;
+      if (found.m_version != wanted.m_version) {
+        result.m_rows.push_back(found);
+        result.m_status = StoreStatus::kConflict;
+      }
+    }
+    if (result.m_status == StoreStatus::kDone) {
+      ++m_commits;
+      for (const StoreWrite& write : commit.m_writes) {
+        Write(write);
+      }
+    }
+    return result;
+  }
+
+  std::map<std::string, StoreRow> m_rows;
+  int m_commits = 0;
+
+ private:
+  void Write(const StoreWrite& write) {
+    ++m_last_version;
+    if (write.m_value) {
+      m_rows[write.m_key] = {write.m_key, *write.m_value,
+                             RowVersion(m_last_version)};
+    } else {
+      m_rows.erase(write.m_key);
+    }
+  }
+
+  std::uint64_t m_last_version = 0;
+};
+
+/// Instances that gossip and serve each other, over one table service.
+class ConfigurationFleetForTest {
+ public:
+  explicit ConfigurationFleetForTest(int instances, std::uint64_t seed = 1)
+      : m_random(seed) {
+    for (int index = 0; index < instances; ++index) {
+      m_worlds.push_back(nullptr);
+      Restart(index);
+    }
+  }
+
+  /// Replaces an instance by a new one that knows nothing.
+  void Restart(int index) {
+    auto world = std::make_unique<World>();
+    world->m_hooks = {[this] { return m_random(); }, [this] { return Wall(); }};
+    world->m_instances.m_self = Id(index);
+    for (std::size_t other = 0; other < std::max(m_worlds.size(), kFewest);
+         ++other) {
+      AddInstance(*world, static_cast<int>(other));
+    }
+    m_worlds[index] = std::move(world);
+    for (auto& peer : m_worlds) {
+      AddInstance(*peer, index);
+    }
+    ++m_starts[index];
+    AddInstance(*m_worlds[index], index);
+  }
+
+  World& At(int index) { return *m_worlds[index]; }
+  int size() const { return static_cast<int>(m_worlds.size()); }
+  static InstanceId Id(int index) {
+    return InstanceId("i" + std::to_string(index));
+  }
+  WallTime Wall() const { return WallTime(1'000'000 + m_now.count() / 1000); }
+
+  /// Goes on by a time in steps.
+  void Run(Duration time, Duration step = milliseconds(20)) {
+    for (const Duration end = m_now + time; m_now < end;) {
+      m_now += step;
+      Deliver();
+      for (int index = 0; index < size(); ++index) {
+        if (!m_paused.contains(index)) {
+          TickOne(index);
+        }
+      }
+      Gossip();
+    }
+  }
+
+  /// Hands in a command. @return its ticket.
+  OperatorTicket Submit(int index, OperatorCommand command) {
+    command.m_ticket = At(index).m_operators.NewTicket();
+    At(index).m_operators.m_inbox.m_commands.push_back(command);
+    return command.m_ticket;
+  }
+
+  /// Hands in a command and waits for its reply.
+  OperatorReply Execute(int index, const OperatorCommand& command) {
+    const OperatorTicket ticket = Submit(index, command);
+    for (int turn = 0; turn < 1000; ++turn) {
+      Run(milliseconds(20));
+      for (const OperatorReply& reply : At(index).m_operators.m_replies) {
+        if (reply.m_ticket == ticket) {
+          return reply;
+        }
+      }
+    }
+    return {};
+  }
+
+  bool Cut(int left, int right) const {
+    return m_cut.contains({std::min(left, right), std::max(left, right)});
+  }
+
+  Duration m_now{seconds(1)};
+  std::mt19937_64 m_random;
+  TableStoreForTest m_store;
+  bool m_outage = false;
+  std::set<int> m_no_store;             ///< Instances without the service.
+  std::set<std::pair<int, int>> m_cut;  ///< Pairs that do not talk.
+  std::set<int> m_paused;
+  double m_lost_commits = 0;  ///< Share of commits whose answer is lost.
+  double m_late_commits = 0;  ///< Share of commits that take effect late.
+  int m_lose_next_commits = 0;
+  int m_reads = 0;
+  int m_transfers_whole = 0;
+  int m_transfers_difference = 0;
+  /// Called for actions other than those on the table service and peers.
+  std::function<void(int, const Action&)> m_on_action;
+  std::vector<std::unique_ptr<World>> m_worlds;
+
+ private:
+  static constexpr std::size_t kFewest = 1;
+
+  struct Delivery {
+    Duration m_at;
+    std::function<void()> m_run;
+  };
+
+  void AddInstance(World& world, int index) {
+    InstanceRow& row = world.m_instances.m_rows[Id(index)];
+    row.m_id = Id(index);
+    row.m_status = InstanceStatus::kAlive;
+    row.m_incarnation = Incarnation(m_starts[index] + 1);
+    row.m_revision = Revision();
+  }
+
+  TimePoint Now() const { return TimePoint(m_now); }
+
+  void After(Duration delay, std::function<void()> run) {
+    m_deliveries.push_back({m_now + delay, std::move(run)});
+  }
+
+  void Deliver() {
+    std::vector<Delivery> due;
+    for (auto item = m_deliveries.begin(); item != m_deliveries.end();) {
+      if (item->m_at <= m_now) {
+        due.push_back(std::move(*item));
+        item = m_deliveries.erase(item);
+      } else {
+        ++item;
+      }
+    }
+    for (Delivery& delivery : due) {
+      delivery.m_run();
+    }
+  }
+
+  void TickOne(int index) {
+    World& world = At(index);
+    RunConfiguration(world, Now());
+    RunPlannedChanges(world, Now());
+    RunOperatorCommands(world, Now());
+    RunLease(world, Now());
+    RunOrders(world, Now());
+    for (const Action& action : std::exchange(world.m_actions, {})) {
+      Carry(index, action);
+    }
+  }
+
+  void Carry(int index, const Action& action) {
+    if (const auto* read = std::get_if<ReadStore>(&action)) {
+      ++m_reads;
+      RunRead(index, *read);
+    } else if (const auto* scan = std::get_if<ScanStore>(&action)) {
+      ++m_reads;
+      RunRead(index, *scan);
+    } else if (const auto* commit = std::get_if<CommitStore>(&action)) {
+      RunCommit(index, *commit);
+    } else if (const auto* fetch = std::get_if<FetchConfiguration>(&action)) {
+      RunFetch(index, *fetch);
+    } else if (m_on_action) {
+      m_on_action(index, action);
+    }
+  }
+
+  bool Reached(int index) const {
+    return !m_outage && !m_no_store.contains(index);
+  }
+
+  void Answer(int index, StorePurpose purpose, StoreResult result) {
+    const int start = m_starts[index];
+    After(milliseconds(2), [this, index, purpose, start, result] {
+      if (start == m_starts[index]) {
+        At(index).m_store_results[static_cast<int>(purpose)].push_back(result);
+      }
+    });
+  }
+
+  template <typename Read>
+  void RunRead(int index, const Read& read) {
+    if (!Reached(index)) {
+      Answer(index, read.m_purpose,
+             {read.m_operation, StoreStatus::kUnavailable, {}});
+      return;
+    }
+    Answer(index, read.m_purpose, m_store.Run(read));
+  }
+
+  bool Chance(double share) {
+    return std::uniform_real_distribution<>(0, 1)(m_random) < share;
+  }
+
+  void RunCommit(int index, const CommitStore& commit) {
+    if (!Reached(index)) {
+      Answer(index, commit.m_purpose,
+             {commit.m_operation, StoreStatus::kUnavailable, {}});
+      return;
+    }
+    if (Chance(m_late_commits)) {
+      After(milliseconds(300), [this, commit] { m_store.Run(commit); });
+      Answer(index, commit.m_purpose,
+             {commit.m_operation, StoreStatus::kUnknown, {}});
+      return;
+    }
+    StoreResult result = m_store.Run(commit);
+    if (m_lose_next_commits > 0 || Chance(m_lost_commits)) {
+      m_lose_next_commits = std::max(0, m_lose_next_commits - 1);
+      result = {commit.m_operation, StoreStatus::kUnknown, {}};
+    }
+    Answer(index, commit.m_purpose, std::move(result));
+  }
+
+  int IndexOf(const InstanceId& id) const {
+    return std::stoi(id.str().substr(1));
+  }
+
+  void RunFetch(int index, const FetchConfiguration& fetch) {
+    const int from = IndexOf(fetch.m_from);
+    if (Cut(index, from) || m_paused.contains(from)) {
+      return;
+    }
+    const int start = m_starts[index];
+    ConfigurationTransfer transfer = MakeTransfer(At(from), fetch.m_since);
+    ++(transfer.m_whole ? m_transfers_whole : m_transfers_difference);
+    After(milliseconds(2), [this, index, start, transfer] {
+      if (start == m_starts[index]) {
+        At(index).m_configuration_inbox.m_transfers.push_back(transfer);
+      }
+    });
+  }
+
+  void Gossip() {
+    for (int from = 0; from < size(); ++from) {
+      for (int to = 0; to < size(); ++to) {
+        if (from == to || m_paused.contains(to)) {
+          continue;
+        }
+        InstanceRow& row = At(to).m_instances.m_rows[Id(from)];
+        if (Cut(from, to) || m_paused.contains(from)) {
+          row.m_status = InstanceStatus::kDead;
+          continue;
+        }
+        row.m_status = InstanceStatus::kAlive;
+        row.m_revision = At(from).m_configuration.m_revision;
+        row.m_last_heard = Now();
+        Revision& highest = At(to).m_configuration.m_highest_seen;
+        highest = std::max(highest, At(from).m_configuration.m_highest_seen);
+      }
+    }
+  }
+
+  std::map<int, int> m_starts;
+  std::deque<Delivery> m_deliveries;
+};
+
+/// @return a command that writes an object.
+inline OperatorCommand SetCommand(std::string command,
+                                  ObjectKind kind,
+                                  std::string id,
+                                  std::string json) {
+  return {.m_command = CommandId(std::move(command)),
+          .m_operator = OperatorId("anna"),
+          .m_action = CommandAction::kSet,
+          .m_key = {kind, std::move(id)},
+          .m_json = std::move(json)};
+}
+
+/// @return a command that deletes an object.
+inline OperatorCommand DeleteCommand(std::string command,
+                                     ObjectKind kind,
+                                     std::string id) {
+  return {.m_command = CommandId(std::move(command)),
+          .m_operator = OperatorId("bert"),
+          .m_action = CommandAction::kDelete,
+          .m_key = {kind, std::move(id)}};
+}
+
+}  // namespace nutmeghollow
--- a/src/libnutmeg/configuration_system.cpp
+++ b/src/libnutmeg/configuration_system.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::uint64_t kJobSeed = 0x6a6f62;
+constexpr char kPollJob[] = "poll";
 /// How often the isolation rule is looked at.
 constexpr Duration kIsolationCheckPeriod = std::chrono::milliseconds(200);
 
@@ -278,13 +279,25 @@
   }
 }
 
+/// @return true while a peer may soon confirm the revision that is missing.
+bool InPeerGrace(const World& world, TimePoint now) {
+  const ConfigurationState& state = world.m_configuration_state;
+  return world.m_configuration.Ready() &&
+         now < *state.m_behind_since + state.m_parameters.m_peer_grace &&
+         !ChosenForJob(world, kPollJob, state.m_parameters.m_pollers);
+}
+
 void CatchUp(World& world, TimePoint now) {
   ConfigurationState& state = world.m_configuration_state;
-  if (!Behind(world) || !state.m_fetch_from.empty() ||
-      state.m_stage != StoreReadStage::kIdle) {
+  if (!Behind(world)) {
+    state.m_behind_since.reset();
     return;
   }
-  if (StartFetch(world, now)) {
+  if (!state.m_behind_since) {
+    state.m_behind_since = now;
+  }
+  if (!state.m_fetch_from.empty() || state.m_stage != StoreReadStage::kIdle ||
+      StartFetch(world, now) || InPeerGrace(world, now)) {
     return;
   }
   if (now >= state.m_retry_at) {
@@ -322,7 +335,7 @@
     }
     return;
   }
-  if (ChosenForJob(world, "poll", state.m_parameters.m_pollers) ||
+  if (ChosenForJob(world, kPollJob, state.m_parameters.m_pollers) ||
       NoPeerHeardLately(world, now)) {
     StartRead(world, StoreReadStage::kHead, detail::kHeadKey);
   }
