Add calls between instances by Cap'n Proto RPC on libev

Cause: configuration transfers, reservations and claim questions need answers. Change: a KJ event port and stream on libev; a gate that hands out the calls only after both ends proved the fleet key; one connection per peer, given up when it is silent. Conclusion: the server needs the same message limit as the client, since KJ applies it to sent messages too; strangers are held to 16 KiB by the stream.

--- /dev/null
+++ b/src/libnet/kj_event_port.h
@@ -0,0 +1,53 @@
+/// @file
+/// Runs KJ promises, which Cap'n Proto RPC is made of, on the libev loop.
+#pragma once
+
+#include <ev.h>
+#include <kj/async.h>
+
+namespace nutmeghollow::net {
+
+/// Tells libev when KJ has work. libev owns the thread; nothing here waits.
+class KjEventPort final : public kj::EventPort {
+ public:
+  explicit KjEventPort(struct ev_loop* loop);
+  ~KjEventPort() noexcept(false);
+  KjEventPort(const KjEventPort&) = delete;
+  KjEventPort& operator=(const KjEventPort&) = delete;
+
+  /// Sets the KJ loop that is run when it has work.
+  void Attach(kj::EventLoop* kj_loop) { m_kj_loop = kj_loop; }
+
+  bool wait() override;
+  bool poll() override;
+  void setRunnable(bool runnable) override;
+
+ private:
+  static void OnIdle(struct ev_loop* loop, ev_idle* watcher, int events);
+
+  struct ev_loop* m_loop;
+  kj::EventLoop* m_kj_loop = nullptr;
+  ev_idle m_idle{};
+};
+
+/// The KJ loop of this thread. Make one, and keep it longer than any promise.
+class KjLoop {
+ public:
+  explicit KjLoop(struct ev_loop* loop);
+  ~KjLoop() noexcept;
+  KjLoop(const KjLoop&) = delete;
+  KjLoop& operator=(const KjLoop&) = delete;
+
+  /// @return the libev loop below.
+  struct ev_loop* Loop() const {
+    return m_loop;
+  }
+
+ private:
+  struct ev_loop* m_loop;
+  KjEventPort m_port;
+  kj::EventLoop m_kj_loop;
+  kj::WaitScope m_scope;
+};
+
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnet/kj_stream.h
@@ -0,0 +1,63 @@
+/// @file
+/// A connected socket as a KJ stream on libev.
+#pragma once
+
+#include <ev.h>
+#include <kj/async-io.h>
+
+#include <cstdint>
+#include <limits>
+
+namespace nutmeghollow::net {
+
+/// Bytes moved by RPC connections, with an estimate of IP and TCP headers.
+struct PeerTraffic {
+  std::int64_t m_sent = 0;
+  std::int64_t m_received = 0;
+};
+
+/// Owns a non-blocking socket, which may still be connecting. Errors of the
+/// socket, and of the connect, end the promises with a KJ exception.
+class KjStream final : public kj::AsyncIoStream {
+ public:
+  /// @param descriptor closed by the stream.
+  /// @param traffic counts the bytes; must outlive the stream.
+  KjStream(struct ev_loop* loop, int descriptor, PeerTraffic* traffic);
+  ~KjStream() noexcept(false);
+  KjStream(const KjStream&) = delete;
+  KjStream& operator=(const KjStream&) = delete;
+
+  /// Fails reads once this many bytes have been received in all.
+  void SetReceiveLimit(std::uint64_t limit) { m_receive_limit = limit; }
+
+  kj::Promise<size_t> tryRead(void* buffer, size_t least, size_t most) override;
+  kj::Promise<void> write(const void* buffer, size_t size) override;
+  kj::Promise<void> write(
+      kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+  kj::Promise<void> whenWriteDisconnected() override;
+  void shutdownWrite() override;
+
+ private:
+  kj::Promise<size_t> ReadOn(char* buffer,
+                             size_t least,
+                             size_t most,
+                             size_t done);
+  static void OnReadable(struct ev_loop* loop, ev_io* watcher, int events);
+  static void OnWritable(struct ev_loop* loop, ev_io* watcher, int events);
+
+  struct ev_loop* m_loop;
+  int m_descriptor;
+  PeerTraffic* m_traffic;
+  std::uint64_t m_received = 0;
+  std::uint64_t m_receive_limit = std::numeric_limits<std::uint64_t>::max();
+  ev_io m_readable{};
+  ev_io m_writable{};
+  kj::Own<kj::PromiseFulfiller<void>> m_on_readable;
+  kj::Own<kj::PromiseFulfiller<void>> m_on_writable;
+};
+
+/// Sets the options of a peer connection: no delay, keepalive, and an end to
+/// connections whose segments are not acknowledged.
+void SetPeerSocketOptions(int descriptor);
+
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnet/peer_messages.h
@@ -0,0 +1,48 @@
+/// @file
+/// Proofs and message conversions shared by both ends of peer calls.
+///
+/// Internal to peer_client.cpp and peer_server.cpp.
+#pragma once
+
+#include <capnp/message.h>
+#include <kj/common.h>
+
+#include <string>
+#include <string_view>
+
+#include "libnet/fleet_key.h"
+#include "libnet/peer.capnp.h"
+#include "nutmeghollow/configuration.h"
+
+namespace nutmeghollow::net::detail {
+
+constexpr std::size_t kNonceSize = 16;
+
+/// The two ends of a connection and their random challenges.
+struct PeerHandshake {
+  InstanceId m_client;
+  InstanceId m_server;
+  std::string m_client_nonce;
+  std::string m_server_nonce;
+};
+
+/// @return the limits of one message, alike at both ends.
+capnp::ReaderOptions MessageLimits();
+
+/// @return the text that the client signs.
+std::string ClientProofText(const PeerHandshake& handshake);
+/// @return the text that the server signs.
+std::string ServerProofText(const PeerHandshake& handshake);
+
+/// @return bytes as a message field, without a copy.
+kj::ArrayPtr<const kj::byte> AsData(std::string_view bytes);
+/// @return a copy of a message field.
+std::string FromData(kj::ArrayPtr<const kj::byte> data);
+std::string FromText(capnp::Text::Reader text);
+
+void WriteTransfer(wire::Transfer::Builder out,
+                   const ConfigurationTransfer& transfer);
+/// @return the transfer. @throws kj::Exception when it is malformed.
+ConfigurationTransfer ReadTransfer(wire::Transfer::Reader in);
+
+}  // namespace nutmeghollow::net::detail
--- /dev/null
+++ b/src/libnet/peer_rpc_test.cpp
@@ -0,0 +1,283 @@
+#include "libnet/peer_rpc.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <random>
+
+#include "libnet/event_loop.h"
+#include "libnet/socket_address.h"
+
+namespace nutmeghollow::net {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const InstanceId kServer("inst-server");
+const InstanceId kClient("inst-client");
+const Endpoint kAnyPort("127.0.0.1:0");
+
+FleetKeys Keys(char fill) {
+  return FleetKeys{{std::string(32, fill)}};
+}
+
+ConfigurationTransfer SampleTransfer() {
+  return {.m_revision = Revision(9),
+          .m_whole = true,
+          .m_changes = {{Revision(8), {ObjectKind::kRoute, "r"}, "{\"a\":1}"},
+                        {Revision(9), {ObjectKind::kCustomer, "c"}, {}}}};
+}
+
+class PeerRpc : public ::testing::Test {
+ protected:
+  PeerRpc() : m_loop(ev_loop_new(0)), m_kj(m_loop) {
+    m_hooks.m_fetch_configuration = [](Revision) { return SampleTransfer(); };
+    m_hooks.m_reserve = [this](const InstanceId& from, const UpstreamId& id,
+                               const RouteId&, auto reply) {
+      m_asked_by = from;
+      if (id == UpstreamId("silent")) {
+        m_late_reply = reply;
+      } else {
+        reply({.m_granted = id == UpstreamId("free"),
+               .m_alternative = UpstreamId("other")});
+      }
+    };
+    m_hooks.m_ask_claim = [](const std::string& key, const std::string&) {
+      return key == "mine" ? ClaimerAnswer::kGaveUp : ClaimerAnswer::kNotMine;
+    };
+  }
+
+  void StartServer(const PeerServerOptions& options = {}) {
+    m_server = std::make_unique<PeerServer>(
+        m_kj, kAnyPort, PeerIdentity{kServer, Keys('k')}, m_hooks, options);
+  }
+
+  PeerAddress ServerAddress() const {
+    return {kServer, Endpoint("127.0.0.1:" + std::to_string(m_server->Port()))};
+  }
+
+  /// Runs the loop until a condition holds or a generous limit passes.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const TimePoint limit = BootTime() + seconds(20);
+    Timer wake(m_loop, [] {});
+    wake.StartRepeating(milliseconds(5));
+    while (!condition() && BootTime() < limit) {
+      ev_run(m_loop, EVRUN_ONCE);
+    }
+    return condition();
+  }
+
+  /// Asks for a reservation and waits for the end of the call.
+  PeerAnswer<ReservationReply> Reserve(PeerClient& client,
+                                       const PeerAddress& peer,
+                                       const char* upstream,
+                                       Duration timeout = seconds(10)) {
+    std::optional<PeerAnswer<ReservationReply>> end;
+    client.Reserve(peer, UpstreamId(upstream), RouteId("r"), timeout,
+                   [&end](auto answer) { end = std::move(answer); });
+    EXPECT_FALSE(end.has_value());
+    EXPECT_TRUE(RunUntil([&end] { return end.has_value(); }));
+    return std::move(end).value_or(PeerAnswer<ReservationReply>{});
+  }
+
+  int OpenSocket() const {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(m_server->Port()));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(connect(descriptor, reinterpret_cast<sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    return descriptor;
+  }
+
+  struct ev_loop* m_loop;
+  KjLoop m_kj;
+  PeerServerHooks m_hooks;
+  std::unique_ptr<PeerServer> m_server;
+  InstanceId m_asked_by;
+  std::function<void(const ReservationReply&)> m_late_reply;
+};
+
+TEST_F(PeerRpc, CarriesEachKindOfCallOverOneConnection) {
+  StartServer();
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  std::optional<ConfigurationTransfer> transfer;
+  client.FetchConfiguration(
+      ServerAddress(), Revision(3), seconds(10),
+      [&transfer](auto answer) { transfer = std::move(answer.m_value); });
+  std::optional<ClaimerAnswer> claim;
+  client.AskClaim(ServerAddress(), "mine", "token", seconds(10),
+                  [&claim](auto answer) { claim = answer.m_value; });
+  const auto granted = Reserve(client, ServerAddress(), "free");
+  const auto refused = Reserve(client, ServerAddress(), "full");
+  ASSERT_TRUE(RunUntil([&] { return transfer && claim; }));
+  EXPECT_EQ(transfer->m_revision, Revision(9));
+  EXPECT_TRUE(transfer->m_whole);
+  ASSERT_EQ(transfer->m_changes.size(), 2U);
+  EXPECT_EQ(transfer->m_changes[0].m_key, (ObjectKey{ObjectKind::kRoute, "r"}));
+  EXPECT_EQ(transfer->m_changes[0].m_json, "{\"a\":1}");
+  EXPECT_EQ(transfer->m_changes[1].m_json, std::nullopt);
+  EXPECT_EQ(claim, ClaimerAnswer::kGaveUp);
+  ASSERT_TRUE(granted.m_value && refused.m_value);
+  EXPECT_TRUE(granted.m_value->m_granted);
+  EXPECT_FALSE(refused.m_value->m_granted);
+  EXPECT_EQ(refused.m_value->m_alternative, UpstreamId("other"));
+  EXPECT_EQ(m_asked_by, kClient);
+  EXPECT_EQ(m_server->Counters().m_accepted, 1U);
+  EXPECT_GT(client.Traffic().m_sent, 0);
+}
+
+TEST_F(PeerRpc, CarriesAWholeConfigurationOfTheDesignSize) {
+  m_hooks.m_fetch_configuration = [](Revision) {
+    ConfigurationTransfer transfer{.m_revision = Revision(5000),
+                                   .m_whole = true};
+    for (std::uint64_t i = 0; i < 2500; ++i) {
+      transfer.m_changes.push_back({Revision(i),
+                                    {ObjectKind::kCustomer, std::to_string(i)},
+                                    std::string(500, 'x')});
+    }
+    return transfer;
+  };
+  StartServer();
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  std::optional<PeerAnswer<ConfigurationTransfer>> end;
+  client.FetchConfiguration(ServerAddress(), Revision(0), seconds(10),
+                            [&end](auto answer) { end = std::move(answer); });
+  ASSERT_TRUE(RunUntil([&] { return end.has_value(); }));
+  ASSERT_TRUE(end->m_value) << end->m_detail;
+  EXPECT_EQ(end->m_value->m_changes.size(), 2500U);
+}
+
+struct StrangerCase {
+  const char* m_name;
+  char m_key;
+  InstanceId m_expected_server;
+};
+
+class Stranger : public PeerRpc,
+                 public ::testing::WithParamInterface<StrangerCase> {};
+
+TEST_P(Stranger, IsRejected) {
+  StartServer();
+  PeerClient client(m_kj, {kClient, Keys(GetParam().m_key)});
+  PeerAddress address = ServerAddress();
+  address.m_id = GetParam().m_expected_server;
+  const auto answer = Reserve(client, address, "free");
+  EXPECT_EQ(answer.m_failure, PeerFailure::kRejected) << answer.m_detail;
+  EXPECT_TRUE(m_asked_by.empty());
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 0; }));
+  EXPECT_EQ(m_server->Counters().m_unauthenticated, 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    Stranger,
+    ::testing::Values(StrangerCase{"OtherKey", 'z', kServer},
+                      StrangerCase{"ProofForAnotherServer", 'k',
+                                   InstanceId("inst-other")}),
+    [](const auto& info) { return info.param.m_name; });
+
+TEST_F(PeerRpc, GivesUpASilentPeerAndOpensANewConnection) {
+  StartServer();
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  const auto silent =
+      Reserve(client, ServerAddress(), "silent", milliseconds(300));
+  EXPECT_EQ(silent.m_failure, PeerFailure::kTimeout);
+  // A late answer must not reach anybody.
+  m_late_reply({.m_granted = true});
+  const auto next = Reserve(client, ServerAddress(), "free");
+  EXPECT_TRUE(next.m_value);
+  EXPECT_EQ(m_server->Counters().m_accepted, 2U);
+}
+
+TEST_F(PeerRpc, ReconnectsAfterTheServerRestarted) {
+  StartServer();
+  const PeerAddress address = ServerAddress();
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  EXPECT_TRUE(Reserve(client, address, "free").m_value);
+  m_server.reset();
+  EXPECT_EQ(Reserve(client, address, "free").m_failure, PeerFailure::kBroken);
+  m_server = std::make_unique<PeerServer>(
+      m_kj, address.m_endpoint, PeerIdentity{kServer, Keys('k')}, m_hooks);
+  EXPECT_TRUE(Reserve(client, address, "free").m_value);
+}
+
+struct UnreachableCase {
+  const char* m_name;
+  const char* m_endpoint;
+};
+
+class Unreachable : public PeerRpc,
+                    public ::testing::WithParamInterface<UnreachableCase> {};
+
+TEST_P(Unreachable, EndsAsBroken) {
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  const auto answer =
+      Reserve(client, {kServer, Endpoint(GetParam().m_endpoint)}, "free");
+  EXPECT_EQ(answer.m_failure, PeerFailure::kBroken);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    Unreachable,
+    ::testing::Values(UnreachableCase{"NothingListens", "127.0.0.1:1"},
+                      UnreachableCase{"NotAnEndpoint", "nowhere"}),
+    [](const auto& info) { return info.param.m_name; });
+
+TEST_F(PeerRpc, ClosesConnectionsThatDoNotAuthenticate) {
+  StartServer({.m_enter_timeout = milliseconds(100)});
+  const int descriptor = OpenSocket();
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 1; }));
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 0; }));
+  EXPECT_EQ(m_server->Counters().m_unauthenticated, 1U);
+  close(descriptor);
+}
+
+TEST_F(PeerRpc, SurvivesRandomBytes) {
+  StartServer();
+  std::mt19937_64 random(3);
+  for (int i = 0; i < 100; ++i) {
+    std::string noise(1 + random() % 400, '\0');
+    for (char& byte : noise) {
+      byte = static_cast<char>(random());
+    }
+    const int descriptor = OpenSocket();
+    EXPECT_GT(send(descriptor, noise.data(), noise.size(), MSG_NOSIGNAL), 0);
+    close(descriptor);
+    ev_run(m_loop, EVRUN_NOWAIT);
+  }
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 0; }));
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  EXPECT_TRUE(Reserve(client, ServerAddress(), "free").m_value);
+}
+
+TEST_F(PeerRpc, ClosesAStrangerThatSendsMuch) {
+  StartServer();
+  const int descriptor = OpenSocket();
+  // A message of one segment of 64 KiB, well formed so far.
+  std::string message(8 + 64 * 1024, '\0');
+  message[5] = '\x20';
+  EXPECT_GT(send(descriptor, message.data(), message.size(), MSG_NOSIGNAL), 0);
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 1; }));
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 0; }));
+  close(descriptor);
+}
+
+TEST_F(PeerRpc, RefusesConnectionsAboveItsLimit) {
+  StartServer({.m_connection_limit = 1});
+  const int descriptor = OpenSocket();
+  EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 1; }));
+  PeerClient client(m_kj, {kClient, Keys('k')});
+  const auto answer = Reserve(client, ServerAddress(), "free");
+  EXPECT_EQ(answer.m_failure, PeerFailure::kBroken);
+  EXPECT_EQ(m_server->Counters().m_refused, 1U);
+  close(descriptor);
+}
+
+}  // namespace
+}  // namespace nutmeghollow::net
