Place by what a lost prefix costs, against a lower bound that follows load

Cause: with 12 engines and a mean of 7 requests, one placement in four found its engine at a fixed inner bound and lost the prefix (reuse 0.78 of the returning turns in the random run of one world, mean 7.9, no wait). Change: a chat remembers four engines that hold its prefix; a request waits for one of them for up to twice what computing the prefix anew costs, at most 500 ms; first turns and cheap prefixes go where the load is at or below the mean; the lower bound allows for the fall of the load by 1.5 times its square root instead of a fixed part.

--- a/src/include/nutmeghollow/explain.h
+++ b/src/include/nutmeghollow/explain.h
@@ -42,6 +42,8 @@
   /// Where this instance placed the chat last; unset when not remembered.
   std::optional<ChatPlacement> m_last;
   std::optional<Duration> m_last_age;
+  /// Upstreams that ran the chat, the latest first.
+  std::vector<UpstreamId> m_holders;
   double m_mean_load = 0.0;
   double m_bound = 0.0;
 };
--- a/src/include/nutmeghollow/loads.h
+++ b/src/include/nutmeghollow/loads.h
@@ -36,7 +36,7 @@
   /// How often the part of other instances is computed anew.
   Duration m_refresh = std::chrono::milliseconds(20);
   /// Time until a new or recovered upstream takes its full share.
-  Duration m_slow_start = std::chrono::seconds(10);
+  Duration m_slow_start = std::chrono::seconds(30);
   /// Share of its weight that an upstream starts with.
   double m_slow_start_share = 0.1;
 };
@@ -69,8 +69,9 @@
 struct Candidate {
   UpstreamRow* m_row = nullptr;
   UpstreamLoad* m_load = nullptr;
-  std::uint64_t m_hash = 0;  ///< Of its id, the seed of its scores.
-  int m_remote = 0;          ///< Estimated requests of other instances.
+  std::uint64_t m_hash = 0;          ///< Of its id, the seed of its scores.
+  std::uint16_t m_memory_index = 0;  ///< Its number in the chat memory.
+  int m_remote = 0;                  ///< Estimated requests of other instances.
   /// Share of its weight that counts, below one during slow start.
   double m_warmth = 1.0;
   bool m_same_region = true;
--- a/src/include/nutmeghollow/placement.h
+++ b/src/include/nutmeghollow/placement.h
@@ -31,12 +31,26 @@
 struct PlacementParameters {
   /// Name of the policy for chats; see FindPlacementPolicy.
   std::string m_policy = "bounded";
-  /// Part of the distance from one to the route's bound that placements keep
-  /// to while an engine below it exists.
-  double m_inner_share = 0.6;
+  /// Placements keep to a lower bound while they can: the one that holds after
+  /// the load of the route fell by this many times its square root.
+  double m_load_margin = 1.5;
   /// A mean load below this counts as this, so that at low load a chat stays
   /// with its prefix.
-  double m_least_mean = 3.0;
+  double m_least_mean = 4.0;
+  /// Bytes of a request's body that an engine computes a prefix from in a
+  /// second. Body size over this rate is what a lost prefix costs.
+  Bytes m_prefill_rate{80'000};
+  /// A request whose prefix costs less than this goes wherever the load is
+  /// low; the others keep their places near their prefixes.
+  Duration m_cheap_prefix = std::chrono::milliseconds(50);
+  /// A request waits for an engine that holds its prefix and is at its bound,
+  /// for no longer than this many times the cost of the prefix ...
+  int m_prefix_wait_factor = 2;
+  /// ... and no longer than this.
+  Duration m_prefix_wait = std::chrono::milliseconds(500);
+  /// An instance that owned its engines for this long knows their chats: one
+  /// that it does not remember is new.
+  Duration m_memory_settle = std::chrono::seconds(30);
   /// An engine is near its bound when fewer free places than this are left.
   int m_reservation_margin = 2;
   /// The owner of an engine is asked before a placement near the bound.
@@ -100,6 +114,7 @@
   std::map<RequestId, PendingReservation> m_reservations;
   std::deque<std::pair<TimePoint, RequestId>> m_reservation_deadlines;
   TimePoint m_owners_recheck_at{};
+  TimePoint m_owners_changed_at{};
   /// Hash of the instances and revision that the owners were computed from.
   std::uint64_t m_owners_of = 0;
   PlacementCounters m_counters;
--- a/src/include/nutmeghollow/placement_policy.h
+++ b/src/include/nutmeghollow/placement_policy.h
@@ -34,6 +34,8 @@
   /// The upstream is near its bound, so that its owner should be asked when
   /// that is another instance.
   bool m_near_bound = false;
+  /// The request should wait for a place at an engine that holds its prefix.
+  bool m_wait = false;
 };
 
 /// Chooses an upstream. @return unset when the request has to wait.
@@ -65,9 +67,11 @@
   /// The bound that placements keep to while any candidate is below it. It is
   /// lower, because the mean falls when requests elsewhere end.
   int m_inner = 1;
-  /// The bound for chats without a cached prefix, which lose nothing by going
-  /// elsewhere.
-  int m_first_turn = 1;
+  /// The mean load: the bound for requests that lose nothing by going
+  /// elsewhere, such as the first turn of a chat.
+  int m_flexible = 1;
+  /// Half way between: for requests whose prefix is cheap to compute anew.
+  int m_cheap_prefix = 1;
 };
 
 /// @return the limits of a candidate with one more request on the route.
--- a/src/libnutmeg/chats.cpp
+++ b/src/libnutmeg/chats.cpp
@@ -52,11 +52,9 @@
   if (entry == nullptr) {
     return std::nullopt;
   }
-  return ChatPlacement{
-      .m_last = m_names[entry->m_last],
-      .m_previous = m_names[entry->m_previous],
-      .m_placed_at = TimePoint(std::chrono::seconds(entry->m_second)),
-      .m_reason = static_cast<PlacementReason>(entry->m_reason)};
+  return ChatPlacement{entry->m_holders,
+                       TimePoint(std::chrono::seconds(entry->m_second)),
+                       entry->m_reason};
 }
 
 ChatMemory::Entry& ChatMemory::EntryFor(ChatKey chat) {
@@ -82,17 +80,13 @@
   return entry;
 }
 
-ChatMemory::UpstreamIndex ChatMemory::IndexOf(const UpstreamId& upstream) {
+UpstreamIndex ChatMemory::IndexOf(const UpstreamId& upstream) {
   const auto found = m_indexes.find(upstream);
   if (found != m_indexes.end()) {
     return found->second;
   }
   if (m_names.size() > std::numeric_limits<UpstreamIndex>::max()) {
-    // So many names were replaced that the numbers ran out: start anew.
-    m_entries.clear();
-    m_indexes.clear();
-    m_names.resize(1);
-    m_used = 0;
+    return 0;
   }
   const auto index = static_cast<UpstreamIndex>(m_names.size());
   m_names.push_back(upstream);
@@ -101,30 +95,32 @@
 }
 
 void ChatMemory::Remember(ChatKey chat,
-                          const UpstreamId& upstream,
+                          UpstreamIndex upstream,
                           PlacementReason reason,
                           TimePoint now) {
-  if (chat.value() == 0) {
+  if (chat.value() == 0 || upstream == 0) {
     return;
   }
-  const UpstreamIndex index = IndexOf(upstream);
   Entry& entry = EntryFor(chat);
-  if (entry.m_last != index) {
-    entry.m_previous = entry.m_last;
-    entry.m_last = index;
+  auto& holders = entry.m_holders;
+  // Brings the upstream to the front; the oldest one falls off the end.
+  auto place = std::find(holders.begin(), holders.end(), upstream);
+  if (place == holders.end()) {
+    place = std::prev(holders.end());
+    *place = upstream;
   }
-  entry.m_second = SecondOf(now) & ((1U << 28) - 1);
-  entry.m_reason = static_cast<std::uint32_t>(reason);
+  std::rotate(holders.begin(), place, std::next(place));
+  entry.m_second = SecondOf(now);
+  entry.m_reason = reason;
 }
 
-void ChatMemory::Forget(ChatKey chat, const UpstreamId& upstream) {
-  const Entry* found = FindEntry(chat);
-  if (found == nullptr || m_names[found->m_last] != upstream) {
+void ChatMemory::Forget(ChatKey chat, UpstreamIndex upstream) {
+  if (FindEntry(chat) == nullptr) {
     return;
   }
-  Entry& entry = EntryFor(chat);
-  entry.m_last = entry.m_previous;
-  entry.m_previous = kNoUpstream;
+  auto& holders = EntryFor(chat).m_holders;
+  const auto end = std::remove(holders.begin(), holders.end(), upstream);
+  std::fill(end, holders.end(), 0);
 }
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/explain.cpp
+++ b/src/libnutmeg/explain.cpp
@@ -102,6 +102,12 @@
   explanation.m_last = world.m_placement.m_chats.Find(chat);
   if (explanation.m_last) {
     explanation.m_last_age = now - explanation.m_last->m_placed_at;
+    for (const UpstreamIndex index : explanation.m_last->m_holders) {
+      if (index != 0) {
+        explanation.m_holders.push_back(
+            world.m_placement.m_chats.NameOf(index));
+      }
+    }
   }
   return explanation;
 }
--- a/src/libnutmeg/loads.cpp
+++ b/src/libnutmeg/loads.cpp
@@ -36,6 +36,7 @@
     candidate.m_row = row;
     candidate.m_load = &world.m_loads.m_upstreams[id];
     candidate.m_hash = HashText(id.str());
+    candidate.m_memory_index = world.m_placement.m_chats.IndexOf(id);
     candidate.m_same_region = self == nullptr || InSameRegion(*self, *row);
   }
 }
--- a/src/libnutmeg/owners.cpp
+++ b/src/libnutmeg/owners.cpp
@@ -169,10 +169,10 @@
 InstanceId SteeringOwner(const World& world,
                          ChatKey chat,
                          const std::optional<RouteId>& route) {
-  if (!route) {
-    return InstanceId();
-  }
-  const auto found = world.m_routes.find(*route);
+  // A caller that names no model means the only one there is.
+  const auto found = !route && world.m_routes.size() == 1
+                         ? world.m_routes.begin()
+                         : world.m_routes.find(route.value_or(RouteId()));
   if (found == world.m_routes.end()) {
     return InstanceId();
   }
@@ -202,7 +202,12 @@
   const std::map<UpstreamId, InstanceId> owners = ComputeOwners(world);
   for (auto& [id, row] : world.m_upstreams.m_rows) {
     const auto found = owners.find(id);
-    row.m_owner = found == owners.end() ? InstanceId() : found->second;
+    const InstanceId owner =
+        found == owners.end() ? InstanceId() : found->second;
+    if (owner != row.m_owner && owner == world.m_instances.m_self) {
+      state.m_owners_changed_at = now;
+    }
+    row.m_owner = owner;
   }
 }
 
--- a/src/libnutmeg/placement.cpp
+++ b/src/libnutmeg/placement.cpp
@@ -72,8 +72,8 @@
     ++customer->second.m_running;
   }
   if (row.m_request.m_kind == RequestKind::kChat) {
-    world.m_placement.m_chats.Remember(row.m_request.m_chat, upstream.m_id,
-                                       choice.m_reason, now);
+    world.m_placement.m_chats.Remember(
+        row.m_request.m_chat, candidate.m_memory_index, choice.m_reason, now);
   }
   row.m_upstream = upstream.m_id;
   row.m_holds_placement = true;
@@ -116,6 +116,9 @@
       }
       continue;
     }
+    if (choice->m_wait) {
+      continue;
+    }
     if (!detail::AskOwner(world, row, view, *choice, now)) {
       detail::Place(world, row, view, *choice, now);
     }
@@ -139,7 +142,8 @@
                  "a customer's running requests are never below zero");
   }
   if (row.m_request.m_kind == RequestKind::kChat && row.m_bytes_received == 0) {
-    world.m_placement.m_chats.Forget(row.m_request.m_chat, row.m_upstream);
+    ChatMemory& chats = world.m_placement.m_chats;
+    chats.Forget(row.m_request.m_chat, chats.IndexOf(row.m_upstream));
   }
   NoteRoom(world, row.m_request);
 }
--- a/src/libnutmeg/placement_policy.cpp
+++ b/src/libnutmeg/placement_policy.cpp
@@ -20,6 +20,13 @@
   return (candidate.Load() + 1.0) / candidate.m_row->m_weight;
 }
 
+/// Rounds a limit up to a whole request. A tiny excess over a whole number is
+/// an error of rounding.
+int RoundUp(double limit) {
+  constexpr double kRounding = 1e-9;
+  return std::max(1, static_cast<int>(std::ceil(limit - kRounding)));
+}
+
 /// Keeps the candidate with the highest score.
 struct Best {
   int m_index = -1;
@@ -33,26 +40,34 @@
   }
 };
 
-/// The engines that ran a chat before, as positions in a view.
-struct PrefixHolders {
-  int m_last = -1;
-  int m_previous = -1;
-};
-
 /// @return true when an engine may still hold what it cached at a time.
 bool MayHoldPrefix(const Candidate& candidate, TimePoint placed_at) {
   const auto& restarted = candidate.m_row->m_slow_start_since;
   return !restarted || *restarted <= placed_at;
 }
 
+/// @return the time to compute a request's prefix anew. Where the size of the
+/// body is not known, it counts as long.
+Duration PrefixCost(const PlacementQuery& query) {
+  const Bytes size = query.m_request.m_request.m_body_size;
+  if (size.value() <= 0) {
+    return std::chrono::hours(1);
+  }
+  const Bytes rate = query.m_world.m_placement_parameters.m_prefill_rate;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(size.value()) / static_cast<double>(rate.value())));
+}
+
 /// The bounded policy: one pass over the candidates.
 class BoundedSearch {
  public:
   explicit BoundedSearch(const PlacementQuery& query)
-      : m_query(query), m_totals(SumLoads(query.m_view)) {
-    m_memory = query.m_world.m_placement.m_chats.Find(
-        query.m_request.m_request.m_chat);
-  }
+      : m_query(query),
+        m_parameters(query.m_world.m_placement_parameters),
+        m_totals(SumLoads(query.m_view)),
+        m_memory(query.m_world.m_placement.m_chats.Find(
+            query.m_request.m_request.m_chat)),
+        m_has_cheap_prefix(PrefixCost(query) < m_parameters.m_cheap_prefix) {}
 
   std::optional<PlacementChoice> Run() {
     const std::vector<Candidate>& candidates = m_query.m_view.m_candidates;
@@ -63,6 +78,12 @@
   }
 
  private:
+  /// The best candidates below one of the bounds.
+  struct Below {
+    Best m_in_order;  ///< The first in the chat's order.
+    Best m_holder;    ///< The one of the latest prefix.
+  };
+
   void Consider(int index, const Candidate& candidate) {
     if (!candidate.IsUsable()) {
       return;
@@ -77,44 +98,82 @@
     const CandidateLimits limits =
         LimitsOf(m_query.m_world, m_totals, candidate, m_query.m_bound);
     const int load = candidate.Load() + 1;
+    const int age = AgeOfPrefix(candidate);
     if (load <= limits.m_hard) {
       // Above the inner bound the lowest load counts, not the order.
       m_within_hard.Offer(index, -RelativeLoad(candidate));
     }
-    if (load > limits.m_inner) {
-      return;
+    if (load <= limits.m_inner) {
+      Offer(m_within_inner, index, score, age);
+    } else {
+      m_holder_is_full = m_holder_is_full || age >= 0;
     }
-    m_within_inner.Offer(index, score);
-    NotePrefix(index, candidate);
-    if (load <= limits.m_first_turn) {
-      m_within_first_turn.Offer(index, score);
+    const int flexible = age >= 0 ? limits.m_cheap_prefix : limits.m_flexible;
+    if (load <= flexible) {
+      // A cheap prefix need not be found again: it goes to the lowest load.
+      Offer(m_within_flexible, index,
+            m_has_cheap_prefix ? -RelativeLoad(candidate) : score, age);
     }
   }
 
-  void NotePrefix(int index, const Candidate& candidate) {
+  static void Offer(Below& below, int index, double score, int age) {
+    below.m_in_order.Offer(index, score);
+    if (age >= 0) {
+      below.m_holder.Offer(index, -age);
+    }
+  }
+
+  /// @return how many upstreams ran the chat after this one did; -1 when it
+  /// does not hold the prefix.
+  int AgeOfPrefix(const Candidate& candidate) const {
     if (!m_memory || !MayHoldPrefix(candidate, m_memory->m_placed_at)) {
-      return;
+      return -1;
     }
-    if (candidate.m_row->m_id == m_memory->m_last) {
-      m_holders.m_last = index;
-    } else if (candidate.m_row->m_id == m_memory->m_previous) {
-      m_holders.m_previous = index;
+    const auto& holders = m_memory->m_holders;
+    const auto found =
+        std::find(holders.begin(), holders.end(), candidate.m_memory_index);
+    return found == holders.end() ? -1
+                                  : static_cast<int>(found - holders.begin());
+  }
+
+  /// @return true when no engine holds a prefix of the chat. An owner that had
+  /// its engines for long enough has seen every recent chat of theirs.
+  bool IsNewChat() const {
+    if (m_memory) {
+      return false;
     }
+    if (m_query.m_request.m_request.m_first_turn) {
+      return true;
+    }
+    const PlacementState& state = m_query.m_world.m_placement;
+    return m_home.m_index >= 0 &&
+           m_query.m_view.m_candidates[m_home.m_index].m_row->m_owner ==
+               m_query.m_world.m_instances.m_self &&
+           m_query.m_now - state.m_owners_changed_at >=
+               m_parameters.m_memory_settle;
+  }
+
+  /// @return true while the request should wait for a holder of its prefix.
+  bool ShouldWait() const {
+    const Duration limit =
+        std::min(PrefixCost(m_query) * m_parameters.m_prefix_wait_factor,
+                 m_parameters.m_prefix_wait);
+    return m_holder_is_full && !m_has_cheap_prefix &&
+           m_query.m_now - m_query.m_request.m_phase_since < limit;
   }
 
   std::optional<PlacementChoice> Choose() const {
-    if (m_holders.m_last >= 0) {
-      return Choice(m_holders.m_last, PlacementReason::kPrefix);
-    }
-    if (m_holders.m_previous >= 0) {
-      return Choice(m_holders.m_previous, PlacementReason::kOlderPrefix);
+    const bool is_flexible = m_has_cheap_prefix || IsNewChat();
+    if (is_flexible) {
+      if (const auto choice = ChooseBelow(m_within_flexible)) {
+        return choice;
+      }
     }
-    const bool is_new = !m_memory && m_query.m_request.m_request.m_first_turn;
-    if (is_new && m_within_first_turn.m_index >= 0) {
-      return Choice(m_within_first_turn.m_index, PlacementReason::kHome);
+    if (m_within_inner.m_holder.m_index < 0 && ShouldWait()) {
+      return PlacementChoice{.m_wait = true};
     }
-    if (m_within_inner.m_index >= 0) {
-      return Choice(m_within_inner.m_index, PlacementReason::kHome);
+    if (const auto choice = ChooseBelow(m_within_inner)) {
+      return choice;
     }
     if (m_within_hard.m_index >= 0) {
       return Choice(m_within_hard.m_index, PlacementReason::kOverflow);
@@ -122,30 +181,45 @@
     return std::nullopt;
   }
 
+  std::optional<PlacementChoice> ChooseBelow(const Below& below) const {
+    if (below.m_holder.m_index >= 0) {
+      return Choice(below.m_holder.m_index,
+                    below.m_holder.m_score == 0.0
+                        ? PlacementReason::kPrefix
+                        : PlacementReason::kOlderPrefix);
+    }
+    const int index = below.m_in_order.m_index;
+    if (index < 0) {
+      return std::nullopt;
+    }
+    if (index == m_home.m_index) {
+      return Choice(index, PlacementReason::kHome);
+    }
+    return Choice(index, m_query.m_request.m_tried.empty()
+                             ? PlacementReason::kOverflow
+                             : PlacementReason::kRetry);
+  }
+
   PlacementChoice Choice(int index, PlacementReason reason) const {
     const Candidate& candidate = m_query.m_view.m_candidates[index];
     const CandidateLimits limits =
         LimitsOf(m_query.m_world, m_totals, candidate, m_query.m_bound);
-    const int margin =
-        m_query.m_world.m_placement_parameters.m_reservation_margin;
-    PlacementChoice choice{index, reason,
-                           candidate.Load() + 1 > limits.m_inner - margin};
-    if (reason == PlacementReason::kHome && index != m_home.m_index) {
-      choice.m_reason = m_query.m_request.m_tried.empty()
-                            ? PlacementReason::kOverflow
-                            : PlacementReason::kRetry;
-    }
-    return choice;
+    return {.m_candidate = index,
+            .m_reason = reason,
+            .m_near_bound = candidate.Load() + 1 >
+                            limits.m_inner - m_parameters.m_reservation_margin};
   }
 
   const PlacementQuery& m_query;
+  const PlacementParameters& m_parameters;
   LoadTotals m_totals;
   std::optional<ChatPlacement> m_memory;
-  PrefixHolders m_holders;
+  bool m_has_cheap_prefix;
   Best m_home;
-  Best m_within_first_turn;
-  Best m_within_inner;
-  Best m_within_hard;
+  Below m_within_flexible;
+  Below m_within_inner;
+  Best m_within_hard;  ///< The least loaded below the bound of the route.
+  bool m_holder_is_full = false;
 };
 
 std::optional<PlacementChoice> PlaceBounded(const PlacementQuery& query) {
@@ -276,26 +350,22 @@
                          double bound) {
   const PlacementParameters& parameters = world.m_placement_parameters;
   const double weight = candidate.m_row->m_weight;
-  const double load = totals.m_load + 1.0;
   const double share = weight / totals.m_weight;
   const double warm_share =
       std::min(share, weight * candidate.m_warmth / totals.m_warm_weight);
-  const double floor = parameters.m_least_mean * totals.m_usable * share;
-  const double mean = std::max(load * share, floor);
-  const double warm_mean =
-      std::max(load * warm_share, floor * candidate.m_warmth);
-  // A tiny excess over a whole number is an error of rounding.
-  constexpr double kRounding = 1e-9;
+  const double load = totals.m_load + 1.0;
+  const double least_load = parameters.m_least_mean * totals.m_usable;
+  // The load of the route is a sum of many independent requests: while one
+  // runs, the sum falls by about its square root.
+  const double lower_load =
+      std::max(load - parameters.m_load_margin * std::sqrt(load), least_load);
   CandidateLimits limits;
-  limits.m_hard =
-      std::max(1, static_cast<int>(std::ceil(bound * mean - kRounding)));
-  const double inner = 1.0 + (bound - 1.0) * parameters.m_inner_share;
+  limits.m_hard = RoundUp(bound * std::max(load, least_load) * share);
   limits.m_inner =
-      std::max(1, static_cast<int>(std::floor(inner * warm_mean + kRounding)));
-  limits.m_inner = std::min(limits.m_inner, limits.m_hard);
-  limits.m_first_turn =
-      std::min(limits.m_inner,
-               std::max(1, static_cast<int>(std::ceil(warm_mean - kRounding))));
+      std::min(limits.m_hard, RoundUp(bound * lower_load * warm_share));
+  limits.m_flexible = std::min(
+      limits.m_inner, RoundUp(std::max(load, least_load) * warm_share));
+  limits.m_cheap_prefix = (limits.m_flexible + limits.m_inner) / 2;
   return limits;
 }
 
--- a/src/libnutmeg/reservations.cpp
+++ b/src/libnutmeg/reservations.cpp
@@ -93,7 +93,7 @@
     }
   }
   const auto choice = Decide(world, row, view, now);
-  if (choice) {
+  if (choice && !choice->m_wait) {
     Place(world, row, view, *choice, now);
   } else {
     world.m_requests.SetPhase(row, RequestPhase::kAdmitted, now);
