--- /dev/null
+++ b/src/libnet/order_client.h
@@ -0,0 +1,68 @@
+/// @file
+/// Client for orders to model engines.
+///
+/// Each order has a connection of its own, so that dropping the lease can end
+/// all of them. An order is not started when it might leave after its limit.
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "libnet/http_client.h"
+#include "nutmeghollow/actions.h"
+#include "nutmeghollow/orders.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow::net {
+
+/// Settings of the order client.
+struct OrderOptions {
+  Duration m_connect_timeout = std::chrono::milliseconds(500);
+  Duration m_timeout = std::chrono::seconds(2);  ///< Of a whole call.
+  Bytes m_answer_limit{64 << 10};
+};
+
+/// Sends orders and reads engine states.
+class OrderClient {
+ public:
+  /// @param client must outlive this.
+  /// @param now tells the time on the clock of SendOrder::m_not_after.
+  /// @param callback receives the end of each order and each read.
+  OrderClient(HttpClient& client,
+              OrderOptions options,
+              std::function<TimePoint()> now,
+              std::function<void(OrderResult)> callback);
+  ~OrderClient();
+  OrderClient(const OrderClient&) = delete;
+  OrderClient& operator=(const OrderClient&) = delete;
+
+  void Send(const SendOrder& order);
+  void Read(const ReadEngineState& read);
+  /// Closes the connection of every order under way; each ends as failed.
+  void CloseAll();
+
+ private:
+  void StartCall(UpstreamId upstream, HttpCall call);
+  void Finish(std::uint64_t key, const HttpAnswer& answer);
+
+  struct Pending {
+    UpstreamId m_upstream;
+    HttpCallId m_call;
+  };
+
+  HttpClient& m_client;
+  OrderOptions m_options;
+  std::function<TimePoint()> m_now;
+  std::function<void(OrderResult)> m_callback;
+  std::map<std::uint64_t, Pending> m_pending;
+  std::uint64_t m_last_key = 0;
+};
+
+namespace detail {
+
+/// @return how an order or a read of a state ended.
+OrderResult DecodeOrderAnswer(const UpstreamId& upstream,
+                              const HttpAnswer& answer);
+
+}  // namespace detail
+}  // namespace nutmeghollow::net
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -82,7 +82,7 @@
   return row;
 }
 
-InstanceListEntry DecodeInstance(const Json& json) {
+ListedInstance DecodeInstance(const Json& json) {
   return {
       .m_id = InstanceId(json.at("id").get<std::string>()),
       .m_caller_endpoint = Endpoint(json.at("caller").get<std::string>()),
@@ -127,9 +127,9 @@
   return DecodeList<StoreRow>(body, "rows", DecodeRow);
 }
 
-leaf::result<std::vector<InstanceListEntry>> DecodeInstances(
+leaf::result<std::vector<ListedInstance>> DecodeInstances(
     std::string_view body) {
-  return DecodeList<InstanceListEntry>(body, "instances", DecodeInstance);
+  return DecodeList<ListedInstance>(body, "instances", DecodeInstance);
 }
 
 StoreResult ReadResult(StoreOperationId operation, const HttpAnswer& answer) {
@@ -219,19 +219,19 @@
                               const PlatformOptions& options,
                               PlatformCounters& counters) {
   auto fetch = [&client, options, &counters](
-                   std::function<void(std::vector<InstanceListEntry>)> done) {
+                   std::function<void(std::vector<ListedInstance>)> done) {
     ++counters.m_lists;
     HttpCall call = MakeCall(options, "GET", "/v1/instances");
     counters.m_bytes_sent += call.m_path.size();
     Fetch(client, std::move(call), options.m_answer_limit,
           [&counters, done = std::move(done)](const HttpAnswer& answer) {
             counters.m_bytes_received += answer.m_body.size();
-            std::vector<InstanceListEntry> entries;
+            std::vector<ListedInstance> entries;
             if (answer.m_end.m_kind == HttpEndKind::kComplete &&
                 answer.m_status == kStatusOk) {
               entries = leaf::try_handle_all(
                   [&] { return detail::DecodeInstances(answer.m_body); },
-                  [] { return std::vector<InstanceListEntry>(); });
+                  [] { return std::vector<ListedInstance>(); });
             }
             done(std::move(entries));
           });
--- /dev/null
+++ b/src/libnutmeg/dissemination.cpp
@@ -0,0 +1,293 @@
+#include "libnutmeg/dissemination.h"
+
+#include <algorithm>
+#include <bit>
+#include <cstdlib>
+#include <set>
+
+namespace nutmeghollow::detail {
+namespace {
+
+constexpr Duration kScanInterval = std::chrono::milliseconds(200);
+constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+
+std::size_t PeerCount(const World& world) {
+  return world.m_membership.m_order.size();
+}
+
+/// Sends urgent messages to the next peers of the ring.
+void SendUrgent(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  if (gossip.m_urgent_sends == 0 || now < gossip.m_next_urgent) {
+    return;
+  }
+  gossip.m_next_urgent = now + gossip.m_parameters.m_urgent_interval;
+  const auto& order = world.m_membership.m_order;
+  std::size_t tried = 0;
+  while (gossip.m_urgent_sends > 0 && tried++ < order.size()) {
+    const InstanceId to = order[gossip.m_urgent_next++ % order.size()];
+    const InstanceRow* row = world.m_instances.Find(to);
+    if (row == nullptr || row->m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    if (AvailableControlBytes(world, ControlClass::kUrgent, now).value() == 0) {
+      return;
+    }
+    const GossipMessage message =
+        BuildMessage(world, GossipKind::kPush, to, now);
+    SendGossip(world, message, to, row->m_peer_endpoint, ControlClass::kUrgent,
+               now);
+    --gossip.m_urgent_sends;
+  }
+  gossip.m_urgent_sends = 0;
+}
+
+/// Notices a planned stop and changes of the configuration's revision.
+void NoticeChanges(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  ConfigurationTable& configuration = world.m_configuration;
+  InstanceRow& self = world.m_instances.m_rows[world.m_instances.m_self];
+  const Revision highest =
+      std::max(configuration.m_revision, configuration.m_highest_seen);
+  if (highest > gossip.m_told_highest) {
+    gossip.m_told_highest = highest;
+    RequestUrgentSends(world, gossip.m_highest_from.empty());
+  }
+  if (configuration.m_revision > gossip.m_told_revision) {
+    gossip.m_told_revision = configuration.m_revision;
+    self.m_revision = configuration.m_revision;
+    const InstanceRow* teller = world.m_instances.Find(gossip.m_highest_from);
+    if (teller != nullptr) {
+      const GossipMessage message =
+          BuildMessage(world, GossipKind::kPush, teller->m_id, now);
+      SendGossip(world, message, teller->m_id, teller->m_peer_endpoint,
+                 ControlClass::kUrgent, now);
+    }
+    gossip.m_highest_from = InstanceId();
+  }
+}
+
+/// Queues suspect requests that this instance added or changed.
+void ScanSuspects(World& world) {
+  GossipState& gossip = world.m_gossip;
+  for (const auto& [digest, row] : world.m_suspects) {
+    const std::pair<std::size_t, bool> seen{row.m_crashed_upstreams.size(),
+                                            row.m_quarantined};
+    auto [known, added] = gossip.m_known_suspects.try_emplace(digest, 0, false);
+    if (known->second != seen) {
+      known->second = seen;
+      gossip.m_suspects[digest] = TransmissionLimit(world);
+      RequestUrgentSends(world, true);
+    }
+  }
+  std::erase_if(gossip.m_known_suspects, [&](const auto& known) {
+    return !world.m_suspects.contains(known.first);
+  });
+}
+
+/// @return the peers that are told about the own loads at once: all in a
+/// small fleet, in a large one the owners of upstreams in use here.
+std::set<InstanceId> LoadAudience(const World& world) {
+  std::set<InstanceId> audience;
+  const auto& order = world.m_membership.m_order;
+  if (static_cast<int>(order.size()) <
+      world.m_gossip.m_parameters.m_load_to_all_limit) {
+    audience.insert(order.begin(), order.end());
+    return audience;
+  }
+  for (const auto& [id, row] : world.m_upstreams.m_rows) {
+    if (!row.m_owner.empty() && row.m_owner != world.m_instances.m_self &&
+        row.m_local_running > 0) {
+      audience.insert(row.m_owner);
+    }
+  }
+  return audience;
+}
+
+/// @return how much an announcement of loads to a peer would say. What only
+/// an owner can hold exactly counts more.
+int UntoldLoad(const World& world, const InstanceId& peer, TimePoint now) {
+  constexpr int kOwnerWeight = 4;
+  const GossipParameters& parameters = world.m_gossip.m_parameters;
+  const bool tell_all = static_cast<int>(world.m_instances.m_rows.size()) <=
+                        parameters.m_load_to_all_limit;
+  auto told = world.m_gossip.m_told.find(peer);
+  const bool known = told != world.m_gossip.m_told.end();
+  const bool outdated =
+      !known || now - told->second.m_whole_at >= parameters.m_whole_interval;
+  int untold = 0;
+  for (const auto& [id, row] : world.m_upstreams.m_rows) {
+    const bool owned = row.m_owner == peer;
+    if (!owned && !tell_all) {
+      continue;
+    }
+    int last = 0;
+    if (known) {
+      auto load = told->second.m_loads.find(id);
+      last = load == told->second.m_loads.end() ? 0 : load->second;
+    }
+    const int change =
+        outdated ? row.m_local_running : std::abs(row.m_local_running - last);
+    untold += owned ? kOwnerWeight * change : change;
+  }
+  return untold;
+}
+
+/// Tells the peer for which it matters most about the own loads.
+void PushLoads(World& world, TimePoint now) {
+  if (AvailableControlBytes(world, ControlClass::kLoad, now).value() == 0) {
+    return;
+  }
+  const InstanceRow* best = nullptr;
+  int best_untold = 0;
+  for (const InstanceId& id : LoadAudience(world)) {
+    const InstanceRow* row = world.m_instances.Find(id);
+    if (row == nullptr || row->m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    const int untold = UntoldLoad(world, id, now);
+    if (untold > best_untold) {
+      best = row;
+      best_untold = untold;
+    }
+  }
+  if (best != nullptr) {
+    const GossipMessage message =
+        BuildMessage(world, GossipKind::kPush, best->m_id, now);
+    SendGossip(world, message, best->m_id, best->m_peer_endpoint,
+               ControlClass::kLoad, now);
+  }
+}
+
+/// Forgets announcements that are old or come from dead instances.
+void ExpirePeers(World& world, TimePoint now) {
+  const Duration expiry = world.m_gossip.m_parameters.m_peer_expiry;
+  const auto outdated = [&](const auto& entry) {
+    const InstanceRow* row = world.m_instances.Find(entry.first);
+    return row == nullptr || row->m_status == InstanceStatus::kDead ||
+           now - entry.second.m_received_at > expiry;
+  };
+  for (auto& [upstream, loads] : world.m_peers.m_loads) {
+    std::erase_if(loads, outdated);
+  }
+  for (auto& [customer, demands] : world.m_peers.m_demands) {
+    std::erase_if(demands, outdated);
+  }
+  const auto empty = [](const auto& entry) { return entry.second.empty(); };
+  std::erase_if(world.m_peers.m_loads, empty);
+  std::erase_if(world.m_peers.m_demands, empty);
+  std::erase_if(world.m_gossip.m_told, [&](const auto& entry) {
+    const InstanceRow* row = world.m_instances.Find(entry.first);
+    return row == nullptr || row->m_status == InstanceStatus::kDead;
+  });
+}
+
+}  // namespace
+
+int TransmissionLimit(const World& world) {
+  const auto size = static_cast<unsigned>(world.m_instances.m_rows.size());
+  return world.m_gossip.m_parameters.m_transmissions_per_doubling *
+         std::max(1, static_cast<int>(std::bit_width(size)));
+}
+
+void RequestUrgentSends(World& world, bool from_here) {
+  GossipState& gossip = world.m_gossip;
+  const GossipParameters& parameters = gossip.m_parameters;
+  const auto peers = static_cast<int>(PeerCount(world));
+  int sends = std::min(peers, parameters.m_origin_fanout);
+  if (!from_here) {
+    const bool origin_told_all = peers <= parameters.m_origin_fanout;
+    sends = origin_told_all ? 0 : parameters.m_relay_fanout;
+  }
+  gossip.m_urgent_sends = std::max(gossip.m_urgent_sends, sends);
+}
+
+void AnnounceMember(World& world, const InstanceId& id, bool urgent) {
+  world.m_gossip.m_members[id] = TransmissionLimit(world);
+  if (urgent) {
+    RequestUrgentSends(world, id == world.m_instances.m_self);
+  }
+}
+
+void AnnounceVerdict(World& world, const VerdictKey& key, bool urgent) {
+  world.m_gossip.m_verdicts[key] = TransmissionLimit(world);
+  if (urgent) {
+    auto found = world.m_probing.m_health.find(key.first);
+    const bool own = found != world.m_probing.m_health.end() &&
+                     found->second.m_slot == key.second;
+    RequestUrgentSends(world, own);
+  }
+}
+
+InstanceStatus ProtocolStatus(const World& world, const InstanceRow& row) {
+  auto found = world.m_membership.m_members.find(row.m_id);
+  if (found == world.m_membership.m_members.end()) {
+    return row.m_status;
+  }
+  const bool only_damped = found->second.m_damped && !found->second.m_suspected;
+  if (row.m_status == InstanceStatus::kSuspect && only_damped) {
+    return InstanceStatus::kAlive;
+  }
+  return row.m_status;
+}
+
+std::uint32_t MemberDigest(World& world) {
+  MembershipState& membership = world.m_membership;
+  if (membership.m_digest_version == membership.m_version) {
+    return membership.m_digest;
+  }
+  constexpr std::uint32_t kMultiplier = 2654435761U;
+  std::uint32_t digest = 0;
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    if (row.m_status == InstanceStatus::kDead) {
+      continue;
+    }
+    const bool leaving = row.m_status == InstanceStatus::kLeaving;
+    const auto incarnation =
+        static_cast<std::uint32_t>(row.m_incarnation.value() * 2 + leaving);
+    digest += HashName(id.str()).value() * (incarnation * kMultiplier | 1U);
+  }
+  membership.m_digest = digest;
+  membership.m_digest_version = membership.m_version;
+  return digest;
+}
+
+bool SendGossip(World& world,
+                const GossipMessage& message,
+                const InstanceId& to,
+                const Endpoint& endpoint,
+                ControlClass control_class,
+                TimePoint now) {
+  std::string payload = EncodeGossip(message);
+  NUTMEG_CHECK(payload.size() <= kGossipPayloadLimit,
+               "a message fits into one datagram");
+  const Bytes size(static_cast<std::int64_t>(payload.size()) +
+                   kDatagramOverhead);
+  if (!TakeControlBytes(world, control_class, size, now)) {
+    return false;
+  }
+  world.m_gossip.m_told[to].m_pushed_at = now;
+  world.m_actions.emplace_back(SendDatagram{
+      .m_to = to, .m_endpoint = endpoint, .m_payload = std::move(payload)});
+  return true;
+}
+
+void RunDissemination(World& world, TimePoint now) {
+  GossipState& gossip = world.m_gossip;
+  NoticeChanges(world, now);
+  if (now >= gossip.m_next_scan) {
+    gossip.m_next_scan = now + kScanInterval;
+    ScanSuspects(world);
+  }
+  SendUrgent(world, now);
+  if (now >= gossip.m_next_load) {
+    gossip.m_next_load = now + gossip.m_parameters.m_load_interval;
+    PushLoads(world, now);
+  }
+  if (now >= gossip.m_next_expiry) {
+    gossip.m_next_expiry = now + kExpiryInterval;
+    ExpirePeers(world, now);
+  }
+}
+
+}  // namespace nutmeghollow::detail
