--- a/src/nutmegd/operator_views.cpp
+++ b/src/nutmegd/operator_views.cpp
@@ -92,7 +92,12 @@
   }
   ordered_json last;
   if (explanation.m_last) {
-    last = {{"engine", explanation.m_last->m_last.str()},
+    ordered_json holders = ordered_json::array();
+    for (const UpstreamId& holder : explanation.m_holders) {
+      holders.push_back(holder.str());
+    }
+    // The engines that ran the chat, the latest first.
+    last = {{"engines", holders},
             {"reason", PlacementReasonName(explanation.m_last->m_reason)},
             {"age_ms", OptionalAge(explanation.m_last_age)}};
   }
