Test the HTTP client against broken, silent and hostile servers

Cause: a call that libcurl repeats by itself could run a booking twice. Change: a scripted server closes reused connections after the request, resets, falls silent, cuts answers; 21 cases.

--- /dev/null
+++ b/src/libnet/http_client_test.cpp
@@ -0,0 +1,281 @@
+#include "libnet/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "libnet/scripted_server.h"
+
+namespace nutmeghollow::net {
+namespace {
+
+using Then = ScriptedReply::Then;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kWhole =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Test: 1\r\n\r\nok";
+
+/// A client and a scripted server on one loop.
+class HttpClientTest : public ::testing::Test {
+ protected:
+  HttpClientTest()
+      : m_loop(ev_loop_new(0)),
+        m_client(std::make_unique<HttpClient>(m_loop)),
+        m_server(m_loop, [this](const std::string&) { return m_reply; }) {}
+  ~HttpClientTest() override {
+    m_client.reset();
+    m_server.CloseAll();
+    m_server.Stop();
+  }
+
+  HttpCall Call(const std::string& method = "POST") const {
+    HttpCall call;
+    call.m_method = method;
+    call.m_endpoint = m_server.Address();
+    return call;
+  }
+
+  /// Runs the loop until a condition holds.
+  void RunUntil(const std::function<bool()>& done) {
+    bool late = false;
+    Timer limit(m_loop, [&late] { late = true; });
+    limit.Start(seconds(20));
+    while (!done() && !late) {
+      ev_run(m_loop, EVRUN_ONCE);
+    }
+    EXPECT_FALSE(late) << "nothing happened for 20 s";
+  }
+
+  HttpAnswer FetchNow(HttpCall call) {
+    std::optional<HttpAnswer> answer;
+    Fetch(*m_client, std::move(call), Bytes(1 << 20),
+          [&answer](HttpAnswer result) { answer = std::move(result); });
+    RunUntil([&answer] { return answer.has_value(); });
+    return answer.value_or(HttpAnswer());
+  }
+
+  struct ev_loop* m_loop;
+  ScriptedReply m_reply{kWhole, Then::kKeep};
+  std::unique_ptr<HttpClient> m_client;
+  ScriptedServer m_server;
+};
+
+TEST_F(HttpClientTest, GetsAWholeAnswerAndReusesTheConnection) {
+  for (int round = 0; round < 3; ++round) {
+    HttpCall call = Call();
+    call.m_body = std::make_shared<const std::string>("body");
+    call.m_headers = {{"X-Request-Id", "id-1"}};
+    const HttpAnswer answer = FetchNow(call);
+    EXPECT_EQ(answer.m_end.m_kind, HttpEndKind::kComplete);
+    EXPECT_EQ(answer.m_status, 200);
+    EXPECT_EQ(answer.m_body, "ok");
+    EXPECT_EQ(HeaderValue(answer.m_headers, "x-test"), "1");
+  }
+  EXPECT_EQ(m_server.m_accepted, 1);
+  ASSERT_EQ(m_server.m_requests.size(), 3U);
+  const std::string& request = m_server.m_requests[0];
+  EXPECT_TRUE(request.starts_with("POST / HTTP/1.1\r\n"));
+  EXPECT_TRUE(request.ends_with("\r\n\r\nbody"));
+  EXPECT_NE(request.find("X-Request-Id: id-1\r\n"), std::string::npos);
+  EXPECT_EQ(request.find("Expect"), std::string::npos);
+}
+
+TEST_F(HttpClientTest, OpensAnOwnConnectionOnDemand) {
+  for (int round = 0; round < 2; ++round) {
+    HttpCall call = Call();
+    call.m_own_connection = true;
+    EXPECT_EQ(FetchNow(call).m_end.m_kind, HttpEndKind::kComplete);
+  }
+  EXPECT_EQ(m_server.m_accepted, 2);
+}
+
+TEST_F(HttpClientTest, IgnoresProxiesOfTheEnvironment) {
+  setenv("http_proxy", "http://127.0.0.1:9", 1);
+  EXPECT_EQ(FetchNow(Call("GET")).m_end.m_kind, HttpEndKind::kComplete);
+  unsetenv("http_proxy");
+}
+
+/// The server closes a reused connection once the request is there. libcurl
+/// would send it again on a new connection.
+TEST_F(HttpClientTest, NeverSendsACallTwice) {
+  for (Then then : {Then::kClose, Then::kReset}) {
+    m_server.m_requests.clear();
+    m_reply = {kWhole, Then::kKeep};
+    EXPECT_EQ(FetchNow(Call()).m_end.m_kind, HttpEndKind::kComplete);
+    m_reply = {"", then};
+    const HttpAnswer answer = FetchNow(Call());
+    EXPECT_EQ(answer.m_end.m_kind, HttpEndKind::kBroken);
+    EXPECT_TRUE(answer.m_end.m_may_have_been_sent);
+    EXPECT_EQ(m_server.m_requests.size(), 2U);
+  }
+}
+
+struct EndCase {
+  const char* m_name;
+  ScriptedReply m_reply;
+  HttpEndKind m_end;
+};
+
+class HttpClientEnds : public HttpClientTest,
+                       public ::testing::WithParamInterface<EndCase> {};
+
+TEST_P(HttpClientEnds, TellsHowTheCallEnded) {
+  m_reply = GetParam().m_reply;
+  HttpCall call = Call();
+  call.m_first_byte_timeout = milliseconds(300);
+  call.m_idle_timeout = milliseconds(200);
+  const HttpAnswer answer = FetchNow(call);
+  EXPECT_EQ(answer.m_end.m_kind, GetParam().m_end) << answer.m_end.m_detail;
+  EXPECT_TRUE(answer.m_end.m_may_have_been_sent);
+  EXPECT_EQ(m_server.m_requests.size(), 1U);
+  // A connection in doubt is not used again.
+  const int accepted = m_server.m_accepted;
+  m_reply = {kWhole, Then::kKeep};
+  EXPECT_EQ(FetchNow(Call()).m_end.m_kind, HttpEndKind::kComplete);
+  const bool reused = m_server.m_accepted == accepted;
+  EXPECT_EQ(reused, GetParam().m_end == HttpEndKind::kComplete);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Replies,
+    HttpClientEnds,
+    ::testing::Values(
+        EndCase{"Whole", {kWhole}, HttpEndKind::kComplete},
+        EndCase{"Chunked",
+                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "2\r\nok\r\n0\r\n\r\n"},
+                HttpEndKind::kComplete},
+        EndCase{"Interim",
+                {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                 "Content-Length: 0\r\n\r\n"},
+                HttpEndKind::kComplete},
+        EndCase{"NoAnswer", {"", Then::kClose}, HttpEndKind::kBroken},
+        EndCase{"Reset", {"", Then::kReset}, HttpEndKind::kBroken},
+        EndCase{
+            "Short",
+            {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", Then::kClose},
+            HttpEndKind::kBroken},
+        EndCase{"ShortChunked",
+                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "2\r\nok\r\n",
+                 Then::kClose},
+                HttpEndKind::kBroken},
+        EndCase{"UnknownLength",
+                {"HTTP/1.1 200 OK\r\n\r\nok", Then::kClose},
+                HttpEndKind::kBroken},
+        EndCase{"Garbage",
+                {"garbage\r\n\r\n", Then::kClose},
+                HttpEndKind::kBroken},
+        EndCase{"SilentFromStart", {""}, HttpEndKind::kTimeout},
+        EndCase{"SilentInside",
+                {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"},
+                HttpEndKind::kTimeout}),
+    [](const auto& info) { return info.param.m_name; });
+
+TEST_F(HttpClientTest, TellsThatNothingWasSent) {
+  HttpCall call = Call();
+  m_server.Stop();
+  const HttpAnswer refused = FetchNow(call);
+  EXPECT_EQ(refused.m_end.m_kind, HttpEndKind::kConnectFailed);
+  EXPECT_FALSE(refused.m_end.m_may_have_been_sent);
+  call.m_headers = {{"X-Bad", "a\r\nX-Other: b"}};
+  const HttpAnswer malformed = FetchNow(call);
+  EXPECT_EQ(malformed.m_end.m_kind, HttpEndKind::kConnectFailed);
+}
+
+TEST_F(HttpClientTest, CancelClosesTheConnectionAndMakesNoCall) {
+  m_reply = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"};
+  bool ended = false;
+  int sent = 0;
+  HttpCallId id;
+  HttpCallEvents events;
+  events.m_on_send = [&sent] { ++sent; };
+  events.m_on_data = [&](std::string_view) {
+    m_client->Cancel(id);
+    return true;
+  };
+  events.m_on_end = [&ended](const HttpEnd&) { ended = true; };
+  id = m_client->Start(Call(), std::move(events));
+  RunUntil([this] { return m_server.m_closed_by_peer == 1; });
+  EXPECT_FALSE(ended);
+  EXPECT_EQ(sent, 1);
+  EXPECT_EQ(m_client->Active(), 0U);
+}
+
+TEST_F(HttpClientTest, CancelBeforeTheFirstByteSendsNothing) {
+  HttpCallId id;
+  bool asked = false;
+  HttpCallEvents events;
+  events.m_on_send = [&] {
+    asked = true;
+    m_client->Cancel(id);
+  };
+  id = m_client->Start(Call(), std::move(events));
+  RunUntil([this] { return m_server.m_closed_by_peer == 1; });
+  EXPECT_TRUE(asked);
+  EXPECT_TRUE(m_server.m_requests.empty());
+}
+
+TEST_F(HttpClientTest, PausesAndGoesOnWithTheSameBytes) {
+  const std::string body(100000, 'x');
+  m_reply = {"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body};
+  std::string received;
+  bool open = false;
+  bool ended = false;
+  int refused = 0;
+  HttpCallEvents events;
+  events.m_on_data = [&](std::string_view data) {
+    if (!open) {
+      ++refused;
+      return false;
+    }
+    received.append(data);
+    return true;
+  };
+  events.m_on_end = [&ended](const HttpEnd& end) {
+    EXPECT_EQ(end.m_kind, HttpEndKind::kComplete);
+    ended = true;
+  };
+  HttpCall call = Call();
+  call.m_idle_timeout = milliseconds(50);  // Does not count while paused.
+  const HttpCallId id = m_client->Start(call, std::move(events));
+  RunUntil([&refused] { return refused > 0; });
+  bool waited = false;
+  Timer pause(m_loop, [&waited] { waited = true; });
+  pause.Start(milliseconds(150));
+  RunUntil([&waited] { return waited; });
+  EXPECT_FALSE(ended);
+  open = true;
+  m_client->Resume(id);
+  RunUntil([&ended] { return ended; });
+  EXPECT_EQ(received, body);
+}
+
+TEST_F(HttpClientTest, StartsCallsFromInsideCallbacks) {
+  int ended = 0;
+  HttpCallEvents inner;
+  inner.m_on_end = [&ended](const HttpEnd&) { ++ended; };
+  HttpCallEvents outer;
+  outer.m_on_headers = [&](int, const HeaderMap&) {
+    m_client->Start(Call(), inner);
+  };
+  outer.m_on_end = [&](const HttpEnd&) {
+    ++ended;
+    m_client->Start(Call(), inner);
+  };
+  m_client->Start(Call(), std::move(outer));
+  RunUntil([&ended] { return ended == 3; });
+  EXPECT_EQ(m_server.m_requests.size(), 3U);
+}
+
+TEST_F(HttpClientTest, BoundsTheSizeOfFetchedAnswers) {
+  std::optional<HttpAnswer> answer;
+  Fetch(*m_client, Call(), Bytes(1),
+        [&answer](HttpAnswer result) { answer = std::move(result); });
+  RunUntil([&answer] { return answer.has_value(); });
+  EXPECT_EQ(answer->m_end.m_kind, HttpEndKind::kBroken);
+}
+
+}  // namespace
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnet/scripted_server.h
@@ -0,0 +1,161 @@
+/// @file
+/// A server for tests that answers each request with scripted raw bytes, and
+/// may then close or reset the connection, or fall silent.
+#pragma once
+
+#include <ev.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libnet/event_loop.h"
+#include "libnet/socket_address.h"
+
+namespace nutmeghollow::net {
+
+/// Answer of a scripted server to one request.
+struct ScriptedReply {
+  enum class Then { kKeep, kClose, kReset };
+  std::string m_bytes;  ///< Empty to stay silent.
+  Then m_then = Then::kKeep;
+};
+
+/// Listens on a port of 127.0.0.1.
+class ScriptedServer {
+ public:
+  using Script = std::function<ScriptedReply(const std::string& request)>;
+
+  ScriptedServer(struct ev_loop* loop, Script script)
+      : m_loop(loop), m_script(std::move(script)) {
+    m_listener = BindSocket(Endpoint("127.0.0.1:0"), SOCK_STREAM);
+    m_accept = std::make_unique<DescriptorWatcher>(loop, m_listener, EV_READ,
+                                                   [this](int) { Accept(); });
+  }
+  ~ScriptedServer() {
+    Stop();
+    m_connections.clear();
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  Endpoint Address() const {
+    SocketAddress address;
+    address.m_size = sizeof(address.m_storage);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&address.m_storage),
+                &address.m_size);
+    return FormatEndpoint(address);
+  }
+
+  /// Refuses connections from now on.
+  void Stop() {
+    m_accept.reset();
+    if (m_listener >= 0) {
+      close(std::exchange(m_listener, -1));
+    }
+  }
+  /// Closes every connection.
+  void CloseAll() { m_connections.clear(); }
+
+  /// Requests received so far, whole texts.
+  std::vector<std::string> m_requests;
+  int m_accepted = 0;
+  int m_closed_by_peer = 0;
+
+ private:
+  struct Connection {
+    ~Connection() {
+      m_watcher.reset();
+      close(m_descriptor);
+    }
+    int m_descriptor = -1;
+    std::string m_input;
+    std::unique_ptr<DescriptorWatcher> m_watcher;
+  };
+
+  void Accept() {
+    const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+    if (descriptor < 0) {
+      return;
+    }
+    const int id = ++m_accepted;
+    auto connection = std::make_unique<Connection>();
+    connection->m_descriptor = descriptor;
+    connection->m_watcher = std::make_unique<DescriptorWatcher>(
+        m_loop, descriptor, EV_READ, [this, id](int) { Read(id); });
+    m_connections[id] = std::move(connection);
+  }
+
+  void Read(int id) {
+    Connection& connection = *m_connections.at(id);
+    char buffer[16384];
+    const ssize_t count =
+        recv(connection.m_descriptor, buffer, sizeof(buffer), 0);
+    if (count < 0 && errno == EAGAIN) {
+      return;
+    }
+    if (count <= 0) {
+      ++m_closed_by_peer;
+      m_connections.erase(id);
+      return;
+    }
+    connection.m_input.append(buffer, static_cast<std::size_t>(count));
+    const std::size_t size = RequestSize(connection.m_input);
+    if (size == 0 || connection.m_input.size() < size) {
+      return;
+    }
+    m_requests.push_back(connection.m_input.substr(0, size));
+    connection.m_input.erase(0, size);
+    Answer(id, m_script(m_requests.back()));
+  }
+
+  void Answer(int id, const ScriptedReply& reply) {
+    Connection& connection = *m_connections.at(id);
+    std::string_view left = reply.m_bytes;
+    while (!left.empty()) {
+      const ssize_t sent =
+          send(connection.m_descriptor, left.data(), left.size(), MSG_NOSIGNAL);
+      if (sent <= 0) {
+        break;  // Larger than the socket's buffer: the rest is cut.
+      }
+      left.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    if (reply.m_then == ScriptedReply::Then::kReset) {
+      const linger reset{1, 0};
+      setsockopt(connection.m_descriptor, SOL_SOCKET, SO_LINGER, &reset,
+                 sizeof(reset));
+    }
+    if (reply.m_then != ScriptedReply::Then::kKeep) {
+      m_connections.erase(id);
+    }
+  }
+
+  /// @return the size of the first request; zero while its header is not
+  /// whole.
+  static std::size_t RequestSize(const std::string& input) {
+    const auto end = input.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      return 0;
+    }
+    std::size_t body = 0;
+    const auto length = input.find("Content-Length: ");
+    if (length < end) {
+      body = std::stoul(input.substr(length + 16));
+    }
+    return end + 4 + body;
+  }
+
+  struct ev_loop* m_loop;
+  Script m_script;
+  int m_listener = -1;
+  std::unique_ptr<DescriptorWatcher> m_accept;
+  std::map<int, std::unique_ptr<Connection>> m_connections;
+};
+
+}  // namespace nutmeghollow::net
