--- a/src/libnet/platform_client.h
+++ b/src/libnet/platform_client.h
@@ -14,7 +14,7 @@
 
 #include "libnet/http_client.h"
 #include "nutmeghollow/actions.h"
-#include "nutmeghollow/instances.h"
+#include "nutmeghollow/membership.h"
 #include "nutmeghollow/store.h"
 #include "nutmeghollow/types.h"
 
@@ -31,16 +31,6 @@
   std::function<void(const CommitStore&)> m_commit;
 };
 
-/// An entry of the platform's instance list, which may be old.
-struct InstanceListEntry {
-  InstanceId m_id;
-  Endpoint m_caller_endpoint;
-  Endpoint m_peer_endpoint;
-  DataCentreId m_data_centre;
-  RegionId m_region;
-  bool m_leaving = false;
-};
-
 /// Why an answer could not be used.
 struct DecodeError {
   std::string m_detail;
@@ -49,8 +39,7 @@
 /// The platform's instance list. The callback gets an empty list when the
 /// platform was not reached or answered with something else.
 struct InstanceList {
-  std::function<void(std::function<void(std::vector<InstanceListEntry>)>)>
-      m_fetch;
+  std::function<void(std::function<void(std::vector<ListedInstance>)>)> m_fetch;
 };
 
 /// Settings of the platform client.
@@ -88,7 +77,7 @@
 /// Decodes the rows of an answer of the table service.
 boost::leaf::result<std::vector<StoreRow>> DecodeRows(std::string_view body);
 /// Decodes the instance list.
-boost::leaf::result<std::vector<InstanceListEntry>> DecodeInstances(
+boost::leaf::result<std::vector<ListedInstance>> DecodeInstances(
     std::string_view body);
 /// @return how a read or a scan ended.
 StoreResult ReadResult(StoreOperationId operation, const HttpAnswer& answer);
--- a/testsuite/checks.py
+++ b/testsuite/checks.py
@@ -2,19 +2,27 @@
 
 import collections
 import json
+import re
 import threading
 import time
 
 from harness import check
 
 
+def request_of(attempt_id):
+    """Returns the request id of an upstream's X-Request-Id, which carries a
+    suffix .N from the second attempt on."""
+    return re.sub(r"\.\d+$", "", attempt_id)
+
+
 def run_counts(fleet, results):
     """Compares what callers were told with what engines and services ran."""
-    ran = {request for _, request, _ in fleet.records()}
+    ran = {request_of(line["run"]) for line in fleet.records()
+           if "run" in line}
     runs_of_key = collections.Counter()
     for line in fleet.ledger():
         if "run" in line:
-            ran.add(line["request"])
+            ran.add(request_of(line["request"]))
             runs_of_key[line["run"]] += 1
     counts = collections.Counter()
     for result in results:
@@ -51,6 +59,15 @@
             check(not failed, f"{instance.m_name}: {failed} failed checks")
 
 
+def check_crashes(fleet, most=2):
+    """Fails when one request crashed more engines than allowed."""
+    crashes = collections.Counter(
+        line["prompt"] for line in fleet.records() if line.get("crash"))
+    worst = max(crashes.values(), default=0)
+    check(worst <= most, f"one request crashed {worst} engines")
+    return crashes
+
+
 class Watcher(threading.Thread):
     """Calls a function again and again beside the case."""
 
@@ -71,6 +88,29 @@
         self.join()
 
 
+class Supervisor:
+    """Starts processes again that ended, as the users' platform does."""
+
+    def __init__(self, fleet, members, rest=1.0):
+        self.m_fleet = fleet
+        self.m_members = members
+        self.m_rest = rest
+        self.m_ended = {}
+        self.m_watcher = Watcher(0.1, self._look)
+
+    def _look(self):
+        now = time.monotonic()
+        for member in self.m_members:
+            if member.m_process.running():
+                self.m_ended.pop(member.m_name, None)
+            elif now - self.m_ended.setdefault(member.m_name, now) > self.m_rest:
+                self.m_ended.pop(member.m_name)
+                self.m_fleet.restart(member)
+
+    def finish(self):
+        self.m_watcher.finish()
+
+
 class RevisionWatch:
     """Notes each fall of a revision within the life of an instance."""
 
