Test each transition of a request; end a failed attempt only once

Cause: the table test showed a second cancel for each request that was given up, and cancels of attempts that the upstream had refused. Change: a failed attempt leaves its phase at once and is cancelled only when it may still run.

--- a/src/libnutmeg/attempt_events.cpp
+++ b/src/libnutmeg/attempt_events.cpp
@@ -42,30 +42,33 @@
          PayForRetry(world, row, now);
 }
 
-/// Ends the attempt, which the adapter has ended already, and tries again or
+/// Whether a failed attempt may still be running at its upstream.
+enum class Leftover { kNone, kMayRun };
+
+/// Ends the attempt, whose connection has ended already, and tries again or
 /// gives the request up.
 void RetryOrEnd(World& world,
                 RequestRow& row,
                 Refusal refusal,
                 Duration retry_after,
+                Leftover leftover,
                 TimePoint now) {
   const TimePoint earliest =
       std::max(now + RetryDelay(world), row.m_hold_until);
-  const bool may_be_running =
-      row.m_may_have_run && row.m_request.m_kind == RequestKind::kChat;
-  EndAttempt(world, row, may_be_running, now);
+  const bool cancel = leftover == Leftover::kMayRun &&
+                      row.m_request.m_kind == RequestKind::kChat;
+  EndAttempt(world, row, cancel, now);
+  world.m_requests.SetPhase(row, RequestPhase::kWaiting, now);
   row.m_tried.insert(row.m_upstream);
   if (MayRetry(world, row, earliest, now)) {
     ++world.m_request_flow.m_counters.m_retries;
     row.m_bytes_received = 0;
-    world.m_requests.SetPhase(row, RequestPhase::kWaiting, now);
     SetWakeup(world, row, earliest);
     return;
   }
   if (row.m_hold_until > now) {
     row.m_refusal = refusal;
     row.m_retry_after = retry_after;
-    world.m_requests.SetPhase(row, RequestPhase::kWaiting, now);
     SetWakeup(world, row, row.m_hold_until);
     return;
   }
@@ -91,7 +94,7 @@
                    Refusal refusal,
                    TimePoint now) {
   if (!MayResume(world, row)) {
-    RetryOrEnd(world, row, refusal, Duration::zero(), now);
+    RetryOrEnd(world, row, refusal, Duration::zero(), Leftover::kMayRun, now);
     return;
   }
   const bool no_progress =
@@ -140,7 +143,8 @@
   const Refusal refusal =
       timed_out ? Refusal::kUpstreamTimeout : Refusal::kUpstreamFailed;
   if (row.m_phase == RequestPhase::kDispatched && !row.m_may_have_run) {
-    RetryOrEnd(world, row, Refusal::kNoUpstream, Duration::zero(), now);
+    RetryOrEnd(world, row, Refusal::kNoUpstream, Duration::zero(),
+               Leftover::kNone, now);
     return;
   }
   if (event.m_kind == AttemptEventKind::kBroken) {
@@ -154,7 +158,8 @@
     ResumeOrRetry(world, row, Refusal::kUpstreamFailed, now);
     return;
   }
-  RetryOrEnd(world, row, Refusal::kNoUpstream, Duration::zero(), now);
+  RetryOrEnd(world, row, Refusal::kNoUpstream, Duration::zero(),
+             Leftover::kNone, now);
 }
 
 void HandleRefused(World& world,
@@ -164,7 +169,8 @@
   if (row.m_resumes == 0) {
     row.m_may_have_run = row.m_earlier_may_have_run;
   }
-  RetryOrEnd(world, row, Refusal::kNoUpstream, event.m_retry_after, now);
+  RetryOrEnd(world, row, Refusal::kNoUpstream, event.m_retry_after,
+             Leftover::kNone, now);
 }
 
 void HandleBytesSent(World& world, RequestRow& row, TimePoint now) {
@@ -189,7 +195,8 @@
 void ResumeAttempt(World& world, RequestRow& row, TimePoint now) {
   const UpstreamRow* upstream = world.m_upstreams.Find(row.m_upstream);
   if (upstream == nullptr) {
-    RetryOrEnd(world, row, Refusal::kUpstreamFailed, Duration::zero(), now);
+    RetryOrEnd(world, row, Refusal::kUpstreamFailed, Duration::zero(),
+               Leftover::kNone, now);
     return;
   }
   ++row.m_resumes;
@@ -225,7 +232,8 @@
       HandleComplete(world, *row, event, now);
       break;
     case AttemptEventKind::kNotKept:
-      RetryOrEnd(world, *row, Refusal::kUpstreamFailed, Duration::zero(), now);
+      RetryOrEnd(world, *row, Refusal::kUpstreamFailed, Duration::zero(),
+                 Leftover::kNone, now);
       break;
     case AttemptEventKind::kConnectFailed:
       HandleConnectFailed(world, *row, now);
--- /dev/null
+++ b/src/libnutmeg/flow_world.h
@@ -0,0 +1,141 @@
+/// @file
+/// A world with one route, one service and a clock, for tests.
+#pragma once
+
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "nutmeghollow/world.h"
+
+namespace nutmeghollow {
+
+/// One instance in a test, with the actions of its ticks.
+class FlowWorld {
+ public:
+  explicit FlowWorld(const std::string& self = "i1", std::uint64_t seed = 1)
+      : m_random(seed) {
+    m_world.m_hooks.m_random = [this] { return m_random(); };
+    m_world.m_hooks.m_wall_time = [this] {
+      return WallTime(1'000'000 + m_now.time_since_epoch().count() / 1000);
+    };
+    m_world.m_configuration.m_revision = Revision(1);
+    m_world.m_instances.m_self = InstanceId(self);
+    for (const char* id : {"i1", "i2", "i3"}) {
+      m_world.m_instances.m_rows[InstanceId(id)].m_id = InstanceId(id);
+    }
+    RouteRow& route = m_world.m_routes[RouteId("model")];
+    route.m_id = RouteId("model");
+    ServiceRow& service = m_world.m_services[ServiceId("orders")];
+    service.m_id = ServiceId("orders");
+    for (const char* id : {"e1", "e2", "e3"}) {
+      AddUpstream(id, UpstreamKind::kEngine);
+      route.m_upstreams.emplace_back(id);
+    }
+    for (const char* id : {"s1", "s2"}) {
+      AddUpstream(id, UpstreamKind::kService);
+      service.m_upstreams.emplace_back(id);
+    }
+    CustomerRow& customer = m_world.m_customers[CustomerId("customer")];
+    customer.m_id = CustomerId("customer");
+  }
+
+  NewRequest Chat(std::uint64_t digest, bool streamed = true) {
+    NewRequest request;
+    request.m_id = RequestId(++m_last_request);
+    request.m_customer = CustomerId("customer");
+    request.m_route = RouteId("model");
+    request.m_digest = RequestDigest(digest);
+    request.m_chat = ChatKey(digest);
+    request.m_streamed = streamed;
+    return request;
+  }
+
+  NewRequest Order(const std::string& method,
+                   const std::string& key,
+                   std::uint64_t digest = 1) {
+    NewRequest request;
+    request.m_id = RequestId(++m_last_request);
+    request.m_kind = RequestKind::kService;
+    request.m_customer = CustomerId("customer");
+    request.m_service = ServiceId("orders");
+    request.m_method = method;
+    request.m_idempotency_key = IdempotencyKey(key);
+    request.m_digest = RequestDigest(digest);
+    return request;
+  }
+
+  RequestId Submit(const NewRequest& request) {
+    m_world.m_request_inbox.m_new.push_back(request);
+    return request.m_id;
+  }
+
+  /// Runs ticks until nothing more happens at this time.
+  void Settle() {
+    do {
+      m_world.m_tick_again = false;
+      for (Action& action : Tick(m_world, m_now)) {
+        m_actions.push_back(std::move(action));
+      }
+    } while (m_world.m_tick_again);
+  }
+
+  void Advance(Duration duration) {
+    m_now += duration;
+    Settle();
+  }
+
+  /// Reports an event of the newest attempt of a request.
+  void Report(RequestId id, AttemptEvent event) {
+    const RequestRow* row = m_world.m_requests.Find(id);
+    event.m_request = id;
+    event.m_attempt = row == nullptr ? AttemptId() : row->m_attempt;
+    m_world.m_request_inbox.m_attempts.push_back(std::move(event));
+    Settle();
+  }
+  void Report(RequestId id, AttemptEventKind kind) {
+    AttemptEvent event;
+    event.m_kind = kind;
+    Report(id, event);
+  }
+
+  /// @return the actions of one kind so far, which are then forgotten.
+  template <typename Kind>
+  std::vector<Kind> Take() {
+    std::vector<Kind> taken;
+    std::vector<Action> kept;
+    for (Action& action : m_actions) {
+      if (auto* match = std::get_if<Kind>(&action)) {
+        taken.push_back(std::move(*match));
+      } else {
+        kept.push_back(std::move(action));
+      }
+    }
+    m_actions = std::move(kept);
+    return taken;
+  }
+
+  RequestPhase PhaseOf(RequestId id) {
+    const RequestRow* row = m_world.m_requests.Find(id);
+    return row == nullptr ? RequestPhase::kDone : row->m_phase;
+  }
+
+  World m_world;
+  TimePoint m_now{std::chrono::hours(1)};
+  std::vector<Action> m_actions;
+
+ private:
+  void AddUpstream(const char* id, UpstreamKind kind) {
+    UpstreamRow& row = m_world.m_upstreams.m_rows[UpstreamId(id)];
+    row.m_id = UpstreamId(id);
+    row.m_kind = kind;
+    row.m_endpoint = Endpoint("127.0.0.1:1");
+  }
+
+  std::mt19937_64 m_random;
+  std::uint64_t m_last_request = 0;
+};
+
+}  // namespace nutmeghollow
