Join instances by calls, send orders, count control traffic

Cause: configuration transfers, reservations, claim questions and orders had no adapter in the daemon; polls of the platform did not count as control traffic. Change: PeerLink carries datagrams and calls; OrderClient is wired; bytes of calls and of polls are noted in the control budget, with totals in /metrics.

--- a/src/libnet/peer_client.cpp
+++ b/src/libnet/peer_client.cpp
@@ -21,11 +21,16 @@
 using detail::FromData;
 using detail::FromText;
 
+/// @param source address to connect from; empty for any.
 /// @return a socket that has begun to connect, or -1.
-int StartConnect(const Endpoint& endpoint) {
+int StartConnect(const Endpoint& endpoint, const Endpoint& source) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(address, ParseEndpoint(endpoint));
+        SocketAddress from;
+        if (!source.empty()) {
+          BOOST_LEAF_ASSIGN(from, ParseEndpoint(source));
+        }
         const int descriptor =
             socket(address.m_storage.ss_family,
                    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -33,8 +38,11 @@
           return -1;
         }
         SetPeerSocketOptions(descriptor);
-        if (connect(descriptor, address.Get(), address.m_size) != 0 &&
-            errno != EINPROGRESS) {
+        const bool bound =
+            source.empty() || bind(descriptor, from.Get(), from.m_size) == 0;
+        if (!bound ||
+            (connect(descriptor, address.Get(), address.m_size) != 0 &&
+             errno != EINPROGRESS)) {
           close(descriptor);
           return -1;
         }
@@ -190,7 +198,7 @@
       return found->second;
     }
     Drop(peer.m_id);
-    const int descriptor = StartConnect(peer.m_endpoint);
+    const int descriptor = StartConnect(peer.m_endpoint, m_identity.m_source);
     if (descriptor < 0) {
       return nullptr;
     }
--- a/src/libnet/peer_rpc.h
+++ b/src/libnet/peer_rpc.h
@@ -47,6 +47,8 @@
 struct PeerIdentity {
   InstanceId m_self;
   FleetKeys m_keys;
+  /// "IP:0" that connections to others come from; empty for any.
+  Endpoint m_source;
 };
 
 /// Limits of the server.
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -18,13 +18,14 @@
 #include "libnet/http_server.h"
 #include "libnet/log.h"
 #include "libnet/operator_api.h"
-#include "libnet/peer_transport.h"
+#include "libnet/order_client.h"
 #include "libnet/platform_client.h"
 #include "libnet/upstream_client.h"
 #include "libnet/upstream_prober.h"
 #include "nutmegd/caller_api.h"
 #include "nutmegd/digest.h"
 #include "nutmegd/operator_views.h"
+#include "nutmegd/peer_link.h"
 #include "nutmegd/world_metrics.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/metrics.h"
@@ -42,6 +43,9 @@
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 /// Ticks in a row before other watchers get their turn.
 constexpr int kTicksInARow = 8;
+/// HTTP, TCP and IP header bytes of a call to the platform, each way.
+constexpr std::uint64_t kRequestHeaderBytes = 240;
+constexpr std::uint64_t kAnswerHeaderBytes = 240;
 
 void LogCheckFailure(const CheckFailure& failure) {
   Log(LogLevel::kError, "check_failed",
@@ -88,6 +92,12 @@
 
 }  // namespace
 
+/// Use of the platform for one purpose.
+struct PlatformUse {
+  net::PlatformCounters m_counters;
+  net::PlatformCounters m_noted;  ///< What the control budget has seen.
+};
+
 class Daemon::Impl {
  public:
   Impl(struct ev_loop* loop, const Settings& settings);
@@ -102,6 +112,12 @@
   void Wake() { m_dirty = true; }
   void RunTicks();
   void CarryOut(const std::vector<Action>& actions);
+  net::TableStore MakeStore(PlatformUse* use);
+  net::TableStore& StoreFor(StorePurpose purpose) {
+    return purpose == StorePurpose::kClaim ? m_claim_store : m_control_store;
+  }
+  void NoteControlTraffic();
+  void NotePlatformUse(PlatformUse* use, ControlClass control_class);
   void FetchInstanceList();
   void StartDrain(const char* reason);
   void HandleStopSignal();
@@ -115,17 +131,26 @@
   void Do(const RefuseRequest& action);
   void Do(const ReplayAnswer& action);
   void Do(const FinishRelay& action) { m_upstreams.Finish(action); }
-  void Do(const ReadStore& action) { m_store.m_read(action); }
-  void Do(const ScanStore& action) { m_store.m_scan(action); }
-  void Do(const CommitStore& action) { m_store.m_commit(action); }
-  void Do(const ProbeUpstream& action) { m_prober.Probe(action); }
-  void Do(const SendDatagram& action) {
-    m_peer_transport->Send(action.m_to, action.m_endpoint, action.m_payload);
+  void Do(const ReadStore& action) {
+    StoreFor(action.m_purpose).m_read(action);
+  }
+  void Do(const ScanStore& action) {
+    StoreFor(action.m_purpose).m_scan(action);
+  }
+  void Do(const CommitStore& action) {
+    StoreFor(action.m_purpose).m_commit(action);
   }
+  void Do(const ProbeUpstream& action) { m_prober.Probe(action); }
+  void Do(const SendDatagram& action) { m_peers->Send(action); }
+  void Do(const ReserveAtOwner& action) { m_peers->Reserve(action); }
+  void Do(const AnswerReservation& action) { m_peers->Answer(action); }
+  void Do(const FetchConfiguration& action) { m_peers->Fetch(action); }
+  void Do(const AskClaimer& action) { m_peers->Ask(action); }
+  void Do(const SendOrder& action) { m_orders.Send(action); }
+  void Do(const ReadEngineState& action) { m_orders.Read(action); }
+  void Do(const CloseOrderConnections& /*action*/) { m_orders.CloseAll(); }
   void Do(const AskService& action);
   void Do(const ExitProcess& action);
-  template <typename Other>
-  void Do(const Other& /*action*/) {}
 
   struct ev_loop* m_loop;
   Settings m_settings;
@@ -136,17 +161,22 @@
   std::optional<int> m_exit_code;
 
   net::HttpClient m_client;
-  net::PlatformCounters m_platform_counters;
-  net::TableStore m_store;
+  // Claims are callers' work; all else at the platform is control traffic.
+  PlatformUse m_claim_use;
+  PlatformUse m_control_use;
+  PlatformUse m_list_use;
+  net::TableStore m_claim_store;
+  net::TableStore m_control_store;
   net::InstanceList m_instance_list;
   net::UpstreamClient m_upstreams;
   net::UpstreamProber m_prober;
+  net::OrderClient m_orders;
   CallerApi m_caller_api;
   net::OperatorApi m_operator_api;
   std::map<CommandId, net::OperatorAnswerCallback> m_claim_commands;
   std::uint64_t m_last_claim_command = 0;
 
-  std::unique_ptr<net::PeerTransport> m_peer_transport;
+  std::unique_ptr<PeerLink> m_peers;
   net::HttpServer m_caller_server;
   net::HttpServer m_operator_server;
   net::SignalWatcher m_terminate;
@@ -162,18 +192,11 @@
     : m_loop(loop),
       m_settings(settings),
       m_client(loop),
-      m_store(net::MakeTableStore(
-          m_client,
-          PlatformOptionsOf(settings),
-          m_platform_counters,
-          [this](StorePurpose purpose, StoreResult result) {
-            m_world.m_store_results[static_cast<int>(purpose)].push_back(
-                std::move(result));
-            Wake();
-          })),
+      m_claim_store(MakeStore(&m_claim_use)),
+      m_control_store(MakeStore(&m_control_use)),
       m_instance_list(net::MakeInstanceList(m_client,
                                             PlatformOptionsOf(settings),
-                                            m_platform_counters)),
+                                            m_list_use.m_counters)),
       m_upstreams(
           m_client,
           UpstreamOptionsOf(settings),
@@ -187,6 +210,13 @@
                  m_world.m_probing_inbox.m_results.push_back(std::move(result));
                  Wake();
                }),
+      m_orders(m_client,
+               {},
+               BootTime,
+               [this](OrderResult result) {
+                 m_world.m_orders.m_results.push_back(std::move(result));
+                 Wake();
+               }),
       m_caller_api(&m_world, &m_settings, &m_metrics, MakeCallerHooks()),
       m_operator_api(m_world,
                      {.m_token_digests = settings.m_operators},
@@ -216,15 +246,8 @@
   SetCheckHandler(LogCheckFailure);
   SetUpWorld();
   RegisterWorldMetrics(&m_metrics, &m_world);
-  const InstanceId& self = m_settings.m_instance.m_id;
-  m_peer_transport = std::make_unique<net::PeerTransport>(
-      loop, m_settings.m_instance.m_peer_address,
-      net::DatagramSeal(self, m_world.m_instances.Find(self)->m_incarnation,
-                        m_settings.m_fleet.m_keys),
-      [this](ReceivedDatagram datagram) {
-        m_world.m_membership_inbox.m_datagrams.push_back(std::move(datagram));
-        Wake();
-      });
+  m_peers = std::make_unique<PeerLink>(loop, m_settings, &m_world,
+                                       [this] { Wake(); });
   m_tick_timer.StartRepeating(kTickPeriod);
   m_list_timer.StartRepeating(m_settings.m_platform.m_list_poll);
   FetchInstanceList();
@@ -315,6 +338,7 @@
   for (int count = 0; count < kTicksInARow && m_dirty; ++count) {
     m_dirty = false;
     m_world.m_tick_again = false;
+    NoteControlTraffic();
     CarryOut(Tick(m_world, BootTime()));
     m_operator_api.DeliverReplies();
     AnswerClaimCommands();
@@ -358,6 +382,41 @@
   ev_break(m_loop, EVBREAK_ALL);
 }
 
+net::TableStore Daemon::Impl::MakeStore(PlatformUse* use) {
+  return net::MakeTableStore(
+      m_client, PlatformOptionsOf(m_settings), use->m_counters,
+      [this](StorePurpose purpose, StoreResult result) {
+        m_world.m_store_results[static_cast<int>(purpose)].push_back(
+            std::move(result));
+        Wake();
+      });
+}
+
+void Daemon::Impl::NoteControlTraffic() {
+  m_peers->NoteTraffic(BootTime());
+  NotePlatformUse(&m_control_use, ControlClass::kStorePoll);
+  NotePlatformUse(&m_list_use, ControlClass::kListPoll);
+}
+
+void Daemon::Impl::NotePlatformUse(PlatformUse* use,
+                                   ControlClass control_class) {
+  const net::PlatformCounters& now = use->m_counters;
+  net::PlatformCounters& noted = use->m_noted;
+  const std::uint64_t calls = now.m_reads + now.m_commits + now.m_lists -
+                              noted.m_reads - noted.m_commits - noted.m_lists;
+  const std::uint64_t sent = now.m_bytes_sent - noted.m_bytes_sent;
+  const std::uint64_t received = now.m_bytes_received - noted.m_bytes_received;
+  if (calls == 0 && sent == 0 && received == 0) {
+    return;
+  }
+  noted = now;
+  NoteControlBytes(
+      m_world, control_class,
+      Bytes(static_cast<std::int64_t>(sent + calls * kRequestHeaderBytes)),
+      Bytes(static_cast<std::int64_t>(received + calls * kAnswerHeaderBytes)),
+      BootTime());
+}
+
 void Daemon::Impl::FetchInstanceList() {
   m_instance_list.m_fetch([this](std::vector<ListedInstance> listed) {
     m_world.m_membership_inbox.m_listed = std::move(listed);
--- /dev/null
+++ b/src/nutmegd/peer_link.cpp
@@ -0,0 +1,162 @@
+#include "nutmegd/peer_link.h"
+
+#include <string>
+#include <utility>
+
+namespace nutmeghollow {
+namespace {
+
+/// Longest wait for the answer to a call, by what it asks.
+constexpr Duration kFetchTimeout = std::chrono::seconds(2);
+constexpr Duration kReserveTimeout = std::chrono::milliseconds(500);
+constexpr Duration kAskTimeout = std::chrono::seconds(1);
+
+net::DatagramSeal MakeSeal(const Settings& settings, const World& world) {
+  const InstanceId& self = settings.m_instance.m_id;
+  return {self, world.m_instances.Find(self)->m_incarnation,
+          settings.m_fleet.m_keys};
+}
+
+/// Calls come from the IP of the peer address, so that peers and firewalls
+/// see one address for an instance.
+net::PeerIdentity MakeIdentity(const Settings& settings) {
+  const std::string& own = settings.m_instance.m_peer_address.str();
+  net::PeerIdentity identity;
+  identity.m_self = settings.m_instance.m_id;
+  identity.m_keys = settings.m_fleet.m_keys;
+  identity.m_source = Endpoint(own.substr(0, own.rfind(':')) + ":0");
+  return identity;
+}
+
+}  // namespace
+
+PeerLink::PeerLink(struct ev_loop* loop,
+                   const Settings& settings,
+                   World* world,
+                   std::function<void()> wake)
+    : m_world(world),
+      m_wake(std::move(wake)),
+      m_kj_loop(loop),
+      m_transport(loop,
+                  settings.m_instance.m_peer_address,
+                  MakeSeal(settings, *world),
+                  [this](ReceivedDatagram datagram) {
+                    m_world->m_membership_inbox.m_datagrams.push_back(
+                        std::move(datagram));
+                    m_wake();
+                  }),
+      m_server(m_kj_loop,
+               settings.m_instance.m_peer_address,
+               MakeIdentity(settings),
+               MakeServerHooks()),
+      m_client(m_kj_loop, MakeIdentity(settings)) {}
+
+net::PeerServerHooks PeerLink::MakeServerHooks() {
+  net::PeerServerHooks hooks;
+  hooks.m_fetch_configuration = [this](Revision since) {
+    return MakeTransfer(*m_world, since);
+  };
+  hooks.m_reserve = [this](const InstanceId& from, const UpstreamId& upstream,
+                           const RouteId& route, ReplyCallback reply) {
+    const ReservationId id(++m_last_reservation);
+    m_open_reservations[id] = std::move(reply);
+    m_world->m_reservation_inbox.m_requests.push_back(
+        {id, from, upstream, route});
+    m_wake();
+  };
+  hooks.m_ask_claim = [this](const std::string& row_key,
+                             const std::string& token) {
+    return AnswerClaimQuestion(*m_world, row_key, token);
+  };
+  return hooks;
+}
+
+std::optional<net::PeerAddress> PeerLink::AddressOf(
+    const InstanceId& id) const {
+  const InstanceRow* row = m_world->m_instances.Find(id);
+  if (row == nullptr) {
+    return std::nullopt;
+  }
+  return net::PeerAddress{id, row->m_peer_endpoint};
+}
+
+void PeerLink::Send(const SendDatagram& action) {
+  m_transport.Send(action.m_to, action.m_endpoint, action.m_payload);
+}
+
+void PeerLink::Reserve(const ReserveAtOwner& action) {
+  const auto peer = AddressOf(action.m_owner);
+  if (!peer) {
+    return;  // Placement decides by itself after its time-out.
+  }
+  m_client.Reserve(
+      *peer, action.m_upstream, action.m_route, kReserveTimeout,
+      [this, action](const net::PeerAnswer<net::ReservationReply>& answer) {
+        if (!answer.m_value) {
+          return;
+        }
+        m_world->m_reservation_inbox.m_answers.push_back(
+            {action.m_request, action.m_upstream, answer.m_value->m_granted,
+             answer.m_value->m_alternative});
+        m_wake();
+      });
+}
+
+void PeerLink::Answer(const AnswerReservation& action) {
+  auto node = m_open_reservations.extract(action.m_reservation);
+  if (!node.empty()) {
+    node.mapped()({action.m_granted, action.m_alternative});
+  }
+}
+
+void PeerLink::Fetch(const FetchConfiguration& action) {
+  const auto peer = AddressOf(action.m_from);
+  if (!peer) {
+    return;  // The configuration system asks another peer after a time-out.
+  }
+  m_client.FetchConfiguration(
+      *peer, action.m_since, kFetchTimeout,
+      [this](net::PeerAnswer<ConfigurationTransfer> answer) {
+        if (!answer.m_value) {
+          return;
+        }
+        m_world->m_configuration_inbox.m_transfers.push_back(
+            std::move(*answer.m_value));
+        m_wake();
+      });
+}
+
+void PeerLink::Ask(const AskClaimer& action) {
+  const auto report = [this, request = action.m_request](ClaimerAnswer answer) {
+    m_world->m_claim_inbox.m_claimers.push_back({request, answer});
+    m_wake();
+  };
+  const auto peer = AddressOf(action.m_claimer);
+  if (!peer) {
+    report(ClaimerAnswer::kUnreachable);
+    return;
+  }
+  m_client.AskClaim(
+      *peer, action.m_claim_key, action.m_claim_token, kAskTimeout,
+      [report](const net::PeerAnswer<ClaimerAnswer>& answer) {
+        report(answer.m_value.value_or(ClaimerAnswer::kUnreachable));
+      });
+}
+
+void PeerLink::NoteTraffic(TimePoint now) {
+  const net::PeerTraffic& client = m_client.Traffic();
+  const net::PeerTraffic& server = m_server.Traffic();
+  const std::int64_t sent = client.m_sent + server.m_sent;
+  const std::int64_t received = client.m_received + server.m_received;
+  if (sent == m_noted_traffic.m_sent &&
+      received == m_noted_traffic.m_received) {
+    return;
+  }
+  NoteControlBytes(*m_world, ControlClass::kConfiguration,
+                   Bytes(sent - m_noted_traffic.m_sent),
+                   Bytes(received - m_noted_traffic.m_received), now);
+  m_noted_traffic.m_sent = sent;
+  m_noted_traffic.m_received = received;
+}
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/world_metrics.cpp
+++ b/src/nutmegd/world_metrics.cpp
@@ -10,13 +10,13 @@
     const auto control_class = static_cast<ControlClass>(index);
     const char* word = ControlClassName(control_class);
     metrics->SetGauge(
-        "nutmeg_control_bytes_total",
+        "nutmeg_control_class_bytes_total",
         fmt::format("direction=\"sent\",class=\"{}\"", word), [=] {
           return static_cast<double>(
               world->m_budget.Counters(control_class).m_bytes_sent);
         });
     metrics->SetGauge(
-        "nutmeg_control_bytes_total",
+        "nutmeg_control_class_bytes_total",
         fmt::format("direction=\"received\",class=\"{}\"", word), [=] {
           return static_cast<double>(
               world->m_budget.Counters(control_class).m_bytes_received);
@@ -27,6 +27,20 @@
                             world->m_budget.Counters(control_class).m_dropped);
                       });
   }
+  const auto add_total = [&](const char* direction,
+                             std::int64_t ControlCounters::*bytes) {
+    metrics->SetGauge(
+        "nutmeg_control_bytes_total",
+        fmt::format("direction=\"{}\"", direction), [=] {
+          std::int64_t total = 0;
+          for (const ControlCounters& counters : world->m_budget.m_counters) {
+            total += counters.*bytes;
+          }
+          return static_cast<double>(total);
+        });
+  };
+  add_total("sent", &ControlCounters::m_bytes_sent);
+  add_total("received", &ControlCounters::m_bytes_received);
   metrics->SetGauge("nutmeg_control_bytes_peak_second", "", [=] {
     return static_cast<double>(world->m_budget.m_peak_second);
   });
