--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -70,6 +70,15 @@
   PeerTable m_peers;
   SuspectTable m_suspects;
 
+  LimitParameters m_limit_parameters;
+  LoadParameters m_load_parameters;
+  AdmissionParameters m_admission_parameters;
+  PlacementParameters m_placement_parameters;
+  LimitState m_limits;
+  LoadState m_loads;
+  AdmissionState m_admission;
+  PlacementState m_placement;
+  ReservationInbox m_reservation_inbox;
   ControlBudget m_budget;
   MembershipState m_membership;
   GossipState m_gossip;
@@ -82,15 +91,6 @@
   QuarantineState m_quarantine;
   DrainParameters m_drain_parameters;
   DrainState m_drain;
-  LimitParameters m_limit_parameters;
-  LoadParameters m_load_parameters;
-  AdmissionParameters m_admission_parameters;
-  PlacementParameters m_placement_parameters;
-  LimitState m_limits;
-  LoadState m_loads;
-  AdmissionState m_admission;
-  PlacementState m_placement;
-  ReservationInbox m_reservation_inbox;
 
   RequestInbox m_request_inbox;
   ClaimInbox m_claim_inbox;
