Keep probes and answers free of what rides on them

Cause: with 30 instances started at once, piggybacked entries used up the budget, answers were dropped and false suspicions went round for good; the rate was never raised above that of a small fleet. Change: a message is filled according to what the bucket holds; the rate has its own timer; contacts go out in random order; suspects are packed first.

--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -62,6 +62,7 @@
   Bytes m_rate{0};      ///< Rate in force for the current fleet size.
   double m_tokens = 0;  ///< Bytes that may be sent; negative after a burst.
   TimePoint m_filled_at{};
+  TimePoint m_next_rate{};  ///< When the rate is set anew.
   bool m_started = false;
   /// Bytes of both directions in each of the last slots of 100 ms.
   static constexpr int kSlots = 10;
--- a/src/include/nutmeghollow/membership.h
+++ b/src/include/nutmeghollow/membership.h
@@ -137,6 +137,11 @@
 /// Runs the protocol: reads the inbox, probes, suspects and spreads.
 void RunMembership(World& world, TimePoint now);
 
+/// Tells whether to fetch the platform's list of instances now. Few instances
+/// do, and those that know nobody; the others hear of new ones by gossip.
+/// The expected bytes are taken from the budget; note the surplus afterwards.
+bool WantsInstanceList(World& world, TimePoint now);
+
 /// @return instances that are alive or suspect, the own one included.
 int LiveInstances(const World& world);
 
--- a/src/libnutmeg/budget.cpp
+++ b/src/libnutmeg/budget.cpp
@@ -88,11 +88,13 @@
       std::max(budget.m_longest_excess, now - budget.m_excess_since);
 }
 
-/// Reduces the tokens, down to a debt of one second.
-void Spend(ControlBudget& budget, std::int64_t size) {
+/// Reduces the tokens by bytes that nobody asked for, such as a flood, down
+/// to a debt of one second. More would silence this instance for long.
+void Charge(ControlBudget& budget, std::int64_t size) {
   const auto rate = static_cast<double>(budget.m_rate.value());
-  budget.m_tokens -= static_cast<double>(size);
-  budget.m_tokens = std::max(budget.m_tokens, -rate);
+  const double floor = std::min(budget.m_tokens, -rate);
+  budget.m_tokens =
+      std::max(budget.m_tokens - static_cast<double>(size), floor);
 }
 
 }  // namespace
@@ -126,7 +128,7 @@
   }
   NUTMEG_CHECK(budget.m_tokens > -static_cast<double>(budget.m_rate.value()),
                "control traffic borrows at most one second of its budget");
-  Spend(budget, size.value());
+  budget.m_tokens -= static_cast<double>(size.value());
   CountInSlot(budget, size.value(), now);
   ++counters.m_messages;
   counters.m_bytes_sent += size.value();
@@ -141,7 +143,7 @@
   ControlBudget& budget = world.m_budget;
   Refill(budget, now);
   const std::int64_t size = sent.value() + received.value();
-  Spend(budget, size);
+  Charge(budget, size);
   CountInSlot(budget, size, now);
   ControlCounters& counters =
       budget.m_counters[static_cast<int>(control_class)];
@@ -152,9 +154,10 @@
 
 void RunControlBudget(World& world, TimePoint now) {
   ControlBudget& budget = world.m_budget;
-  if (budget.m_started && now - budget.m_filled_at < kRateInterval) {
+  if (now < budget.m_next_rate) {
     return;
   }
+  budget.m_next_rate = now + kRateInterval;
   budget.m_rate = RateFor(budget.m_parameters, LiveInstances(world));
   Refill(budget, now);
   CountInSlot(budget, 0, now);
--- a/src/libnutmeg/dissemination.cpp
+++ b/src/libnutmeg/dissemination.cpp
@@ -34,7 +34,7 @@
       return;
     }
     const GossipMessage message =
-        BuildMessage(world, GossipKind::kPush, to, now);
+        BuildMessage(world, GossipKind::kPush, to, ControlClass::kUrgent, now);
     SendGossip(world, message, to, row->m_peer_endpoint, ControlClass::kUrgent,
                now);
     --gossip.m_urgent_sends;
@@ -58,8 +58,8 @@
     self.m_revision = configuration.m_revision;
     const InstanceRow* teller = world.m_instances.Find(gossip.m_highest_from);
     if (teller != nullptr) {
-      const GossipMessage message =
-          BuildMessage(world, GossipKind::kPush, teller->m_id, now);
+      const GossipMessage message = BuildMessage(
+          world, GossipKind::kPush, teller->m_id, ControlClass::kUrgent, now);
       SendGossip(world, message, teller->m_id, teller->m_peer_endpoint,
                  ControlClass::kUrgent, now);
     }
@@ -101,6 +101,11 @@
       audience.insert(row.m_owner);
     }
   }
+  for (const auto& [id, told] : world.m_gossip.m_told) {
+    if (!told.m_loads.empty()) {
+      audience.insert(id);
+    }
+  }
   return audience;
 }
 
@@ -152,8 +157,8 @@
     }
   }
   if (best != nullptr) {
-    const GossipMessage message =
-        BuildMessage(world, GossipKind::kPush, best->m_id, now);
+    const GossipMessage message = BuildMessage(
+        world, GossipKind::kPush, best->m_id, ControlClass::kLoad, now);
     SendGossip(world, message, best->m_id, best->m_peer_endpoint,
                ControlClass::kLoad, now);
   }
--- a/src/libnutmeg/dissemination.h
+++ b/src/libnutmeg/dissemination.h
@@ -33,9 +33,11 @@
                             bool with_details);
 
 /// @return a message to a peer, filled with entries that wait.
+/// @param control_class class in which it will be sent.
 GossipMessage BuildMessage(World& world,
                            GossipKind kind,
                            const InstanceId& to,
+                           ControlClass control_class,
                            TimePoint now);
 
 /// Sends a message if the budget allows it. @return whether it was sent.
--- a/src/libnutmeg/member_table.cpp
+++ b/src/libnutmeg/member_table.cpp
@@ -242,7 +242,7 @@
   ++world.m_membership.m_counters.m_suspicions;
   if (row.m_status != InstanceStatus::kLeaving) {
     SetStatus(world, row, InstanceStatus::kSuspect, now);
-    AnnounceMember(world, id, true);
+    AnnounceMember(world, id, false);
   }
 }
 
--- a/src/libnutmeg/membership.cpp
+++ b/src/libnutmeg/membership.cpp
@@ -47,7 +47,8 @@
   if (AvailableControlBytes(world, kClass, now).value() == 0) {
     return std::nullopt;
   }
-  GossipMessage message = BuildMessage(world, GossipKind::kPing, to, now);
+  GossipMessage message =
+      BuildMessage(world, GossipKind::kPing, to, kClass, now);
   message.m_probe = ++world.m_membership.m_last_probe;
   if (!detail::SendGossip(world, message, to, endpoint, kClass, now)) {
     return std::nullopt;
@@ -64,7 +65,8 @@
   if (AvailableControlBytes(world, kClass, now).value() == 0) {
     return;
   }
-  GossipMessage message = BuildMessage(world, GossipKind::kAck, to, now);
+  GossipMessage message =
+      BuildMessage(world, GossipKind::kAck, to, kClass, now);
   message.m_probe = probe;
   detail::SendGossip(world, message, to, endpoint, kClass, now);
 }
@@ -195,7 +197,8 @@
     }
     --left;
     GossipMessage message =
-        BuildMessage(world, GossipKind::kPingRequest, helper, now);
+        BuildMessage(world, GossipKind::kPingRequest, helper,
+                     ControlClass::kMembership, now);
     message.m_probe = pending.m_number;
     message.m_target = pending.m_target;
     detail::SendGossip(world, message, helper, row->m_peer_endpoint,
@@ -231,8 +234,38 @@
   StartProbe(world, now);
 }
 
-/// Pings listed instances that have not been heard, and dead ones, so that
-/// the halves of a partition find each other again.
+/// An instance to contact, and where its waiting time is kept.
+struct Contact {
+  InstanceId m_id;
+  Endpoint m_endpoint;
+  TimePoint* m_next = nullptr;
+  Duration* m_backoff = nullptr;
+};
+
+/// @return listed instances that have not been heard, and dead ones, whose
+/// waiting time has passed.
+std::vector<Contact> DueContacts(World& world, TimePoint now) {
+  MembershipState& membership = world.m_membership;
+  std::vector<Contact> due;
+  for (auto& [id, candidate] : membership.m_candidates) {
+    if (world.m_instances.Find(id) == nullptr &&
+        now >= candidate.m_next_contact) {
+      due.push_back({id, candidate.m_listed.m_peer_endpoint,
+                     &candidate.m_next_contact, &candidate.m_backoff});
+    }
+  }
+  for (const auto& [id, row] : world.m_instances.m_rows) {
+    MemberState& state = membership.m_members[id];
+    if (row.m_status == InstanceStatus::kDead && now >= state.m_next_contact) {
+      due.push_back(
+          {id, row.m_peer_endpoint, &state.m_next_contact, &state.m_backoff});
+    }
+  }
+  return due;
+}
+
+/// Pings instances that are not known to be alive, so that new instances and
+/// the halves of a partition find each other.
 void RunContacts(World& world, TimePoint now) {
   MembershipState& membership = world.m_membership;
   if (now < membership.m_next_contact) {
@@ -240,30 +273,23 @@
   }
   const MembershipParameters& parameters = membership.m_parameters;
   membership.m_next_contact = now + kContactInterval;
-  int left = LiveInstances(world) > 1 ? 1 : parameters.m_contacts_at_start;
-  const auto contact = [&](TimePoint& next, Duration& backoff,
-                           const InstanceId& id, const Endpoint& endpoint) {
-    if (left == 0 || now < next || !SendPing(world, id, endpoint, now)) {
+  std::vector<Contact> due = DueContacts(world, now);
+  const bool alone = LiveInstances(world) <= 1;
+  int left = alone ? parameters.m_contacts_at_start : 1;
+  // In random order, so that a fleet that starts does not ask the same few.
+  for (; left > 0 && !due.empty(); --left) {
+    std::swap(due[world.m_hooks.m_random() % due.size()], due.back());
+    const Contact contact = due.back();
+    due.pop_back();
+    if (!SendPing(world, contact.m_id, contact.m_endpoint, now)) {
       return;
     }
-    --left;
+    Duration& backoff = *contact.m_backoff;
     backoff = std::clamp(2 * backoff, parameters.m_contact_backoff,
                          parameters.m_contact_backoff_limit);
     const auto jitter = static_cast<std::int64_t>(
         world.m_hooks.m_random() % static_cast<std::uint64_t>(backoff.count()));
-    next = now + backoff / 2 + Duration(jitter);
-  };
-  for (auto& [id, candidate] : membership.m_candidates) {
-    if (world.m_instances.Find(id) == nullptr) {
-      contact(candidate.m_next_contact, candidate.m_backoff, id,
-              candidate.m_listed.m_peer_endpoint);
-    }
-  }
-  for (auto& [id, row] : world.m_instances.m_rows) {
-    if (row.m_status == InstanceStatus::kDead) {
-      MemberState& state = membership.m_members[id];
-      contact(state.m_next_contact, state.m_backoff, id, row.m_peer_endpoint);
-    }
+    *contact.m_next = now + backoff / 2 + Duration(jitter);
   }
 }
 
@@ -338,6 +364,18 @@
                "an instance never believes itself dead");
 }
 
+bool WantsInstanceList(World& world, TimePoint now) {
+  constexpr int kListPollers = 2;
+  constexpr std::int64_t kAnswerBytes = 350;
+  constexpr std::int64_t kEntryBytes = 130;
+  const int live = LiveInstances(world);
+  if (live > 1 && !ChosenForJob(world, "instance-list", kListPollers)) {
+    return false;
+  }
+  return TakeControlBytes(world, ControlClass::kListPoll,
+                          Bytes(kAnswerBytes + live * kEntryBytes), now);
+}
+
 int LiveInstances(const World& world) {
   int live = 0;
   for (const auto& [id, row] : world.m_instances.m_rows) {
--- a/src/libnutmeg/packing.cpp
+++ b/src/libnutmeg/packing.cpp
@@ -8,6 +8,7 @@
 
 /// Estimated packed sizes in bytes, to fill a message up to its allowance.
 constexpr std::size_t kBaseSize = 56;
+constexpr std::int64_t kLeastAllowance = 2 * kBaseSize;
 constexpr std::size_t kMemberSize = 28;
 constexpr std::size_t kDetailsSize = 44;
 constexpr std::size_t kSmallEntrySize = 9;
@@ -17,19 +18,35 @@
 constexpr std::int64_t kImportantDivisor = 4;
 constexpr std::int64_t kFillerDivisor = 10;
 
+/// @return the size up to which a message may be filled: a share of the rate,
+/// and little while the bucket is nearly empty, so that probes and answers
+/// are never held back by what rides on them.
+std::int64_t Allowance(World& world,
+                       ControlClass control_class,
+                       std::int64_t divisor,
+                       TimePoint now) {
+  const auto limit = static_cast<std::int64_t>(kGossipPayloadLimit);
+  const std::int64_t share =
+      std::min(world.m_budget.m_rate.value() / divisor, limit);
+  const std::int64_t available =
+      AvailableControlBytes(world, control_class, now).value() / 2;
+  return std::max<std::int64_t>(kLeastAllowance, std::min(share, available));
+}
+
 /// Fills one message up to an allowance.
 class Packer {
  public:
   Packer(World& world,
          GossipMessage& message,
          const InstanceId& to,
+         ControlClass control_class,
          TimePoint now)
       : m_world(world), m_message(message), m_to(to), m_now(now) {
-    const std::int64_t rate = world.m_budget.m_rate.value();
-    const auto limit = static_cast<std::int64_t>(kGossipPayloadLimit);
-    const std::int64_t least = 2 * kBaseSize;
-    m_important = std::clamp(rate / kImportantDivisor, least, limit);
-    m_filler = std::clamp(rate / kFillerDivisor, least, limit);
+    const bool urgent = control_class == ControlClass::kUrgent;
+    m_important =
+        Allowance(world, urgent ? control_class : ControlClass::kStorePoll,
+                  kImportantDivisor, now);
+    m_filler = Allowance(world, ControlClass::kVerdict, kFillerDivisor, now);
     ToldPeer& told = world.m_gossip.m_told[to];
     m_details = told.m_wants_details;
     told.m_wants_details = false;
@@ -307,6 +324,7 @@
 GossipMessage BuildMessage(World& world,
                            GossipKind kind,
                            const InstanceId& to,
+                           ControlClass control_class,
                            TimePoint now) {
   const InstanceRow& self = world.m_instances.m_rows[world.m_instances.m_self];
   const ConfigurationTable& configuration = world.m_configuration;
@@ -318,13 +336,13 @@
       .m_highest_seen =
           std::max(configuration.m_revision, configuration.m_highest_seen),
       .m_member_digest = MemberDigest(world)};
-  Packer packer(world, message, to, now);
+  Packer packer(world, message, to, control_class, now);
   packer.AddPeerEntries();
+  packer.AddSuspects();
   packer.AddMembers();
-  packer.AddMemberSync();
   packer.AddConfirmations();
-  packer.AddSuspects();
   packer.AddVerdicts();
+  packer.AddMemberSync();
   packer.AddLoads();
   packer.AddDemands();
   return message;
