--- a/src/include/nutmeghollow/owners.h
+++ b/src/include/nutmeghollow/owners.h
@@ -40,7 +40,8 @@
                           const RouteRow& route,
                           ChatKey chat);
 
-/// Chooses the addresses that a caller should use.
+/// Chooses the addresses that a caller should use. Leaving and dead instances
+/// are never named, suspect ones only when no instance is alive.
 /// @param chat unset when the caller named none.
 /// @param route unset when the caller named none.
 EntryAnswer ChooseEntry(const World& world,
--- a/src/libnutmeg/owners.cpp
+++ b/src/libnutmeg/owners.cpp
@@ -143,16 +143,9 @@
   return hash;
 }
 
-/// Alive instances come before suspect ones, and those before all others.
+/// Alive instances come before suspect ones.
 int StatusRank(const InstanceRow& row) {
-  switch (row.m_status) {
-    case InstanceStatus::kAlive:
-      return 0;
-    case InstanceStatus::kSuspect:
-      return 1;
-    default:
-      return 2;
-  }
+  return row.m_status == InstanceStatus::kAlive ? 0 : 1;
 }
 
 struct RankedInstance {
@@ -244,6 +237,9 @@
   const InstanceRow* self = world.m_instances.Find(world.m_instances.m_self);
   std::vector<RankedInstance> ranked;
   for (const auto& [id, row] : world.m_instances.m_rows) {
+    if (!MayOwn(row)) {
+      continue;
+    }
     double score = RendezvousScore(key, HashText(id.str()), 1.0);
     if (id == owner) {
       score += 2.0 * kRegionScore;
@@ -259,8 +255,7 @@
   const auto wanted =
       static_cast<std::size_t>(world.m_placement_parameters.m_entry_addresses);
   for (const RankedInstance& instance : ranked) {
-    // Suspect, leaving and dead instances are named only when there is
-    // nothing better.
+    // Suspect instances are named only when there is nothing better.
     const bool is_better = instance.m_rank == ranked.front().m_rank;
     if (is_better && answer.m_addresses.size() < wanted) {
       answer.m_addresses.push_back(instance.m_row->m_caller_endpoint);
--- a/src/libnutmeg/placement_test.cpp
+++ b/src/libnutmeg/placement_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "libnutmeg/placement_fixture.h"
+#include "nutmeghollow/explain.h"
 
 namespace nutmeghollow {
 namespace {
@@ -10,17 +11,230 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-TEST(Placement, ReturnsChatToItsEngine) {
+constexpr std::uint64_t kChats = 600;
+
+/// @return where each chat goes when it is the only one, without memory.
+std::map<std::uint64_t, UpstreamId> Homes(PlacementFixture& fixture) {
+  std::map<std::uint64_t, UpstreamId> homes;
+  for (std::uint64_t chat = 1; chat <= kChats; ++chat) {
+    fixture.m_world.m_placement.m_chats = ChatMemory();
+    fixture.m_world.m_loads.m_views.clear();
+    RequestRow& row = fixture.Send(chat);
+    homes[chat] = row.m_upstream;
+    fixture.End(row);
+  }
+  return homes;
+}
+
+struct ChurnCase {
+  const char* m_name;
+  int m_gone;
+  UpstreamStatus m_status;
+};
+
+class EngineChurn : public testing::TestWithParam<ChurnCase> {};
+
+TEST_P(EngineChurn, MovesOnlyTheChatsOfLostEngines) {
+  PlacementFixture fixture(12);
+  const auto before = Homes(fixture);
+  std::set<UpstreamId> gone;
+  for (int index = 0; index < GetParam().m_gone; ++index) {
+    fixture.Engine(index).m_status = GetParam().m_status;
+    gone.insert(fixture.Engine(index).m_id);
+  }
+  const auto during = Homes(fixture);
+  for (const auto& [chat, engine] : before) {
+    EXPECT_FALSE(gone.contains(during.at(chat)));
+    EXPECT_TRUE(gone.contains(engine) || during.at(chat) == engine);
+  }
+  for (int index = 0; index < GetParam().m_gone; ++index) {
+    fixture.Engine(index).m_status = UpstreamStatus::kUsable;
+  }
+  EXPECT_EQ(Homes(fixture), before);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Tables,
+    EngineChurn,
+    testing::Values(ChurnCase{"OneEjected", 1, UpstreamStatus::kEjected},
+                    ChurnCase{"ThreeEjected", 3, UpstreamStatus::kEjected},
+                    ChurnCase{"OneLeaving", 1, UpstreamStatus::kLeaving},
+                    ChurnCase{"ThreeLeaving", 3, UpstreamStatus::kLeaving}),
+    [](const auto& info) { return std::string(info.param.m_name); });
+
+TEST(Placement, FlappingEngineKeepsItsChatsAtOneInstance) {
+  PlacementFixture fixture(12, 7);
+  UpdateOwners(fixture.m_world, fixture.m_now);
+  const ChatKey chat(5);
+  const UpstreamId home =
+      SteeringEngine(fixture.m_world, fixture.Route(), chat);
+  for (const UpstreamStatus status :
+       {UpstreamStatus::kEjected, UpstreamStatus::kUsable,
+        UpstreamStatus::kEjected}) {
+    fixture.m_world.m_upstreams.Find(home)->m_status = status;
+    EXPECT_EQ(SteeringEngine(fixture.m_world, fixture.Route(), chat), home);
+  }
+}
+
+TEST(Placement, ReturnsToTheEngineThatTookTheChatOver) {
   PlacementFixture fixture(12);
   RequestRow& first = fixture.Send(7);
-  ASSERT_EQ(first.m_phase, RequestPhase::kPlaced);
-  const UpstreamId home = first.m_upstream;
-  EXPECT_EQ(fixture.m_world.m_upstreams.Find(home)->m_local_running, 1);
-  EXPECT_EQ(fixture.Customer().m_running, 1);
-  EXPECT_EQ(fixture.Customer().m_queued, 0);
+  UpstreamRow& home = *fixture.m_world.m_upstreams.Find(first.m_upstream);
   fixture.End(first);
-  EXPECT_EQ(fixture.Customer().m_running, 0);
-  EXPECT_EQ(fixture.Send(7).m_upstream, home);
+  home.m_status = UpstreamStatus::kEjected;
+  RequestRow& second = fixture.Send(7);
+  const UpstreamId other = second.m_upstream;
+  EXPECT_NE(other, home.m_id);
+  fixture.End(second);
+  home.m_status = UpstreamStatus::kUsable;
+  home.m_slow_start_since = fixture.m_now + seconds(1);
+  fixture.Advance(seconds(2));
+  EXPECT_EQ(fixture.Send(7).m_upstream, other);
+}
+
+/// A slow engine keeps its requests for long: new ones go elsewhere, and it
+/// holds no more than the bound.
+TEST(Placement, BoundsASlowEngine) {
+  PlacementFixture fixture(12);
+  fixture.m_world.m_placement_parameters.m_prefix_wait = Duration::zero();
+  const UpstreamId slow = fixture.Engine(0).m_id;
+  std::deque<RequestRow*> others;
+  for (std::uint64_t chat = 1; chat <= 5000; ++chat) {
+    fixture.m_now += milliseconds(10);
+    RequestRow& row = fixture.Send(chat);
+    ASSERT_EQ(row.m_phase, RequestPhase::kPlaced);
+    if (row.m_upstream != slow) {
+      others.push_back(&row);
+    }
+    if (others.size() > 88) {
+      fixture.End(*others.front());
+      others.pop_front();
+    }
+  }
+  const std::vector<int> loads = fixture.Loads();
+  EXPECT_LE(loads[0], 10) << "88 requests at the others, mean 8, bound 1.25";
+  EXPECT_GE(loads[0], 8);
+}
+
+/// Requests at each of four engines before one more chat arrives.
+struct WaitCase {
+  const char* m_name;
+  int m_body_bytes;
+  Duration m_passed{};
+  bool m_waits;
+};
+
+class PrefixWait : public testing::TestWithParam<WaitCase> {};
+
+TEST_P(PrefixWait, LastsAsLongAsThePrefixIsWorth) {
+  PlacementFixture fixture(4);
+  NewRequest request;
+  request.m_id = RequestId(1);
+  request.m_chat = ChatKey(99);
+  request.m_route = RouteId("model");
+  request.m_body_size = Bytes(GetParam().m_body_bytes);
+  RequestRow& first = fixture.Arrive(request);
+  fixture.Run();
+  UpstreamRow& holder = *fixture.m_world.m_upstreams.Find(first.m_upstream);
+  fixture.End(first);
+  ChangeRunning(fixture.m_world, holder, 8, fixture.m_now);
+  request.m_id = RequestId(2);
+  RequestRow& second = fixture.Arrive(request);
+  fixture.Run();
+  fixture.Advance(GetParam().m_passed);
+  EXPECT_EQ(second.m_phase == RequestPhase::kAdmitted, GetParam().m_waits);
+  EXPECT_NE(second.m_upstream, holder.m_id);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Tables,
+    PrefixWait,
+    testing::Values(WaitCase{"CheapPrefix", 2000, milliseconds(0), false},
+                    WaitCase{"LongPrefix", 16000, milliseconds(390), true},
+                    WaitCase{"LongPrefixLater", 16000, milliseconds(410),
+                             false},
+                    WaitCase{"LongestWait", 160000, milliseconds(490), true},
+                    WaitCase{"AfterIt", 160000, milliseconds(510), false}),
+    [](const auto& info) { return std::string(info.param.m_name); });
+
+/// A chat whose home is near its bound, on an instance that does not own it.
+class Reservation : public testing::Test {
+ protected:
+  Reservation() : m_fixture(4, 2) {
+    for (int index = 0; index < 4; ++index) {
+      ChangeRunning(m_fixture.m_world, m_fixture.Engine(index), 3,
+                    m_fixture.m_now);
+    }
+    m_fixture.Run();
+    for (std::uint64_t chat = 1; m_row == nullptr; ++chat) {
+      RequestRow& row = m_fixture.Send(chat);
+      if (row.m_phase == RequestPhase::kReserving) {
+        m_row = &row;
+      } else {
+        m_fixture.End(row);
+      }
+    }
+    m_question = std::get<ReserveAtOwner>(m_fixture.m_world.m_actions.back());
+  }
+
+  void Answer(bool granted, const UpstreamId& alternative) {
+    m_fixture.m_world.m_reservation_inbox.m_answers.push_back(
+        {m_question.m_request, m_question.m_upstream, granted, alternative});
+    m_fixture.Run();
+  }
+
+  PlacementFixture m_fixture;
+  RequestRow* m_row = nullptr;
+  ReserveAtOwner m_question;
+};
+
+TEST_F(Reservation, IsAskedOfTheOwner) {
+  EXPECT_EQ(m_question.m_owner, InstanceId("instance-001"));
+  EXPECT_EQ(m_fixture.m_world.m_upstreams.Find(m_question.m_upstream)->m_owner,
+            m_question.m_owner);
+}
+
+TEST_F(Reservation, PlacesWhenGranted) {
+  Answer(true, UpstreamId());
+  EXPECT_EQ(m_row->m_phase, RequestPhase::kPlaced);
+  EXPECT_EQ(m_row->m_upstream, m_question.m_upstream);
+}
+
+TEST_F(Reservation, TakesTheAlternative) {
+  UpstreamId other;
+  for (int index = 0; index < 4; ++index) {
+    if (m_fixture.Engine(index).m_id != m_question.m_upstream) {
+      other = m_fixture.Engine(index).m_id;
+    }
+  }
+  Answer(false, other);
+  EXPECT_EQ(m_row->m_phase, RequestPhase::kPlaced);
+  EXPECT_EQ(m_row->m_upstream, other);
+}
+
+TEST_F(Reservation, DecidesAloneAfterTheTimeout) {
+  m_fixture.Advance(milliseconds(19));
+  EXPECT_EQ(m_row->m_phase, RequestPhase::kReserving);
+  m_fixture.Advance(milliseconds(2));
+  EXPECT_EQ(m_row->m_phase, RequestPhase::kPlaced);
+  Answer(true, UpstreamId());  // A late answer has no effect.
+  EXPECT_EQ(m_fixture.Customer().m_running, 1);
+}
+
+TEST_F(Reservation, OwnerGrantsUpToItsBound) {
+  PlacementFixture owner(4);
+  int granted = 0;
+  for (std::uint64_t number = 1; number <= 20; ++number) {
+    owner.m_world.m_reservation_inbox.m_requests.push_back(
+        {ReservationId(number), InstanceId("instance-009"),
+         owner.Engine(0).m_id, RouteId("model")});
+    owner.Run();
+    const auto answer =
+        std::get<AnswerReservation>(owner.m_world.m_actions.back());
+    granted += answer.m_granted ? 1 : 0;
+    EXPECT_NE(answer.m_granted, !answer.m_alternative.empty());
+  }
+  EXPECT_EQ(granted, 5) << "the bound at the least mean of 4";
 }
 
 TEST(Placement, SendsServiceCallsToTheLeastLoadedUpstream) {
@@ -45,5 +259,21 @@
   EXPECT_EQ(used.size(), 3U);
 }
 
+TEST(Placement, ExplainsWhereAChatGoes) {
+  PlacementFixture fixture(12);
+  RequestRow& row = fixture.Send(7);
+  fixture.m_now += seconds(4);
+  const Explanation explanation =
+      Explain(fixture.m_world, ChatKey(7), RouteId("model"), fixture.m_now);
+  EXPECT_TRUE(explanation.m_route_found);
+  EXPECT_EQ(explanation.m_home, row.m_upstream);
+  EXPECT_EQ(explanation.m_order.size(), 12U);
+  EXPECT_EQ(explanation.m_order[0].m_id, row.m_upstream);
+  EXPECT_EQ(explanation.m_order[0].m_local_running, 1);
+  EXPECT_EQ(explanation.m_holders, std::vector{row.m_upstream});
+  EXPECT_EQ(explanation.m_last->m_reason, PlacementReason::kHome);
+  EXPECT_EQ(explanation.m_last_age, seconds(4));
+}
+
 }  // namespace
 }  // namespace nutmeghollow
