--- a/src/libnutmeg/flow_world.h
+++ b/src/libnutmeg/flow_world.h
@@ -22,6 +22,7 @@
       return WallTime(1'000'000 + m_now.time_since_epoch().count() / 1000);
     };
     m_world.m_configuration.m_revision = Revision(1);
+    m_world.m_placement_parameters.m_reservations = false;
     m_world.m_instances.m_self = InstanceId(self);
     for (const char* id : {"i1", "i2", "i3"}) {
       m_world.m_instances.m_rows[InstanceId(id)].m_id = InstanceId(id);
