--- a/src/standins/engine_batch.cpp
+++ b/src/standins/engine_batch.cpp
@@ -83,9 +83,11 @@
 }
 
 void Engine::StartStream(const StreamPtr& stream) {
-  m_record.Append(
-      nlohmann::json{{"run", stream->m_id}, {"crash", stream->m_crash}}.dump());
   const auto hashes = PrefixHashes(stream->m_model, stream->m_messages);
+  m_record.Append(nlohmann::json{{"run", stream->m_id},
+                                 {"prompt", hashes.back()},
+                                 {"crash", stream->m_crash}}
+                      .dump());
   const auto tokens = MessageTokens(stream->m_messages);
   const auto held = m_cache.Match(hashes);
   for (std::size_t i = 0; i < tokens.size(); ++i) {
@@ -222,6 +224,7 @@
   stream.m_sent = end;
   if (cut) {
     stream.m_break_after = -1;
+    stream.m_expires_at = net::BootTime() + m_options.m_keep_detached;
     stream.m_exchange.reset();
     if (!stream.m_stall) {
       exchange->AbortStream();
--- a/testsuite/checks.py
+++ b/testsuite/checks.py
@@ -184,10 +184,10 @@
         for instance in self.m_fleet.m_instances:
             at = time.monotonic()
             sent = self.m_fleet.metric(
-                instance, "nutmeg_control_bytes_total", '{direction="sent"}')
+                instance, "nutmeg_control_bytes_total", 'direction="sent"')
             received = self.m_fleet.metric(
                 instance, "nutmeg_control_bytes_total",
-                '{direction="received"}')
+                'direction="received"')
             if sent is None or received is None:
                 self.m_last.pop(instance.m_name, None)
                 continue
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import concurrent.futures
 import ctypes
 import hashlib
 import http.client
@@ -24,6 +25,9 @@
 FIRST_PORT = 12000
 LAST_PORT = 31000  # Below the range of source ports.
 PR_SET_PDEATHSIG = 1
+# The signal of a parent's death comes when the thread ends that started the
+# process, so one thread starts them all and stays until the end.
+SPAWNER = concurrent.futures.ThreadPoolExecutor(1)
 
 
 class CaseFailure(Exception):
@@ -118,13 +122,15 @@
         self.m_popen = None
 
     def start(self):
+        self.m_popen = SPAWNER.submit(self._spawn).result()
+
+    def _spawn(self):
         def die_with_parent():
             ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
         with open(self.m_log_path, "ab") as log:
-            self.m_popen = subprocess.Popen(
-                self.m_arguments, stdout=log, stderr=log,
-                preexec_fn=die_with_parent)
+            return subprocess.Popen(self.m_arguments, stdout=log, stderr=log,
+                                    preexec_fn=die_with_parent)
 
     def running(self):
         return self.m_popen is not None and self.m_popen.poll() is None
@@ -436,13 +442,16 @@
                            f"{instance.m_name} is ready")
 
     def metric(self, instance, name, label=""):
-        """Returns a metric of an instance, or None."""
+        """Returns the sum of a metric of an instance over all labels that
+        begin with the given one, or None."""
         status, _, text = http_call(instance.m_address, "GET", "/metrics")
-        wanted = name + label
-        for line in text.splitlines() if status == 200 else []:
-            if line.startswith(wanted) and line[len(wanted):][:1] in " {":
-                return float(line.rsplit(" ", 1)[1])
-        return None
+        lines = text.splitlines() if status == 200 else []
+        wanted = tuple(name + "{" + label + end for end in ("}", ","))
+        if not label:
+            wanted = (name + " ", name + "{")
+        values = [float(line.rsplit(" ", 1)[1]) for line in lines
+                  if line.startswith(wanted)]
+        return sum(values) if values else None
 
     def revision(self, instance):
         return self.metric(instance, "nutmeg_configuration_revision")
