Let reservations use only spare control budget

Cause: one question to the owner of an engine costs up to 2.9 KB with its new connection, and under load questions took the bytes of health probes. Change: a reservation class that asks only while 30% of the budget is left; bytes of calls are noted as configuration only while a transfer is under way.

--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -25,6 +25,7 @@
   kProbe,          ///< Health probes of upstreams.
   kStorePoll,      ///< Polls of the table service.
   kListPoll,       ///< Polls of the platform's instance list.
+  kReservation,    ///< Questions to the owners of engines.
   kVerdict,        ///< Early announcements of upstream verdicts and suspects.
   kLoad,           ///< Early announcements of load and demand.
   kCount,
--- a/src/libnutmeg/budget.cpp
+++ b/src/libnutmeg/budget.cpp
@@ -35,6 +35,8 @@
       return 0;
     case ControlClass::kListPoll:
       return 0.2 * capacity;
+    case ControlClass::kReservation:
+      return 0.3 * capacity;
     case ControlClass::kVerdict:
       return 0.4 * capacity;
     case ControlClass::kLoad:
@@ -101,8 +103,8 @@
 
 const char* ControlClassName(ControlClass control_class) {
   static constexpr const char* kNames[] = {
-      "urgent",     "configuration", "answer",  "membership", "probe",
-      "store_poll", "list_poll",     "verdict", "load"};
+      "urgent",     "configuration", "answer",      "membership", "probe",
+      "store_poll", "list_poll",     "reservation", "verdict",    "load"};
   return kNames[static_cast<int>(control_class)];
 }
 
--- a/src/libnutmeg/reservations.cpp
+++ b/src/libnutmeg/reservations.cpp
@@ -123,6 +123,10 @@
       owner->m_status != InstanceStatus::kAlive) {
     return false;
   }
+  if (AvailableControlBytes(world, ControlClass::kReservation, now) ==
+      Bytes(0)) {
+    return false;  // Better a decision by estimate than a probe not sent.
+  }
   const RequestId id = row.m_request.m_id;
   const TimePoint deadline = now + parameters.m_reservation_timeout;
   world.m_placement.m_reservations[id] = {id, upstream.m_id, deadline};
--- a/src/nutmegd/peer_link.cpp
+++ b/src/nutmegd/peer_link.cpp
@@ -54,6 +54,7 @@
 net::PeerServerHooks PeerLink::MakeServerHooks() {
   net::PeerServerHooks hooks;
   hooks.m_fetch_configuration = [this](Revision since) {
+    ++m_served_fetches;
     return MakeTransfer(*m_world, since);
   };
   hooks.m_reserve = [this](const InstanceId& from, const UpstreamId& upstream,
@@ -114,9 +115,11 @@
   if (!peer) {
     return;  // The configuration system asks another peer after a time-out.
   }
+  ++m_fetches;
   m_client.FetchConfiguration(
       *peer, action.m_since, kFetchTimeout,
       [this](net::PeerAnswer<ConfigurationTransfer> answer) {
+        --m_fetches;
         if (!answer.m_value) {
           return;
         }
@@ -152,11 +155,15 @@
       received == m_noted_traffic.m_received) {
     return;
   }
-  NoteControlBytes(*m_world, ControlClass::kConfiguration,
-                   Bytes(sent - m_noted_traffic.m_sent),
-                   Bytes(received - m_noted_traffic.m_received), now);
+  const bool transferring = m_fetches > 0 || m_served_fetches > 0;
+  NoteControlBytes(
+      *m_world,
+      transferring ? ControlClass::kConfiguration : ControlClass::kReservation,
+      Bytes(sent - m_noted_traffic.m_sent),
+      Bytes(received - m_noted_traffic.m_received), now);
   m_noted_traffic.m_sent = sent;
   m_noted_traffic.m_received = received;
+  m_served_fetches = 0;
 }
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/peer_link.h
+++ b/src/nutmegd/peer_link.h
@@ -34,7 +34,9 @@
   void Fetch(const FetchConfiguration& action);
   void Ask(const AskClaimer& action);
 
-  /// Notes the bytes that calls moved since the last time in the budget.
+  /// Notes the bytes that calls moved since the last time in the budget. They
+  /// count as configuration while a transfer is under way, else as
+  /// reservations, which are nearly all of the rest.
   void NoteTraffic(TimePoint now);
 
   /// @return datagrams from peers that were rejected.
@@ -56,6 +58,8 @@
   std::map<ReservationId, ReplyCallback> m_open_reservations;
   std::uint64_t m_last_reservation = 0;
   net::PeerTraffic m_noted_traffic;
+  int m_fetches = 0;         ///< Fetches of the configuration under way.
+  int m_served_fetches = 0;  ///< Served since traffic was noted.
 };
 
 }  // namespace nutmeghollow
