Reply to a settled command once its revision is in force here

Cause: testsuite/operators failed: after a lost commit answer the command was reported as accepted, and the same instance did not know the object yet. Change: the reply waits until this instance has adopted the revision, at most until the command's time-out.

--- a/src/include/nutmeghollow/operator_commands.h
+++ b/src/include/nutmeghollow/operator_commands.h
@@ -122,6 +122,7 @@
   kCatchUp,  ///< For this instance to adopt the head revision.
   kCommitting,
   kReadingWinner,  ///< For the audit row of the change that won.
+  kAdopting,       ///< Accepted; for this instance to adopt its revision.
 };
 
 /// A command in progress.
--- a/src/libnet/platform_client.cpp
+++ b/src/libnet/platform_client.cpp
@@ -178,7 +178,7 @@
 TableStore MakeTableStore(HttpClient& client,
                           const PlatformOptions& options,
                           PlatformCounters& counters,
-                          StoreCallback callback) {
+                          const StoreCallback& callback) {
   TableStore store;
   store.m_read = [&client, options, &counters,
                   callback](const ReadStore& read) {
--- a/src/libnet/platform_client.h
+++ b/src/libnet/platform_client.h
@@ -65,7 +65,7 @@
 TableStore MakeTableStore(HttpClient& client,
                           const PlatformOptions& options,
                           PlatformCounters& counters,
-                          StoreCallback callback);
+                          const StoreCallback& callback);
 
 /// Makes the hook of the instance list.
 InstanceList MakeInstanceList(HttpClient& client,
--- a/src/libnutmeg/configuration_bench.cpp
+++ b/src/libnutmeg/configuration_bench.cpp
@@ -64,7 +64,7 @@
   return bytes;
 }
 
-void BM_ApplyWhole(benchmark::State& state) {
+void ApplyWhole(benchmark::State& state) {
   const ConfigurationTransfer transfer = MakeConfiguration(
       static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
   for (auto _ : state) {
@@ -80,14 +80,14 @@
   state.counters["heap_bytes"] =
       static_cast<double>(after.uordblks - before.uordblks);
 }
-BENCHMARK(BM_ApplyWhole)
+BENCHMARK(ApplyWhole)
     ->Args({10, 15})
     ->Args({350, 190})
     ->Args({1400, 760})
     ->Unit(benchmark::kMicrosecond);
 
 /// One change of a customer, an upstream or a route at full size.
-void BM_ApplyChange(benchmark::State& state) {
+void ApplyChange(benchmark::State& state) {
   World world;
   ApplyTransfer(world, MakeConfiguration(1400, 760), TimePoint{});
   const ObjectKey keys[] = {{ObjectKind::kCustomer, "customer-7"},
@@ -108,14 +108,10 @@
   }
   state.counters["transfer_bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_ApplyChange)
-    ->Arg(0)
-    ->Arg(1)
-    ->Arg(2)
-    ->Unit(benchmark::kMicrosecond);
+BENCHMARK(ApplyChange)->Arg(0)->Arg(1)->Arg(2)->Unit(benchmark::kMicrosecond);
 
 /// A tick in which nothing is due.
-void BM_IdleTick(benchmark::State& state) {
+void IdleTick(benchmark::State& state) {
   ConfigurationFleetForTest fleet(static_cast<int>(state.range(0)));
   World& world = fleet.At(0);
   ApplyTransfer(world, MakeConfiguration(1400, 760), TimePoint{});
@@ -132,10 +128,10 @@
     world.m_actions.clear();
   }
 }
-BENCHMARK(BM_IdleTick)->Arg(7)->Arg(360);
+BENCHMARK(IdleTick)->Arg(7)->Arg(360);
 
 /// Reads and writes of the table service by a fleet at rest, per second.
-void BM_FleetAtRest(benchmark::State& state) {
+void FleetAtRest(benchmark::State& state) {
   ConfigurationFleetForTest fleet(static_cast<int>(state.range(0)));
   const char* engine = R"({"address":"127.0.0.1:1","wanted":{"model":"m"}})";
   fleet.Execute(0, SetCommand("c", ObjectKind::kUpstream, "e", engine));
@@ -150,7 +146,7 @@
   state.counters["reads_per_second"] = fleet.m_reads / total;
   state.counters["writes_per_second"] = fleet.m_store.m_commits / total;
 }
-BENCHMARK(BM_FleetAtRest)->Arg(7)->Arg(60)->Iterations(1);
+BENCHMARK(FleetAtRest)->Arg(7)->Arg(60)->Iterations(1);
 
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/libnutmeg/configuration_fleet_for_test.h
+++ b/src/libnutmeg/configuration_fleet_for_test.h
@@ -243,7 +243,7 @@
     return !m_outage && !m_no_store.contains(index);
   }
 
-  void Answer(int index, StorePurpose purpose, StoreResult result) {
+  void Answer(int index, StorePurpose purpose, const StoreResult& result) {
     const int start = m_starts[index];
     After(milliseconds(2), [this, index, purpose, start, result] {
       if (start == m_starts[index]) {
@@ -283,7 +283,7 @@
       m_lose_next_commits = std::max(0, m_lose_next_commits - 1);
       result = {commit.m_operation, StoreStatus::kUnknown, {}};
     }
-    Answer(index, commit.m_purpose, std::move(result));
+    Answer(index, commit.m_purpose, result);
   }
 
   int IndexOf(const InstanceId& id) const {
--- a/src/libnutmeg/operator_commands.cpp
+++ b/src/libnutmeg/operator_commands.cpp
@@ -289,7 +289,8 @@
   highest = std::max(highest, first->m_revision);
   pending.m_reply.m_revision = first->m_revision;
   pending.m_reply.m_repeated = !pending.m_unsettled;
-  Reply(world, pending, OperatorResult::kAccepted);
+  // Whoever is told of the change finds it at this instance.
+  pending.m_stage = CommandStage::kAdopting;
 }
 
 /// Goes on when this instance is at the revision that was read.
@@ -373,6 +374,7 @@
       break;
     case CommandStage::kWaiting:
     case CommandStage::kCatchUp:
+    case CommandStage::kAdopting:
       break;
   }
 }
@@ -485,6 +487,13 @@
 }
 
 void Advance(World& world, PendingCommand& pending, TimePoint now) {
+  if (pending.m_stage == CommandStage::kAdopting) {
+    if (now >= pending.m_deadline ||
+        world.m_configuration.m_revision >= pending.m_reply.m_revision) {
+      Reply(world, pending, OperatorResult::kAccepted);
+    }
+    return;
+  }
   const bool idle = pending.m_stage == CommandStage::kWaiting ||
                     pending.m_stage == CommandStage::kCatchUp;
   if (!idle) {
--- a/src/libnutmeg/operator_commands_test.cpp
+++ b/src/libnutmeg/operator_commands_test.cpp
@@ -78,6 +78,7 @@
   const OperatorReply reply = fleet.Execute(0, SetRank("c1", "a", 1));
   EXPECT_EQ(reply.m_result, OperatorResult::kAccepted);
   EXPECT_EQ(reply.m_revision, Revision(1));
+  EXPECT_EQ(fleet.At(0).m_configuration.m_revision, Revision(1));
   fleet.Run(seconds(2));
   EXPECT_EQ(fleet.m_store.m_commits, 1);
   EXPECT_EQ(fleet.At(2).m_configuration.m_revision, Revision(1));
--- a/src/nutmegctl/main/nutmegctl.cpp
+++ b/src/nutmegctl/main/nutmegctl.cpp
@@ -204,12 +204,12 @@
       return UsageError{"unknown flag --" + name};
     }
     if (equals == std::string::npos && ++index >= argc) {
-      return UsageError{"--" + name + " needs a value"};
+      return UsageError{fmt::format("--{} needs a value", name)};
     }
     const std::string value =
         equals == std::string::npos ? argv[index] : argument.substr(equals + 1);
     if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
-      return UsageError{"--" + name + " does not take " + value};
+      return UsageError{fmt::format("--{} does not take {}", name, value)};
     }
   }
   return words;
@@ -240,5 +240,10 @@
 }  // namespace nutmeghollow::ctl
 
 int main(int argc, char** argv) {
-  return nutmeghollow::ctl::Main(argc, argv);
+  try {
+    return nutmeghollow::ctl::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "nutmegctl: %s\n", error.what());
+    return nutmeghollow::ctl::Exit(nutmeghollow::ctl::ExitStatus::kUnknown);
+  }
 }
--- a/src/nutmegctl/view.cpp
+++ b/src/nutmegctl/view.cpp
@@ -63,6 +63,7 @@
   TextTable table({fields.begin(), fields.end()});
   for (const Json& item : list) {
     std::vector<std::string> row;
+    row.reserve(fields.size());
     for (const char* field : fields) {
       row.push_back(Field(item, field));
     }
