--- a/src/libnutmeg/probe_assignment.cpp
+++ b/src/libnutmeg/probe_assignment.cpp
@@ -137,7 +137,8 @@
     }
     health.m_slot = slot;
     // An upstream that this instance found failing stays watched by it.
-    if (slot >= 0 || health.m_failures > 0 || health.m_failing) {
+    if (slot >= 0 || health.m_failures > 0 || health.m_failing ||
+        health.m_traffic_failures > 0) {
       probing.m_assigned.push_back(id);
     }
   }
