--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -43,7 +43,7 @@
   /// Bytes a second that are never exceeded, however large the fleet.
   Bytes m_rate_limit{7800};
   /// How much unused budget is kept, as time at the full rate.
-  Duration m_capacity = std::chrono::milliseconds(500);
+  Duration m_capacity = std::chrono::milliseconds(400);
 };
 
 /// Counters of one class since the start of the process.
--- a/src/libnutmeg/budget.cpp
+++ b/src/libnutmeg/budget.cpp
@@ -11,6 +11,10 @@
 constexpr Duration kSlotLength = std::chrono::milliseconds(100);
 constexpr Duration kRateInterval = std::chrono::milliseconds(200);
 
+/// Announcements that could wait for the next probe are sent only while the
+/// last second stayed below this share of the rate.
+constexpr double kEarlyShare = 0.85;
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -111,6 +115,12 @@
                             TimePoint now) {
   ControlBudget& budget = world.m_budget;
   Refill(budget, now);
+  CountInSlot(budget, 0, now);
+  const bool early = control_class >= ControlClass::kVerdict;
+  const auto rate = static_cast<double>(budget.m_rate.value());
+  if (early && static_cast<double>(budget.m_last_second) > kEarlyShare * rate) {
+    return Bytes(0);
+  }
   const double left = budget.m_tokens - Reserve(budget, control_class);
   return Bytes(std::max<std::int64_t>(0, static_cast<std::int64_t>(left)));
 }
--- a/src/libnutmeg/dissemination.cpp
+++ b/src/libnutmeg/dissemination.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <cstdlib>
-#include <set>
 
 namespace nutmeghollow::detail {
 namespace {
@@ -85,55 +84,48 @@
   });
 }
 
-/// @return the peers that are told about the own loads at once: all in a
-/// small fleet, in a large one the owners of upstreams in use here.
-std::set<InstanceId> LoadAudience(const World& world) {
-  std::set<InstanceId> audience;
-  const auto& order = world.m_membership.m_order;
-  if (static_cast<int>(order.size()) <
-      world.m_gossip.m_parameters.m_load_to_all_limit) {
-    audience.insert(order.begin(), order.end());
-    return audience;
-  }
-  for (const auto& [id, row] : world.m_upstreams.m_rows) {
-    if (!row.m_owner.empty() && row.m_owner != world.m_instances.m_self &&
-        row.m_local_running > 0) {
-      audience.insert(row.m_owner);
-    }
-  }
-  for (const auto& [id, told] : world.m_gossip.m_told) {
-    if (!told.m_loads.empty()) {
-      audience.insert(id);
-    }
-  }
-  return audience;
+/// @return whether a fleet is small enough to tell loads to every peer.
+bool TellsLoadsToAll(const World& world) {
+  return static_cast<int>(world.m_instances.m_rows.size()) <=
+         world.m_gossip.m_parameters.m_load_to_all_limit;
 }
 
-/// @return how much an announcement of loads to a peer would say. What only
-/// an owner can hold exactly counts more.
-int UntoldLoad(const World& world, const InstanceId& peer, TimePoint now) {
+/// Adds up how much an announcement to each peer would say about an upstream.
+/// What only an owner can hold exactly counts more.
+void AddUntoldLoad(const World& world,
+                   const UpstreamRow& row,
+                   const InstanceId& peer,
+                   TimePoint now,
+                   std::map<InstanceId, int>* untold) {
   constexpr int kOwnerWeight = 4;
-  const GossipParameters& parameters = world.m_gossip.m_parameters;
-  const bool tell_all = static_cast<int>(world.m_instances.m_rows.size()) <=
-                        parameters.m_load_to_all_limit;
+  int change = row.m_local_running;
   auto told = world.m_gossip.m_told.find(peer);
-  const bool known = told != world.m_gossip.m_told.end();
-  const bool outdated =
-      !known || now - told->second.m_whole_at >= parameters.m_whole_interval;
-  int untold = 0;
+  const bool current = told != world.m_gossip.m_told.end() &&
+                       now - told->second.m_whole_at <
+                           world.m_gossip.m_parameters.m_whole_interval;
+  if (current) {
+    auto load = told->second.m_loads.find(row.m_id);
+    change -= load == told->second.m_loads.end() ? 0 : load->second;
+  }
+  if (change != 0) {
+    const int weight = row.m_owner == peer ? kOwnerWeight : 1;
+    (*untold)[peer] += weight * std::abs(change);
+  }
+}
+
+/// @return how much an announcement of loads would say, by peer.
+std::map<InstanceId, int> UntoldLoads(const World& world, TimePoint now) {
+  std::map<InstanceId, int> untold;
+  const bool to_all = TellsLoadsToAll(world);
   for (const auto& [id, row] : world.m_upstreams.m_rows) {
-    const bool owned = row.m_owner == peer;
-    if (!owned && !tell_all) {
-      continue;
+    if (to_all) {
+      for (const InstanceId& peer : world.m_membership.m_order) {
+        AddUntoldLoad(world, row, peer, now, &untold);
+      }
+    } else if (!row.m_owner.empty() &&
+               row.m_owner != world.m_instances.m_self) {
+      AddUntoldLoad(world, row, row.m_owner, now, &untold);
     }
-    int last = 0;
-    if (known) {
-      auto load = told->second.m_loads.find(id);
-      last = load == told->second.m_loads.end() ? 0 : load->second;
-    }
-    const int change =
-        outdated ? row.m_local_running : std::abs(row.m_local_running - last);
-    untold += owned ? kOwnerWeight * change : change;
   }
   return untold;
 }
@@ -144,16 +136,13 @@
     return;
   }
   const InstanceRow* best = nullptr;
-  int best_untold = 0;
-  for (const InstanceId& id : LoadAudience(world)) {
+  int most = 0;
+  for (const auto& [id, untold] : UntoldLoads(world, now)) {
     const InstanceRow* row = world.m_instances.Find(id);
-    if (row == nullptr || row->m_status == InstanceStatus::kDead) {
-      continue;
-    }
-    const int untold = UntoldLoad(world, id, now);
-    if (untold > best_untold) {
+    if (row != nullptr && row->m_status != InstanceStatus::kDead &&
+        untold > most) {
       best = row;
-      best_untold = untold;
+      most = untold;
     }
   }
   if (best != nullptr) {
