--- a/src/include/nutmeghollow/placement_policy.h
+++ b/src/include/nutmeghollow/placement_policy.h
@@ -53,6 +53,7 @@
 struct LoadTotals {
   int m_usable = 0;
   double m_load = 0.0;
+  double m_load_root = 0.0;  ///< Square root of the load with one more.
   double m_weight = 0.0;
   double m_warm_weight = 0.0;  ///< Weights less what slow start takes away.
 };
--- a/src/libnutmeg/placement_policy.cpp
+++ b/src/libnutmeg/placement_policy.cpp
@@ -341,6 +341,7 @@
       totals.m_warm_weight += candidate.m_row->m_weight * candidate.m_warmth;
     }
   }
+  totals.m_load_root = std::sqrt(totals.m_load + 1.0);
   return totals;
 }
 
@@ -357,8 +358,8 @@
   const double least_load = parameters.m_least_mean * totals.m_usable;
   // The load of the route is a sum of many independent requests: while one
   // runs, the sum falls by about its square root.
-  const double lower_load =
-      std::max(load - parameters.m_load_margin * std::sqrt(load), least_load);
+  const double lower_load = std::max(
+      load - parameters.m_load_margin * totals.m_load_root, least_load);
   CandidateLimits limits;
   limits.m_hard = RoundUp(bound * std::max(load, least_load) * share);
   limits.m_inner =
