--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -25,6 +25,7 @@
   kProbe,          ///< Health probes of upstreams.
   kStorePoll,      ///< Polls of the table service.
   kListPoll,       ///< Polls of the platform's instance list.
+  kReservation,    ///< Questions to the owners of engines.
   kVerdict,        ///< Early announcements of upstream verdicts and suspects.
   kLoad,           ///< Early announcements of load and demand.
   kCount,
@@ -62,6 +63,7 @@
   Bytes m_rate{0};      ///< Rate in force for the current fleet size.
   double m_tokens = 0;  ///< Bytes that may be sent; negative after a burst.
   TimePoint m_filled_at{};
+  TimePoint m_next_rate{};  ///< When the rate is set anew.
   bool m_started = false;
   /// Bytes of both directions in each of the last slots of 100 ms.
   static constexpr int kSlots = 10;
