Drop what an adapter holds for callers who left; refuse while isolated

The upstream client kept the request of each caller who left, because no action told it to drop it: FinishRelay does now. An isolated instance refuses new requests as not run.

--- a/src/libnutmeg/drain.cpp
+++ b/src/libnutmeg/drain.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kCutExitCode = 1;
+/// The last answers leave the process in this time.
+constexpr Duration kFlushTime = std::chrono::milliseconds(500);
 
 void AnnounceLeaving(World& world, TimePoint now) {
   const auto self = world.m_instances.m_rows.find(world.m_instances.m_self);
@@ -51,8 +53,11 @@
   if (!drain.m_idle_since) {
     drain.m_idle_since = now;
   }
-  return world.m_claims.m_unsettled == 0 ||
-         now - *drain.m_idle_since >= world.m_drain_parameters.m_record_limit;
+  const Duration idle = now - *drain.m_idle_since;
+  if (world.m_claims.m_unsettled > 0) {
+    return idle >= world.m_drain_parameters.m_record_limit;
+  }
+  return idle >= kFlushTime;
 }
 
 }  // namespace
--- a/src/libnutmeg/drain_test.cpp
+++ b/src/libnutmeg/drain_test.cpp
@@ -41,6 +41,8 @@
   m_flow.Report(m_id, Kind::kComplete);
   m_flow.Settle();
   EXPECT_EQ(m_flow.Take<FinishRelay>().size(), 2U);
+  EXPECT_TRUE(m_flow.Take<ExitProcess>().empty());
+  m_flow.Advance(seconds(1));
   const auto exits = m_flow.Take<ExitProcess>();
   ASSERT_EQ(exits.size(), 1U);
   EXPECT_EQ(exits[0].m_exit_code, 0);
--- a/src/libnutmeg/flow_world.h
+++ b/src/libnutmeg/flow_world.h
@@ -23,6 +23,8 @@
     };
     m_world.m_configuration.m_revision = Revision(1);
     m_world.m_placement_parameters.m_reservations = false;
+    m_world.m_configuration_state.m_parameters.m_isolation_limit =
+        std::chrono::hours(10000);
     m_world.m_instances.m_self = InstanceId(self);
     for (const char* id : {"i1", "i2", "i3"}) {
       m_world.m_instances.m_rows[InstanceId(id)].m_id = InstanceId(id);
--- a/src/libnutmeg/request_endings.cpp
+++ b/src/libnutmeg/request_endings.cpp
@@ -163,6 +163,9 @@
 void EndAbandoned(World& world, RequestRow& row, TimePoint now) {
   EndAttempt(world, row, true, now);
   ++world.m_request_flow.m_counters.m_callers_gone;
+  // Nobody reads it, but the adapter has to drop what it holds.
+  world.m_actions.emplace_back(
+      FinishRelay{row.m_request.m_id, Outcome::kUnknown});
   Leave(world, row, now);
 }
 
--- a/src/libnutmeg/request_flow.cpp
+++ b/src/libnutmeg/request_flow.cpp
@@ -57,6 +57,8 @@
   SetWakeup(world, row, row.m_deadline);
   if (world.m_configuration.m_revision == Revision()) {
     EndRefused(world, row, Refusal::kNotReady, Duration::zero(), now);
+  } else if (world.m_configuration.m_isolated) {
+    EndRefused(world, row, Refusal::kIsolated, Duration::zero(), now);
   } else if (IsQuarantined(world, request.m_digest, now)) {
     EndRefused(world, row, Refusal::kQuarantined, Duration::zero(), now);
   } else if (request.m_kind == RequestKind::kService) {
