--- a/src/libnutmeg/table_store.h
+++ b/src/libnutmeg/table_store.h
@@ -44,7 +44,6 @@
   bool m_down = false;
   std::optional<Fault> m_fault;
 
- private:
   static void Answer(FlowWorld& flow,
                      StorePurpose purpose,
                      StoreResult result) {
@@ -123,6 +122,7 @@
     return result;
   }
 
+ private:
   std::uint64_t m_last_version = 0;
 };
 
