--- a/src/include/nutmeghollow/quarantine.h
+++ b/src/include/nutmeghollow/quarantine.h
@@ -34,6 +34,12 @@
   Duration m_same_crash = std::chrono::seconds(3);
   /// Suspects and quarantined requests are forgotten after this time.
   Duration m_expiry = std::chrono::minutes(10);
+  /// Entries of the last minute are announced again and again, for instances
+  /// that were out of reach.
+  Duration m_announce_period = std::chrono::seconds(3);
+  Duration m_announce_for = std::chrono::seconds(60);
+  /// With more entries than this, none is announced again.
+  std::size_t m_announce_limit = 32;
   /// Most entries kept; the ones nearest to their expiry go first.
   std::size_t m_limit = 4096;
 };
@@ -53,6 +59,7 @@
   /// Suspect that runs at an upstream.
   std::map<UpstreamId, RequestId> m_running_suspects;
   TimePoint m_next_expiry{};
+  TimePoint m_next_announcement{};
   std::uint64_t m_crashes = 0;      ///< Crashes found.
   std::uint64_t m_quarantined = 0;  ///< Requests quarantined here.
   std::uint64_t m_cleared = 0;      ///< Suspects that completed.
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -48,6 +48,9 @@
   std::function<std::uint64_t()> m_random;
   /// Tells the civil time.
   std::function<WallTime()> m_wall_time;
+  /// Tells when the last byte of a request's answer came from its upstream;
+  /// unset when nobody can tell.
+  std::function<TimePoint(RequestId)> m_last_received;
 };
 
 /// All state of one instance.
--- a/src/libnet/upstream_client.cpp
+++ b/src/libnet/upstream_client.cpp
@@ -61,6 +61,7 @@
   StreamEnd m_stream_end;
   std::int64_t m_relayed = 0;     ///< Bytes of this run given to the sink.
   std::int64_t m_unreported = 0;  ///< Of these, not yet reported.
+  TimePoint m_last_received{};
 };
 
 UpstreamClient::UpstreamClient(HttpClient& client,
@@ -206,6 +207,7 @@
 }
 
 bool UpstreamClient::HandleData(Relay& relay, std::string_view data) {
+  relay.m_last_received = BootTime();
   if (relay.m_refused) {
     return true;
   }
@@ -370,6 +372,11 @@
         });
 }
 
+TimePoint UpstreamClient::LastReceived(RequestId id) const {
+  const auto found = m_relays.find(id);
+  return found == m_relays.end() ? TimePoint() : found->second->m_last_received;
+}
+
 void UpstreamClient::Drained(RequestId id) {
   const auto found = m_relays.find(id);
   if (found == m_relays.end() || !found->second->m_full) {
--- a/src/libnet/upstream_client.h
+++ b/src/libnet/upstream_client.h
@@ -74,6 +74,9 @@
 
   /// The sink has room again.
   void Drained(RequestId id);
+  /// @return when the last byte of the answer came; the start of the clock
+  /// when none did.
+  TimePoint LastReceived(RequestId id) const;
   /// @return registered requests.
   std::size_t Registered() const { return m_relays.size(); }
 
--- a/src/libnutmeg/quarantine.cpp
+++ b/src/libnutmeg/quarantine.cpp
@@ -37,18 +37,22 @@
 }
 
 /// A crash breaks every connection at once. One that still delivers proves
-/// that the upstream lives on.
+/// that the upstream lives on. One that is merely open does not: it may have
+/// gone silent long before.
 bool OthersLiveOn(const World& world,
                   const UpstreamId& upstream,
                   const PossibleCrash& crash) {
+  if (!world.m_hooks.m_last_received) {
+    return false;
+  }
+  const auto delivers = [&](RequestId id) {
+    const RequestRow* row = world.m_requests.Find(id);
+    return row != nullptr && !crash.m_broken.contains(id) &&
+           row->m_upstream == upstream &&
+           world.m_hooks.m_last_received(id) >= crash.m_broke_at + kTransit;
+  };
   return std::any_of(crash.m_in_flight.begin(), crash.m_in_flight.end(),
-                     [&](RequestId id) {
-                       const RequestRow* row = world.m_requests.Find(id);
-                       return row != nullptr && !crash.m_broken.contains(id) &&
-                              row->m_upstream == upstream &&
-                              (row->m_phase == RequestPhase::kSent ||
-                               row->m_phase == RequestPhase::kStreaming);
-                     });
+                     delivers);
 }
 
 void GiveVerdict(World& world,
@@ -77,6 +81,20 @@
   }
 }
 
+/// Makes gossip carry recent entries once more.
+void AnnounceAgain(World& world, TimePoint now) {
+  const QuarantineParameters& parameters = world.m_quarantine_parameters;
+  if (world.m_suspects.size() > parameters.m_announce_limit) {
+    return;
+  }
+  const Duration oldest = parameters.m_expiry - parameters.m_announce_for;
+  for (const auto& [digest, row] : world.m_suspects) {
+    if (row.m_expires_at - now >= oldest) {
+      world.m_gossip.m_known_suspects.erase(digest);
+    }
+  }
+}
+
 bool BreaksNow(const World& world, RequestDigest digest) {
   const auto& crashes = world.m_quarantine.m_possible_crashes;
   return std::any_of(crashes.begin(), crashes.end(), [&](const auto& entry) {
@@ -115,6 +133,11 @@
     GiveVerdict(world, crash->first, crash->second, now);
     crash = crashes.erase(crash);
   }
+  if (now >= world.m_quarantine.m_next_announcement) {
+    world.m_quarantine.m_next_announcement =
+        now + world.m_quarantine_parameters.m_announce_period;
+    AnnounceAgain(world, now);
+  }
   if (now >= world.m_quarantine.m_next_expiry) {
     world.m_quarantine.m_next_expiry = now + kExpiryPeriod;
     Expire(world, now);
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -256,6 +256,9 @@
 void Daemon::Impl::SetUpWorld() {
   m_world.m_hooks.m_random = [this] { return m_random(); };
   m_world.m_hooks.m_wall_time = net::CivilTime;
+  m_world.m_hooks.m_last_received = [this](RequestId id) {
+    return m_upstreams.LastReceived(id);
+  };
   ConfigurationParameters& configuration =
       m_world.m_configuration_state.m_parameters;
   configuration.m_poll_period = m_settings.m_platform.m_poll;
