Give the placement tests a full control budget

Cause: reservations now ask only while control budget is spare; the fixture's bucket was empty, and Reservation.IsAskedOfTheOwner waited without end. Change: the fixture starts with a full bucket.

--- a/src/libnutmeg/placement_fixture.h
+++ b/src/libnutmeg/placement_fixture.h
@@ -26,6 +26,9 @@
       return WallTime(m_now.time_since_epoch() / std::chrono::milliseconds(1));
     };
     m_world.m_configuration.m_revision = Revision(1);
+    // A full control budget; reservations use only what is spare.
+    m_world.m_budget.m_tokens =
+        static_cast<double>(m_world.m_budget.m_parameters.m_rate.value());
     for (int index = 0; index < instances; ++index) {
       AddInstance(fmt::format("instance-{:03}", index));
     }
