--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -24,6 +24,7 @@
 FLEET_KEY = "5a" * 32
 FIRST_PORT = 12000
 LAST_PORT = 31000  # Below the range of source ports.
+LIST_LAG_MS = 1000  # Once the first instances have started.
 PR_SET_PDEATHSIG = 1
 # The signal of a parent's death comes when the thread ends that started the
 # process, so one thread starts them all and stays until the end.
@@ -227,7 +228,7 @@
             self._start(self.m_proxy, "fault_proxy")
             self._wait_http(self.m_proxy)
             self._add_links()
-        self._start(self.m_platform, "standin_platform", "--list_lag_ms=1000")
+        self._start(self.m_platform, "standin_platform", "--list_lag_ms=0")
         for engine in self.m_engines:
             self.start_engine(engine)
         for service in self.m_services:
@@ -239,6 +240,7 @@
             self.start_instance(instance)
         if self.m_instances:
             self.wait_operator(self.m_instances[0])
+        self.control(self.m_platform, list_lag_ms=LIST_LAG_MS)
 
     def _assign_addresses(self):
         for member in [self.m_proxy, self.m_platform, *self.m_engines,
