Let urgent gossip carry the newest configuration changes

Cause: testsuite/config_in_force was red: with a change a second, each change cost a call from every instance to the one that accepted it, its control budget was used up, and the news waited for the next second. Change: urgent messages carry the changes that the receiver has not confirmed, as far as they fit; a call is made for what is missing.

--- a/src/include/nutmeghollow/gossip.h
+++ b/src/include/nutmeghollow/gossip.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "nutmeghollow/configuration.h"
 #include "nutmeghollow/instances.h"
 #include "nutmeghollow/peers.h"
 #include "nutmeghollow/types.h"
@@ -121,6 +122,9 @@
   std::vector<LoadEntry> m_loads;
   std::vector<DemandEntry> m_demands;
   std::vector<SuspectEntry> m_suspects;
+  /// The changes that led to m_revision, without a gap, oldest first. They
+  /// spare the receiver a call for them.
+  std::vector<ConfigurationChange> m_changes;
 };
 
 /// @return the message as a packed Cap'n Proto message.
--- a/src/libnutmeg/configuration_system_test.cpp
+++ b/src/libnutmeg/configuration_system_test.cpp
@@ -94,6 +94,23 @@
                      -1}),
     [](const auto& info) { return info.param.m_name; });
 
+TEST(Gossip, CarriesTheNewestChanges) {
+  const GossipMessage sent{
+      .m_revision = Revision(12),
+      .m_changes = {Change(11, "a", 2),
+                    {Revision(12), {kPriority, "b"}, std::nullopt}}};
+  const std::optional<GossipMessage> received =
+      DecodeGossip(EncodeGossip(sent));
+  ASSERT_TRUE(received);
+  ASSERT_EQ(received->m_changes.size(), 2U);
+  for (int index = 0; index < 2; ++index) {
+    EXPECT_EQ(received->m_changes[index].m_revision,
+              sent.m_changes[index].m_revision);
+    EXPECT_EQ(received->m_changes[index].m_key, sent.m_changes[index].m_key);
+    EXPECT_EQ(received->m_changes[index].m_json, sent.m_changes[index].m_json);
+  }
+}
+
 TEST(ApplyTransfer, KeepsWhatIsKnownOfRowsThatGoOn) {
   World world;
   auto transfer = [](int revision, const char* upstream, const char* weight) {
--- a/src/libnutmeg/gossip.capnp
+++ b/src/libnutmeg/gossip.capnp
@@ -53,6 +53,14 @@
   secondsLeft @3 :UInt32;
 }
 
+struct ConfigurationChange {
+  revision @0 :UInt64;
+  kind @1 :UInt8;
+  id @2 :Text;
+  deleted @3 :Bool;
+  json @4 :Text;
+}
+
 struct Message {
   kind @0 :UInt8;
   leaving @1 :Bool;
@@ -72,4 +80,6 @@
   memberDigest @14 :UInt32;
   # The loads are all that the sender has, not only those that changed.
   loadsWhole @15 :Bool;
+  # The newest changes of the configuration, without a gap.
+  changes @16 :List(ConfigurationChange);
 }
--- a/src/libnutmeg/gossip.capnp.h
+++ b/src/libnutmeg/gossip.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(d25236ec8656db2a);
 CAPNP_DECLARE_SCHEMA(de6bc11ec1751406);
 CAPNP_DECLARE_SCHEMA(af0ace16a0f7a2dd);
+CAPNP_DECLARE_SCHEMA(dc5ac1fb33cb997f);
 CAPNP_DECLARE_SCHEMA(a598a18fcecb8a98);
 
 }  // namespace schemas
@@ -150,6 +151,23 @@
   };
 };
 
+struct ConfigurationChange {
+  ConfigurationChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc5ac1fb33cb997f, 2, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
+      return &schema->defaultBrand;
+    }
+#endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -158,7 +176,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a598a18fcecb8a98, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(a598a18fcecb8a98, 5, 8)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() {
       return &schema->defaultBrand;
@@ -860,6 +878,116 @@
 };
 #endif  // !CAPNP_LITE
 
+class ConfigurationChange::Reader {
+ public:
+  typedef ConfigurationChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline ::uint64_t getRevision() const;
+
+  inline ::uint8_t getKind() const;
+
+  inline bool hasId() const;
+  inline ::capnp::Text::Reader getId() const;
+
+  inline bool getDeleted() const;
+
+  inline bool hasJson() const;
+  inline ::capnp::Text::Reader getJson() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationChange::Builder {
+ public:
+  typedef ConfigurationChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const {
+    return asReader().totalSize();
+  }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return asReader().toString();
+  }
+#endif  // !CAPNP_LITE
+
+  inline ::uint64_t getRevision();
+  inline void setRevision(::uint64_t value);
+
+  inline ::uint8_t getKind();
+  inline void setKind(::uint8_t value);
+
+  inline bool hasId();
+  inline ::capnp::Text::Builder getId();
+  inline void setId(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownId();
+
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
+
+  inline bool hasJson();
+  inline ::capnp::Text::Builder getJson();
+  inline void setJson(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initJson(unsigned int size);
+  inline void adoptJson(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownJson();
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationChange::Pipeline {
+ public:
+  typedef ConfigurationChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
  public:
   typedef Message Reads;
@@ -928,6 +1056,11 @@
 
   inline bool getLoadsWhole() const;
 
+  inline bool hasChanges() const;
+  inline ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                       ::capnp::Kind::STRUCT>::Reader
+  getChanges() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1091,6 +1224,24 @@
   inline bool getLoadsWhole();
   inline void setLoadsWhole(bool value);
 
+  inline bool hasChanges();
+  inline ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                       ::capnp::Kind::STRUCT>::Builder
+  getChanges();
+  inline void setChanges(
+      ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                    ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                       ::capnp::Kind::STRUCT>::Builder
+  initChanges(unsigned int size);
+  inline void adoptChanges(
+      ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                                    ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                    ::capnp::Kind::STRUCT>>
+  disownChanges();
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1644,6 +1795,124 @@
                                     value);
 }
 
+inline ::uint64_t ConfigurationChange::Reader::getRevision() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                          ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t ConfigurationChange::Builder::getRevision() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
+                                           ::capnp::ELEMENTS);
+}
+inline void ConfigurationChange::Builder::setRevision(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                    value);
+}
+
+inline ::uint8_t ConfigurationChange::Reader::getKind() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() *
+                                         ::capnp::ELEMENTS);
+}
+
+inline ::uint8_t ConfigurationChange::Builder::getKind() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() *
+                                          ::capnp::ELEMENTS);
+}
+inline void ConfigurationChange::Builder::setKind(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
+                                   value);
+}
+
+inline bool ConfigurationChange::Reader::hasId() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline bool ConfigurationChange::Builder::hasId() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader ConfigurationChange::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ConfigurationChange::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationChange::Builder::setId(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::Text::Builder ConfigurationChange::Builder::initId(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      size);
+}
+inline void ConfigurationChange::Builder::adoptId(
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> ConfigurationChange::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationChange::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConfigurationChange::Builder::getDeleted() {
+  return _builder.getDataField<bool>(::capnp::bounded<72>() *
+                                     ::capnp::ELEMENTS);
+}
+inline void ConfigurationChange::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<72>() * ::capnp::ELEMENTS,
+                              value);
+}
+
+inline bool ConfigurationChange::Reader::hasJson() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline bool ConfigurationChange::Builder::hasJson() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::Text::Reader ConfigurationChange::Reader::getJson() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder ConfigurationChange::Builder::getJson() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigurationChange::Builder::setJson(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      value);
+}
+inline ::capnp::Text::Builder ConfigurationChange::Builder::initJson(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      size);
+}
+inline void ConfigurationChange::Builder::adoptJson(
+    ::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
+      kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text>
+ConfigurationChange::Builder::disownJson() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline ::uint8_t Message::Reader::getKind() const {
   return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() *
                                          ::capnp::ELEMENTS);
@@ -2127,6 +2396,61 @@
                               value);
 }
 
+inline bool Message::Reader::hasChanges() const {
+  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline bool Message::Builder::hasChanges() {
+  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
+              .isNull();
+}
+inline ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                     ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::ConfigurationChange, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::ConfigurationChange, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setChanges(
+    ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::ConfigurationChange, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+          value);
+}
+inline ::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                     ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::ConfigurationChange, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+           size);
+}
+inline void Message::Builder::adoptChanges(
+    ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                                  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::ConfigurationChange, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
+            kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::nutmeghollow::wire::ConfigurationChange,
+                                     ::capnp::Kind::STRUCT>>
+Message::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers<::capnp::List<
+      ::nutmeghollow::wire::ConfigurationChange, ::capnp::Kind::STRUCT>>::
+      disown(
+          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace wire
 }  // namespace nutmeghollow
 
--- a/src/libnutmeg/gossip.cpp
+++ b/src/libnutmeg/gossip.cpp
@@ -66,6 +66,17 @@
       std::chrono::duration<double>(entry.m_time_left).count()));
 }
 
+void WriteChange(wire::ConfigurationChange::Builder out,
+                 const ConfigurationChange& change) {
+  out.setRevision(change.m_revision.value());
+  out.setKind(static_cast<std::uint8_t>(change.m_key.m_kind));
+  out.setId(change.m_key.m_id);
+  out.setDeleted(!change.m_json.has_value());
+  if (change.m_json) {
+    out.setJson(*change.m_json);
+  }
+}
+
 void WriteLists(wire::Message::Builder out, const GossipMessage& message) {
   if (!message.m_members.empty()) {
     auto list = out.initMembers(message.m_members.size());
@@ -110,6 +121,12 @@
       WriteSuspect(list[i], message.m_suspects[i]);
     }
   }
+  if (!message.m_changes.empty()) {
+    auto list = out.initChanges(message.m_changes.size());
+    for (std::size_t i = 0; i < message.m_changes.size(); ++i) {
+      WriteChange(list[i], message.m_changes[i]);
+    }
+  }
 }
 
 std::string Text(capnp::Text::Reader text) {
@@ -160,6 +177,18 @@
   return entry;
 }
 
+ConfigurationChange ReadChange(wire::ConfigurationChange::Reader in) {
+  KJ_REQUIRE(in.getKind() < static_cast<int>(ObjectKind::kCount),
+             "unknown kind of object");
+  ConfigurationChange change{
+      .m_revision = Revision(in.getRevision()),
+      .m_key = {static_cast<ObjectKind>(in.getKind()), Text(in.getId())}};
+  if (!in.getDeleted()) {
+    change.m_json = Text(in.getJson());
+  }
+  return change;
+}
+
 GossipMessage ReadMessage(wire::Message::Reader in) {
   GossipMessage message;
   KJ_REQUIRE(in.getKind() < static_cast<int>(GossipKind::kCount),
@@ -197,6 +226,9 @@
   for (auto suspect : in.getSuspects()) {
     message.m_suspects.push_back(ReadSuspect(suspect));
   }
+  for (auto change : in.getChanges()) {
+    message.m_changes.push_back(ReadChange(change));
+  }
   return message;
 }
 
--- a/src/libnutmeg/packing.cpp
+++ b/src/libnutmeg/packing.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kSmallEntrySize = 9;
 constexpr std::size_t kDemandSize = 14;
 constexpr std::size_t kSuspectSize = 24;
+constexpr std::size_t kChangeSize = 24;
 /// Shares of one second's budget that one message may use.
 constexpr std::int64_t kImportantDivisor = 4;
 constexpr std::int64_t kFillerDivisor = 10;
@@ -41,10 +42,13 @@
          const InstanceId& to,
          ControlClass control_class,
          TimePoint now)
-      : m_world(world), m_message(message), m_to(to), m_now(now) {
-    const bool urgent = control_class == ControlClass::kUrgent;
+      : m_world(world),
+        m_message(message),
+        m_to(to),
+        m_now(now),
+        m_urgent(control_class == ControlClass::kUrgent) {
     m_important =
-        Allowance(world, urgent ? control_class : ControlClass::kStorePoll,
+        Allowance(world, m_urgent ? control_class : ControlClass::kStorePoll,
                   kImportantDivisor, now);
     m_filler = Allowance(world, ControlClass::kVerdict, kFillerDivisor, now);
     ToldPeer& told = world.m_gossip.m_told[to];
@@ -53,6 +57,7 @@
   }
 
   void AddPeerEntries();
+  void AddChanges();
   void AddMembers();
   void AddMemberSync();
   void AddConfirmations();
@@ -71,6 +76,7 @@
   GossipMessage& m_message;
   const InstanceId& m_to;
   TimePoint m_now;
+  bool m_urgent;
   std::size_t m_size = kBaseSize;
   bool m_details = false;  ///< The peer asked for addresses.
   std::int64_t m_important = 0;
@@ -115,6 +121,25 @@
   return true;
 }
 
+/// Adds the newest changes that the peer has not confirmed, as many as fit.
+void Packer::AddChanges() {
+  const InstanceRow* peer = m_world.m_instances.Find(m_to);
+  if (!m_urgent || peer == nullptr) {
+    return;
+  }
+  const auto& recent = m_world.m_configuration.m_recent_changes;
+  auto& changes = m_message.m_changes;
+  for (auto change = recent.rbegin(); change != recent.rend(); ++change) {
+    const std::size_t size = kChangeSize + change->m_key.m_id.size() +
+                             change->m_json.value_or("").size();
+    if (change->m_revision <= peer->m_revision || !Fits(size, m_important)) {
+      break;
+    }
+    m_size += size;
+    changes.insert(changes.begin(), *change);
+  }
+}
+
 void Packer::AddPeerEntries() {
   GossipState& gossip = m_world.m_gossip;
   const InstanceRow* peer = m_world.m_instances.Find(m_to);
@@ -338,6 +363,7 @@
       .m_member_digest = MemberDigest(world)};
   Packer packer(world, message, to, control_class, now);
   packer.AddPeerEntries();
+  packer.AddChanges();
   packer.AddSuspects();
   packer.AddMembers();
   packer.AddConfirmations();
--- a/src/libnutmeg/received_entries.cpp
+++ b/src/libnutmeg/received_entries.cpp
@@ -29,6 +29,16 @@
   }
 }
 
+/// Hands changes that came with a message to the configuration system.
+void TakeChanges(World& world, const GossipMessage& message) {
+  if (message.m_changes.empty() ||
+      message.m_revision <= world.m_configuration.m_revision) {
+    return;
+  }
+  world.m_configuration_inbox.m_transfers.push_back(
+      {.m_revision = message.m_revision, .m_changes = message.m_changes});
+}
+
 void ApplyRevisions(World& world,
                     const InstanceId& from,
                     const GossipMessage& message) {
@@ -38,6 +48,7 @@
     configuration.m_highest_seen = message.m_highest_seen;
     world.m_gossip.m_highest_from = from;
   }
+  TakeChanges(world, message);
   auto row = world.m_instances.m_rows.find(from);
   if (row != world.m_instances.m_rows.end() &&
       message.m_revision > row->second.m_revision) {
