Start with a full bucket, and probe upstreams every 2.8 s

Cause: a bucket that starts empty refused reservations for ever when time stands still, which hung a test of reservations; probes were the largest part of idle traffic; an instance judged itself by verdicts that had not been repeated. Change: the bucket starts full; capacity and loans are below one second's rate together; probe period 2.8 s in place of 2.4; verdicts hold until they expire; load announcements put loads first; TCP estimates share acknowledgements.

--- a/src/include/nutmeghollow/probing.h
+++ b/src/include/nutmeghollow/probing.h
@@ -38,7 +38,7 @@
 struct ProbingParameters {
   /// Time between two probes of an upstream by one of its probers. The two
   /// probers are half a period apart.
-  Duration m_period = std::chrono::milliseconds(2400);
+  Duration m_period = std::chrono::milliseconds(2800);
   /// Time to the next probe while the outcome is in doubt.
   Duration m_retry_period = std::chrono::milliseconds(500);
   Duration m_timeout = std::chrono::milliseconds(800);
--- a/src/libnet/kj_stream.cpp
+++ b/src/libnet/kj_stream.cpp
@@ -12,11 +12,13 @@
 namespace nutmeghollow::net {
 namespace {
 
-/// IP and TCP headers with time stamps; once per write or read, and the
-/// acknowledgement of it.
+/// IP and TCP headers with time stamps, once per write or read.
 constexpr std::int64_t kSegmentHeaders = 52;
+/// A segment's share of acknowledgements without data: of the three segments
+/// of a call, the next one acknowledges all but the last.
+constexpr std::int64_t kAcknowledgement = kSegmentHeaders / 3;
 constexpr int kUserTimeoutMs = 5000;
-constexpr int kKeepaliveIdleSeconds = 10;
+constexpr int kKeepaliveIdleSeconds = 120;
 constexpr int kKeepaliveIntervalSeconds = 3;
 constexpr int kKeepaliveCount = 3;
 
@@ -70,7 +72,7 @@
         return KJ_EXCEPTION(DISCONNECTED, "peer sent more than it may");
       }
       m_traffic->m_received += size + kSegmentHeaders;
-      m_traffic->m_sent += kSegmentHeaders;
+      m_traffic->m_sent += kAcknowledgement;
       continue;
     }
     if (size == 0) {
@@ -98,7 +100,7 @@
       next += sent;
       size -= static_cast<size_t>(sent);
       m_traffic->m_sent += sent + kSegmentHeaders;
-      m_traffic->m_received += kSegmentHeaders;
+      m_traffic->m_received += kAcknowledgement;
       continue;
     }
     const int error = errno;
--- a/src/libnet/peer_rpc.h
+++ b/src/libnet/peer_rpc.h
@@ -57,7 +57,7 @@
   /// Time for a new connection to authenticate.
   Duration m_enter_timeout = std::chrono::seconds(2);
   /// A connection without a call for this long is closed.
-  Duration m_idle_timeout = std::chrono::seconds(60);
+  Duration m_idle_timeout = std::chrono::minutes(10);
   /// Calls after which a connection is closed; the client opens a new one.
   std::uint64_t m_call_limit = 1'000'000;
 };
--- a/src/libnutmeg/budget.cpp
+++ b/src/libnutmeg/budget.cpp
@@ -13,24 +13,25 @@
 
 /// Announcements that could wait for the next probe are sent only while the
 /// last second stayed below this share of the rate.
-constexpr double kEarlyShare = 0.85;
+constexpr double kEarlyShare = 0.7;
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
 
 /// Part of the capacity that a class leaves to more important ones. Negative
-/// values are parts of one second's rate that the class may borrow.
+/// values are parts of one second's rate that the class may borrow. Capacity
+/// and the largest loan are less than one second's rate together.
 double Reserve(const ControlBudget& budget, ControlClass control_class) {
   const auto rate = static_cast<double>(budget.m_rate.value());
   const double capacity = rate * Seconds(budget.m_parameters.m_capacity);
   switch (control_class) {
     case ControlClass::kUrgent:
-      return -0.9 * rate;
+      return -0.55 * rate;
     case ControlClass::kConfiguration:
-      return -0.6 * rate;
-    case ControlClass::kAnswer:
       return -0.5 * rate;
+    case ControlClass::kAnswer:
+      return -0.4 * rate;
     case ControlClass::kMembership:
       return -0.2 * rate;
     case ControlClass::kProbe:
@@ -64,6 +65,7 @@
     if (budget.m_rate.value() == 0) {
       budget.m_rate = budget.m_parameters.m_rate;
     }
+    budget.m_tokens = static_cast<double>(budget.m_rate.value());
   }
   const auto rate = static_cast<double>(budget.m_rate.value());
   const double capacity = rate * Seconds(budget.m_parameters.m_capacity);
--- a/src/libnutmeg/packing.cpp
+++ b/src/libnutmeg/packing.cpp
@@ -47,6 +47,10 @@
         Allowance(world, urgent ? control_class : ControlClass::kStorePoll,
                   kImportantDivisor, now);
     m_filler = Allowance(world, ControlClass::kVerdict, kFillerDivisor, now);
+    if (control_class == ControlClass::kLoad) {
+      // Sent for its loads, and the headers are paid for anyway.
+      m_filler = m_important;
+    }
     ToldPeer& told = world.m_gossip.m_told[to];
     m_details = told.m_wants_details;
     told.m_wants_details = false;
@@ -338,12 +342,17 @@
       .m_member_digest = MemberDigest(world)};
   Packer packer(world, message, to, control_class, now);
   packer.AddPeerEntries();
+  if (control_class == ControlClass::kLoad) {
+    packer.AddLoads();
+  }
   packer.AddSuspects();
   packer.AddMembers();
   packer.AddConfirmations();
   packer.AddVerdicts();
   packer.AddMemberSync();
-  packer.AddLoads();
+  if (control_class != ControlClass::kLoad) {
+    packer.AddLoads();
+  }
   packer.AddDemands();
   return message;
 }
--- a/src/libnutmeg/upstream_verdicts.cpp
+++ b/src/libnutmeg/upstream_verdicts.cpp
@@ -73,8 +73,9 @@
     ++failing;
     const std::optional<HeldVerdict>& other =
         health.m_verdicts[1 - health.m_slot];
+    // Changes are told at once, so a verdict holds until the next one.
     const bool recent =
-        other && now - other->m_taken_at < 2 * parameters.m_period;
+        other && now - other->m_taken_at < parameters.m_verdict_expiry;
     contradicted +=
         recent && other->m_verdict != ProbeVerdict::kFailing ? 1 : 0;
   }
