--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -37,14 +37,14 @@
 /// Settings of the budget.
 struct BudgetParameters {
   /// Bytes a second of a fleet of up to m_small_fleet instances.
-  Bytes m_rate{1900};
+  Bytes m_rate{1700};
   int m_small_fleet = 7;
   /// Bytes a second that each further instance adds.
   Bytes m_rate_per_instance{17};
   /// Bytes a second that are never exceeded, however large the fleet.
   Bytes m_rate_limit{7800};
   /// How much unused budget is kept, as time at the full rate.
-  Duration m_capacity = std::chrono::milliseconds(400);
+  Duration m_capacity = std::chrono::milliseconds(250);
 };
 
 /// Counters of one class since the start of the process.
@@ -60,7 +60,7 @@
   BudgetParameters m_parameters;
   std::array<ControlCounters, static_cast<int>(ControlClass::kCount)>
       m_counters;
-  Bytes m_rate{0};      ///< Rate in force for the current fleet size.
+  Bytes m_rate{1700};      ///< Rate in force for the current fleet size.
   double m_tokens = 0;  ///< Bytes that may be sent; negative after a burst.
   TimePoint m_filled_at{};
   TimePoint m_next_rate{};  ///< When the rate is set anew.
--- a/src/libnutmeg/budget.cpp
+++ b/src/libnutmeg/budget.cpp
@@ -33,7 +33,6 @@
     case ControlClass::kAnswer:
       return -0.4 * rate;
     case ControlClass::kMembership:
-      return -0.2 * rate;
     case ControlClass::kProbe:
       return -0.2 * rate;
     case ControlClass::kStorePoll:
