--- a/src/include/nutmeghollow/chats.h
+++ b/src/include/nutmeghollow/chats.h
@@ -75,7 +75,7 @@
   /// @return entries in use.
   std::size_t size() const { return m_used; }
   /// @return entries that there is room for.
-  std::size_t capacity() const { return m_capacity; }
+  std::size_t Capacity() const { return m_capacity; }
   /// @return memory of one entry.
   static constexpr Bytes EntrySize() { return Bytes(sizeof(Entry)); }
 
--- a/src/include/nutmeghollow/limits.h
+++ b/src/include/nutmeghollow/limits.h
@@ -45,7 +45,7 @@
   /// @return time until a token is there at `rate`; zero when one is.
   Duration Wait(double rate) const;
   /// @return tokens at hand.
-  double tokens() const { return m_tokens; }
+  double Tokens() const { return m_tokens; }
 
  private:
   double m_tokens = 0.0;
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -168,7 +168,7 @@
   void Unpause(HttpCallId id);
   void CheckTimes(HttpCallId id);
   void ArmTimer(Call& call, TimePoint now);
-  void End(HttpCallId id, HttpEnd end);
+  void End(HttpCallId id, const HttpEnd& end);
   HttpEnd MakeEnd(const Call& call, CURLcode code) const;
   /// Takes a call out of the table and gives its handle back.
   std::unique_ptr<Call> Detach(HttpCallId id);
@@ -335,7 +335,8 @@
     }
     has_content_type |= LowerCase(name) == "content-type";
     // libcurl drops "Name:"; a semicolon asks for an empty value.
-    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    std::string line = name;
+    line.append(value.empty() ? ";" : ": ").append(value);
     call.m_headers = curl_slist_append(call.m_headers, line.c_str());
   }
   call.m_headers = curl_slist_append(call.m_headers, "Expect:");
@@ -606,7 +607,7 @@
   End(id, {kind, call->m_sent, passed});
 }
 
-void HttpClient::Impl::End(HttpCallId id, HttpEnd end) {
+void HttpClient::Impl::End(HttpCallId id, const HttpEnd& end) {
   std::unique_ptr<Call> call = Detach(id);
   if (call != nullptr && !call->m_cancelled && call->m_events.m_on_end) {
     call->m_events.m_on_end(end);
--- a/src/libnet/upstream_client_test.cpp
+++ b/src/libnet/upstream_client_test.cpp
@@ -54,7 +54,7 @@
       : m_loop(ev_loop_new(0)),
         m_server(m_loop,
                  [this](const std::string&) {
-                   const ScriptedReply reply = m_replies.front();
+                   ScriptedReply reply = m_replies.front();
                    if (m_replies.size() > 1) {
                      m_replies.erase(m_replies.begin());
                    }
--- a/src/libnutmeg/claim_records.cpp
+++ b/src/libnutmeg/claim_records.cpp
@@ -11,7 +11,7 @@
 
 /// Keeps the parts of a row key apart, whatever callers put into a key.
 std::string Escape(std::string_view text) {
-  constexpr std::string_view digits = "0123456789ABCDEF";
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
   std::string escaped;
   for (const char c : text) {
     const auto byte = static_cast<unsigned char>(c);
@@ -22,8 +22,8 @@
       escaped += c;
     } else {
       escaped += '%';
-      escaped += digits[byte >> 4];
-      escaped += digits[byte & 15];
+      escaped += kDigits[byte >> 4];
+      escaped += kDigits[byte & 15];
     }
   }
   return escaped;
--- a/src/libnutmeg/claim_repeats.cpp
+++ b/src/libnutmeg/claim_repeats.cpp
@@ -49,15 +49,15 @@
 
 /// @return the path with "{key}" replaced.
 std::string StatusPath(const std::string& pattern, const IdempotencyKey& key) {
-  constexpr std::string_view placeholder = "{key}";
-  const auto position = pattern.find(placeholder);
+  constexpr std::string_view kPlaceholder = "{key}";
+  const auto position = pattern.find(kPlaceholder);
   if (position == std::string::npos) {
     return pattern;
   }
   // The last part of a row key is the escaped idempotency key.
   const std::string row_key = ClaimRowKey(CustomerId(), ServiceId(), key);
   std::string path = pattern;
-  return path.replace(position, placeholder.size(),
+  return path.replace(position, kPlaceholder.size(),
                       row_key.substr(row_key.rfind('/') + 1));
 }
 
--- a/src/libnutmeg/explain.cpp
+++ b/src/libnutmeg/explain.cpp
@@ -60,6 +60,7 @@
   }
   std::sort(scored.begin(), scored.end());
   std::vector<const Candidate*> order;
+  order.reserve(scored.size());
   for (const auto& [score, candidate] : scored) {
     order.push_back(candidate);
   }
--- a/src/libnutmeg/own_claims.cpp
+++ b/src/libnutmeg/own_claims.cpp
@@ -15,10 +15,10 @@
 constexpr std::size_t kRowLimit = 60 << 10;
 
 std::string Hex(std::uint64_t value) {
-  constexpr std::string_view digits = "0123456789abcdef";
+  constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text(16, '0');
   for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
-    *digit = digits[value & 15];
+    *digit = kDigits[value & 15];
     value >>= 4;
   }
   return text;
--- a/src/libnutmeg/placement_policy.cpp
+++ b/src/libnutmeg/placement_policy.cpp
@@ -382,6 +382,7 @@
 
 std::vector<std::string_view> PlacementPolicyNames() {
   std::vector<std::string_view> names;
+  names.reserve(kPolicies.size());
   for (const auto& [policy_name, function] : kPolicies) {
     names.push_back(policy_name);
   }
--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -116,7 +116,7 @@
                               settings->m_instance.m_id.str(),
                               net::CivilTime().value())) {}
 
-void CallerApi::Handle(std::shared_ptr<net::HttpExchange> exchange) {
+void CallerApi::Handle(const Exchange& exchange) {
   const net::HttpRequest& request = exchange->Request();
   const std::string& path = request.m_path;
   const bool reads = request.m_method == "GET" || request.m_method == "HEAD";
--- a/src/nutmegd/caller_api.h
+++ b/src/nutmegd/caller_api.h
@@ -52,7 +52,7 @@
             CallerApiHooks hooks);
 
   /// Handles one HTTP request.
-  void Handle(std::shared_ptr<net::HttpExchange> exchange);
+  void Handle(const std::shared_ptr<net::HttpExchange>& exchange);
 
   /// Gives a caller the answer made by this instance.
   void Refuse(const RefuseRequest& refusal);
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -225,8 +225,8 @@
       m_caller_server(loop,
                       settings.m_instance.m_caller_address,
                       CallerServerOptions(settings),
-                      [this](std::shared_ptr<net::HttpExchange> exchange) {
-                        m_caller_api.Handle(std::move(exchange));
+                      [this](const std::shared_ptr<net::HttpExchange>& exchange) {
+                        m_caller_api.Handle(exchange);
                       }),
       m_operator_server(loop,
                         settings.m_instance.m_operator_address,
