Send changes with any gossip, and wait 150 ms before asking for them

Cause: messages other than urgent ones named a new revision without its changes, so the receiver called the instance that had accepted it. Change: every message carries the newest changes that its receiver has not confirmed; an instance that is behind waits 150 ms before it calls a peer.

--- a/src/include/nutmeghollow/configuration_system.h
+++ b/src/include/nutmeghollow/configuration_system.h
@@ -27,6 +27,9 @@
   Duration m_fetch_timeout = std::chrono::milliseconds(500);
   /// Fetches from peers that may fail before the table service is read.
   int m_fetch_attempts = 2;
+  /// An instance that is behind asks a peer only after this time, as gossip
+  /// brings small changes by itself.
+  Duration m_fetch_delay = std::chrono::milliseconds(150);
   /// An instance that is behind and does not poll reads the table service
   /// only after this time, so that peers can confirm the revision first.
   Duration m_peer_grace = std::chrono::milliseconds(300);
--- a/src/libnutmeg/configuration_system.cpp
+++ b/src/libnutmeg/configuration_system.cpp
@@ -279,6 +279,13 @@
   }
 }
 
+/// @return true while gossip may soon bring the changes by itself.
+bool InFetchDelay(const World& world, TimePoint now) {
+  const ConfigurationState& state = world.m_configuration_state;
+  return world.m_configuration.Ready() &&
+         now < *state.m_behind_since + state.m_parameters.m_fetch_delay;
+}
+
 /// @return true while a peer may soon confirm the revision that is missing.
 bool InPeerGrace(const World& world, TimePoint now) {
   const ConfigurationState& state = world.m_configuration_state;
@@ -297,7 +304,8 @@
     state.m_behind_since = now;
   }
   if (!state.m_fetch_from.empty() || state.m_stage != StoreReadStage::kIdle ||
-      StartFetch(world, now) || InPeerGrace(world, now)) {
+      InFetchDelay(world, now) || StartFetch(world, now) ||
+      InPeerGrace(world, now)) {
     return;
   }
   if (now >= state.m_retry_at) {
--- a/src/libnutmeg/packing.cpp
+++ b/src/libnutmeg/packing.cpp
@@ -42,13 +42,10 @@
          const InstanceId& to,
          ControlClass control_class,
          TimePoint now)
-      : m_world(world),
-        m_message(message),
-        m_to(to),
-        m_now(now),
-        m_urgent(control_class == ControlClass::kUrgent) {
+      : m_world(world), m_message(message), m_to(to), m_now(now) {
+    const bool urgent = control_class == ControlClass::kUrgent;
     m_important =
-        Allowance(world, m_urgent ? control_class : ControlClass::kStorePoll,
+        Allowance(world, urgent ? control_class : ControlClass::kStorePoll,
                   kImportantDivisor, now);
     m_filler = Allowance(world, ControlClass::kVerdict, kFillerDivisor, now);
     ToldPeer& told = world.m_gossip.m_told[to];
@@ -76,7 +73,6 @@
   GossipMessage& m_message;
   const InstanceId& m_to;
   TimePoint m_now;
-  bool m_urgent;
   std::size_t m_size = kBaseSize;
   bool m_details = false;  ///< The peer asked for addresses.
   std::int64_t m_important = 0;
@@ -124,7 +120,7 @@
 /// Adds the newest changes that the peer has not confirmed, as many as fit.
 void Packer::AddChanges() {
   const InstanceRow* peer = m_world.m_instances.Find(m_to);
-  if (!m_urgent || peer == nullptr) {
+  if (peer == nullptr) {
     return;
   }
   const auto& recent = m_world.m_configuration.m_recent_changes;
