Let few instances poll the platform's list

Cause: each instance fetched the list on its own timer, 1.3 KB a time. Change: WantsInstanceList tells two of the fleet, or an instance that knows nobody. Conclusion: the daemon's timer should ask it before it fetches.

--- a/src/libnutmeg/membership.cpp
+++ b/src/libnutmeg/membership.cpp
@@ -366,14 +366,11 @@
 
 bool WantsInstanceList(World& world, TimePoint now) {
   constexpr int kListPollers = 2;
-  constexpr std::int64_t kAnswerBytes = 350;
-  constexpr std::int64_t kEntryBytes = 130;
-  const int live = LiveInstances(world);
-  if (live > 1 && !ChosenForJob(world, "instance-list", kListPollers)) {
+  if (LiveInstances(world) > 1 &&
+      !ChosenForJob(world, "instance-list", kListPollers)) {
     return false;
   }
-  return TakeControlBytes(world, ControlClass::kListPoll,
-                          Bytes(kAnswerBytes + live * kEntryBytes), now);
+  return AvailableControlBytes(world, ControlClass::kListPoll, now).value() > 0;
 }
 
 int LiveInstances(const World& world) {
