--- a/src/libnutmeg/fleet_bench.cpp
+++ b/src/libnutmeg/fleet_bench.cpp
@@ -155,7 +155,7 @@
   World m_world;
 };
 
-void BM_ControlOfOneInstance(benchmark::State& state) {
+void ControlOfOneInstance(benchmark::State& state) {
   const auto before = static_cast<double>(mallinfo2().uordblks);
   ScriptedFleet fleet(static_cast<int>(state.range(0)),
                       static_cast<int>(state.range(1)));
@@ -172,7 +172,7 @@
       (static_cast<double>(mallinfo2().uordblks) - before) / 1024.0;
 }
 
-BENCHMARK(BM_ControlOfOneInstance)
+BENCHMARK(ControlOfOneInstance)
     ->ArgNames({"instances", "upstreams"})
     ->Args({7, 16})
     ->Args({90, 190})
@@ -183,7 +183,7 @@
 
 /// Seven real worlds before 16 upstreams under changing load. Also tells how
 /// old the loads are that peers hold, for owners and for all others.
-void BM_SevenInstances(benchmark::State& state) {
+void SevenInstances(benchmark::State& state) {
   constexpr int kUpstreams = 16;
   FleetForTest fleet(7, 3, 1);
   std::mt19937_64 random(2);
@@ -244,9 +244,9 @@
   state.counters["other_age_s"] = age_sum[1] / ages[1];
 }
 
-BENCHMARK(BM_SevenInstances)->Iterations(120)->Unit(benchmark::kMillisecond);
+BENCHMARK(SevenInstances)->Iterations(120)->Unit(benchmark::kMillisecond);
 
-void BM_IdleTick(benchmark::State& state) {
+void IdleTick(benchmark::State& state) {
   ScriptedFleet fleet(360, 760);
   TimePoint now = fleet.TheWorld().m_budget.m_filled_at;
   for (auto _ : state) {
@@ -254,7 +254,7 @@
   }
 }
 
-BENCHMARK(BM_IdleTick);
+BENCHMARK(IdleTick);
 
 }  // namespace
 }  // namespace nutmeghollow
