--- a/src/libnutmeg/placement_test.cpp
+++ b/src/libnutmeg/placement_test.cpp
@@ -165,8 +165,11 @@
       ChangeRunning(m_fixture.m_world, m_fixture.Engine(index), 3,
                     m_fixture.m_now);
     }
-    m_fixture.Run();
-    for (std::uint64_t chat = 1; m_row == nullptr; ++chat) {
+    // The control budget, which pays for the question, fills over time.
+    AvailableControlBytes(m_fixture.m_world, ControlClass::kReservation,
+                          m_fixture.m_now);
+    m_fixture.Advance(seconds(10));
+    for (std::uint64_t chat = 1; m_row == nullptr && chat < 1000; ++chat) {
       RequestRow& row = m_fixture.Send(chat);
       if (row.m_phase == RequestPhase::kReserving) {
         m_row = &row;
