Revert the preference for owned engines and reports before gossip

Cause: with seven instances the loads of engines are known late, and the bound is not kept. Change tried: reports before announcements, the average for engines without a report, flexible requests on owned engines, a lower bound of two square roots. Conclusion: reverted.

--- a/src/include/nutmeghollow/loads.h
+++ b/src/include/nutmeghollow/loads.h
@@ -4,15 +4,14 @@
 /// The load of an upstream is what this instance has running there, which is
 /// exact, plus what the others have, which is not. The second part comes from
 /// the upstream's last report less what this instance had running when it was
-/// taken. Without a report it is what the other instances announced, which
-/// may leave some of them out.
+/// taken, and from what the other instances announced. The higher one counts:
+/// either may miss requests, and neither invents many.
 #pragma once
 
 #include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -28,7 +27,7 @@
 /// Settings of load estimates.
 struct LoadParameters {
   /// An older report is not used.
-  Duration m_report_age_limit = std::chrono::seconds(8);
+  Duration m_report_age_limit = std::chrono::seconds(5);
   /// An older announcement of another instance is not used.
   Duration m_peer_age_limit = std::chrono::seconds(5);
   /// Reservations granted to others count for this long, or until a report
@@ -117,11 +116,10 @@
 bool InSameRegion(const InstanceRow& instance, const UpstreamRow& upstream);
 
 /// Estimates what other instances have running at an upstream.
-/// @return unset when nothing is known about it.
-std::optional<int> EstimateRemote(const World& world,
-                                  const UpstreamRow& row,
-                                  const UpstreamLoad* load,
-                                  TimePoint now);
+int EstimateRemote(const World& world,
+                   const UpstreamRow& row,
+                   const UpstreamLoad* load,
+                   TimePoint now);
 
 /// @return the share of an upstream's weight that counts in slow start, from
 /// above zero to one.
--- a/src/include/nutmeghollow/placement.h
+++ b/src/include/nutmeghollow/placement.h
@@ -33,7 +33,7 @@
   std::string m_policy = "bounded";
   /// Placements keep to a lower bound while they can: the one that holds after
   /// the load of the route fell by this many times its square root.
-  double m_load_margin = 2.0;
+  double m_load_margin = 1.5;
   /// A mean load below this counts as this, so that at low load a chat stays
   /// with its prefix.
   double m_least_mean = 4.0;
@@ -51,9 +51,8 @@
   /// An instance that owned its engines for this long knows their chats: one
   /// that it does not remember is new.
   Duration m_memory_settle = std::chrono::seconds(30);
-  /// An engine is near its bound when fewer free places are left than this
-  /// many times the square root of the bound.
-  double m_reservation_margin = 1.5;
+  /// An engine is near its bound when fewer free places than this are left.
+  int m_reservation_margin = 2;
   /// The owner of an engine is asked before a placement near the bound.
   bool m_reservations = true;
   /// Without an answer of the owner in this time, this instance decides.
--- a/src/libnutmeg/loads.cpp
+++ b/src/libnutmeg/loads.cpp
@@ -1,7 +1,6 @@
 #include "nutmeghollow/loads.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "nutmeghollow/hashing.h"
 #include "nutmeghollow/world.h"
@@ -114,55 +113,23 @@
   return m_running[slot % kSlots];
 }
 
-namespace {
-
-/// Computes the loads of all candidates. One of which nothing is known counts
-/// as having what the known ones have on average.
-void RefreshLoads(const World& world, DestinationView& view, TimePoint now) {
-  double sum = 0.0;
-  int known = 0;
-  std::vector<Candidate*> unknown;
-  for (Candidate& candidate : view.m_candidates) {
-    candidate.m_warmth =
-        WarmthOf(world.m_load_parameters, *candidate.m_row, now);
-    const std::optional<int> remote =
-        EstimateRemote(world, *candidate.m_row, candidate.m_load, now);
-    candidate.m_remote = remote.value_or(0);
-    if (remote) {
-      sum += *remote;
-      ++known;
-    } else {
-      unknown.push_back(&candidate);
-    }
-  }
-  for (Candidate* candidate : unknown) {
-    candidate->m_remote =
-        known == 0 ? 0 : static_cast<int>(std::lround(sum / known));
-  }
-}
-
-}  // namespace
-
 bool InSameRegion(const InstanceRow& instance, const UpstreamRow& upstream) {
   return instance.m_region.empty() || upstream.m_region.empty() ||
          instance.m_region == upstream.m_region;
 }
 
-std::optional<int> EstimateRemote(const World& world,
-                                  const UpstreamRow& row,
-                                  const UpstreamLoad* load,
-                                  TimePoint now) {
-  const int grants = load == nullptr ? 0 : CountGrants(world, row, *load, now);
-  const int announced = PeersRunning(world, row.m_id, now);
+int EstimateRemote(const World& world,
+                   const UpstreamRow& row,
+                   const UpstreamLoad* load,
+                   TimePoint now) {
+  int remote = PeersRunning(world, row.m_id, now);
   if (HasFreshReport(world, row, now)) {
     const LoadReport& report = *row.m_report;
     const int own = load == nullptr ? 0 : load->m_history.At(report.m_taken_at);
-    return std::max(0, report.m_running + report.m_queued - own) + grants;
+    remote = std::max(remote, report.m_running + report.m_queued - own);
   }
-  if (announced > 0 || grants > 0) {
-    return announced + grants;
-  }
-  return std::nullopt;
+  return load == nullptr ? remote
+                         : remote + CountGrants(world, row, *load, now);
 }
 
 double WarmthOf(const LoadParameters& parameters,
@@ -194,7 +161,12 @@
     return view;
   }
   view.m_refresh_at = now + world.m_load_parameters.m_refresh;
-  RefreshLoads(world, view, now);
+  for (Candidate& candidate : view.m_candidates) {
+    candidate.m_remote =
+        EstimateRemote(world, *candidate.m_row, candidate.m_load, now);
+    candidate.m_warmth =
+        WarmthOf(world.m_load_parameters, *candidate.m_row, now);
+  }
   return view;
 }
 
--- a/src/libnutmeg/loads_test.cpp
+++ b/src/libnutmeg/loads_test.cpp
@@ -44,9 +44,8 @@
         .m_received_at = fixture.m_now - test.m_peer_age};
   }
   const UpstreamLoad& load = fixture.m_world.m_loads.m_upstreams[engine.m_id];
-  EXPECT_EQ(
-      EstimateRemote(fixture.m_world, engine, &load, fixture.m_now).value_or(0),
-      test.m_remote);
+  EXPECT_EQ(EstimateRemote(fixture.m_world, engine, &load, fixture.m_now),
+            test.m_remote);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -56,12 +55,11 @@
         RemoteCase{"Nothing", {}, {}, {}, {}, 0},
         RemoteCase{"FreshReport", 9, milliseconds(100), {}, {}, 4},
         RemoteCase{"LaggingReport", 9, seconds(2), {}, {}, 7},
-        RemoteCase{"StaleReport", 9, seconds(9), {}, {}, 0},
+        RemoteCase{"StaleReport", 9, seconds(6), {}, {}, 0},
         RemoteCase{"ReportBelowOwn", 1, milliseconds(100), {}, {}, 0},
         RemoteCase{"Announcement", {}, {}, 3, seconds(1), 3},
         RemoteCase{"StaleAnnouncement", {}, {}, 3, seconds(6), 0},
-        RemoteCase{"ReportBeforeAnnouncement", 9, seconds(2), 3, seconds(1),
-                   7}),
+        RemoteCase{"HigherCounts", 9, milliseconds(100), 6, seconds(1), 6}),
     [](const auto& info) { return std::string(info.param.m_name); });
 
 TEST(Loads, GrantsCountUntilAReportHoldsThem) {
@@ -70,8 +68,7 @@
   RecordGrant(fixture.m_world, engine.m_id, fixture.m_now);
   const UpstreamLoad& load = fixture.m_world.m_loads.m_upstreams[engine.m_id];
   const auto remote = [&] {
-    return EstimateRemote(fixture.m_world, engine, &load, fixture.m_now)
-        .value_or(0);
+    return EstimateRemote(fixture.m_world, engine, &load, fixture.m_now);
   };
   EXPECT_EQ(remote(), 1);
   fixture.m_now += seconds(1);
@@ -82,18 +79,6 @@
   EXPECT_EQ(remote(), 0) << "it ran out";
 }
 
-TEST(Loads, AnEngineWithoutReportCountsAsTheAverage) {
-  PlacementFixture fixture(3);
-  for (int index = 0; index < 2; ++index) {
-    fixture.Engine(index).m_report =
-        LoadReport{.m_running = 4 + 2 * index, .m_taken_at = fixture.m_now};
-  }
-  const DestinationView& view = ViewOf(
-      fixture.m_world, {RequestKind::kChat, RouteId("model"), ServiceId()},
-      fixture.m_now);
-  EXPECT_EQ(view.m_candidates[2].m_remote, 5);
-}
-
 TEST(Loads, NeverFallBelowZero) {
   PlacementFixture fixture(1);
   EXPECT_DEATH(
--- a/src/libnutmeg/placement_policy.cpp
+++ b/src/libnutmeg/placement_policy.cpp
@@ -14,8 +14,6 @@
 /// Added to the score of candidates in the own region, so that they come
 /// before all others.
 constexpr double kRegionScore = 1.0;
-/// Puts the engines of this instance before all others.
-constexpr double kOwnedScore = 1e6;
 
 /// Load of a candidate relative to its weight, with one more request.
 double RelativeLoad(const Candidate& candidate) {
@@ -84,7 +82,6 @@
   struct Below {
     Best m_in_order;  ///< The first in the chat's order.
     Best m_holder;    ///< The one of the latest prefix.
-    Best m_owned;     ///< The least loaded that this instance owns.
   };
 
   void Consider(int index, const Candidate& candidate) {
@@ -102,41 +99,27 @@
         LimitsOf(m_query.m_world, m_totals, candidate, m_query.m_bound);
     const int load = candidate.Load() + 1;
     const int age = AgeOfPrefix(candidate);
-    // Only the owner knows the load of an engine well. Others keep a distance
-    // from the bounds.
-    const bool is_owned = IsOwned(index);
     if (load <= limits.m_hard) {
       // Above the inner bound the lowest load counts, not the order.
-      m_within_hard.Offer(
-          index, (is_owned ? kOwnedScore : 0.0) - RelativeLoad(candidate));
+      m_within_hard.Offer(index, -RelativeLoad(candidate));
     }
-    if (load <= (is_owned ? limits.m_inner : limits.m_cheap_prefix)) {
-      Offer(m_within_inner, index, score, age, is_owned);
+    if (load <= limits.m_inner) {
+      Offer(m_within_inner, index, score, age);
     } else {
       m_holder_is_full = m_holder_is_full || age >= 0;
     }
-    const int flexible = age >= 0   ? limits.m_cheap_prefix
-                         : is_owned ? limits.m_flexible
-                                    : limits.m_flexible - 1;
+    const int flexible = age >= 0 ? limits.m_cheap_prefix : limits.m_flexible;
     if (load <= flexible) {
-      Offer(m_within_flexible, index, score, age, is_owned);
+      // A cheap prefix need not be found again: it goes to the lowest load.
+      Offer(m_within_flexible, index,
+            m_has_cheap_prefix ? -RelativeLoad(candidate) : score, age);
     }
   }
 
-  void Offer(Below& below,
-             int index,
-             double score,
-             int age,
-             bool is_owned) const {
+  static void Offer(Below& below, int index, double score, int age) {
     below.m_in_order.Offer(index, score);
     if (age >= 0) {
-      // An older prefix at an engine of this instance is better than the latest
-      // one elsewhere: the chat does not stay where it overflowed to.
-      below.m_holder.Offer(index, (is_owned ? kOwnedScore : 0.0) - age);
-    }
-    if (is_owned) {
-      below.m_owned.Offer(index,
-                          -RelativeLoad(m_query.m_view.m_candidates[index]));
+      below.m_holder.Offer(index, -age);
     }
   }
 
@@ -163,7 +146,9 @@
       return true;
     }
     const PlacementState& state = m_query.m_world.m_placement;
-    return IsOwned(m_home.m_index) &&
+    return m_home.m_index >= 0 &&
+           m_query.m_view.m_candidates[m_home.m_index].m_row->m_owner ==
+               m_query.m_world.m_instances.m_self &&
            m_query.m_now - state.m_owners_changed_at >=
                m_parameters.m_memory_settle;
   }
@@ -178,15 +163,16 @@
   }
 
   std::optional<PlacementChoice> Choose() const {
-    if (m_has_cheap_prefix || IsNewChat()) {
-      if (const auto choice = ChooseFlexible()) {
+    const bool is_flexible = m_has_cheap_prefix || IsNewChat();
+    if (is_flexible) {
+      if (const auto choice = ChooseBelow(m_within_flexible)) {
         return choice;
       }
     }
     if (m_within_inner.m_holder.m_index < 0 && ShouldWait()) {
       return PlacementChoice{.m_wait = true};
     }
-    if (const auto choice = ChooseWithinInner()) {
+    if (const auto choice = ChooseBelow(m_within_inner)) {
       return choice;
     }
     if (m_within_hard.m_index >= 0) {
@@ -195,55 +181,14 @@
     return std::nullopt;
   }
 
-  std::optional<PlacementChoice> ChooseFlexible() const {
-    const Below& below = m_within_flexible;
-    if (IsOwned(below.m_holder.m_index)) {
-      return ChooseHolder(below.m_holder);
-    }
-    // A cheap prefix need not be found again: it goes to the lowest load.
-    if (!m_has_cheap_prefix && below.m_in_order.m_index == m_home.m_index) {
-      return Choice(m_home.m_index, PlacementReason::kHome);
-    }
-    if (below.m_owned.m_index >= 0) {
-      return ChooseLater(below.m_owned.m_index);
-    }
-    // A long chat would come back to this instance for each turn, so that it
-    // stays with the engines of this instance.
-    if (!m_has_cheap_prefix) {
-      return std::nullopt;
-    }
-    return ChooseLater(m_within_inner.m_owned.m_index >= 0
-                           ? m_within_inner.m_owned.m_index
-                           : below.m_in_order.m_index);
-  }
-
-  bool IsOwned(int index) const {
-    return index >= 0 && m_query.m_view.m_candidates[index].m_row->m_owner ==
-                             m_query.m_world.m_instances.m_self;
-  }
-
-  std::optional<PlacementChoice> ChooseWithinInner() const {
-    const Below& below = m_within_inner;
+  std::optional<PlacementChoice> ChooseBelow(const Below& below) const {
     if (below.m_holder.m_index >= 0) {
-      return ChooseHolder(below.m_holder);
+      return Choice(below.m_holder.m_index,
+                    below.m_holder.m_score == 0.0
+                        ? PlacementReason::kPrefix
+                        : PlacementReason::kOlderPrefix);
     }
-    if (below.m_in_order.m_index == m_home.m_index) {
-      return ChooseLater(m_home.m_index);
-    }
-    return ChooseLater(below.m_owned.m_index >= 0 ? below.m_owned.m_index
-                                                  : below.m_in_order.m_index);
-  }
-
-  PlacementChoice ChooseHolder(const Best& holder) const {
-    const bool is_latest =
-        m_memory->m_holders[0] ==
-        m_query.m_view.m_candidates[holder.m_index].m_memory_index;
-    return Choice(holder.m_index, is_latest ? PlacementReason::kPrefix
-                                            : PlacementReason::kOlderPrefix);
-  }
-
-  /// @return the home or a later candidate, with the reason; unset for -1.
-  std::optional<PlacementChoice> ChooseLater(int index) const {
+    const int index = below.m_in_order.m_index;
     if (index < 0) {
       return std::nullopt;
     }
@@ -259,12 +204,10 @@
     const Candidate& candidate = m_query.m_view.m_candidates[index];
     const CandidateLimits limits =
         LimitsOf(m_query.m_world, m_totals, candidate, m_query.m_bound);
-    // What others have running is known as well as a random count is.
-    const double margin = m_parameters.m_reservation_margin *
-                          std::sqrt(static_cast<double>(limits.m_inner));
     return {.m_candidate = index,
             .m_reason = reason,
-            .m_near_bound = candidate.Load() + 1 > limits.m_inner - margin};
+            .m_near_bound = candidate.Load() + 1 >
+                            limits.m_inner - m_parameters.m_reservation_margin};
   }
 
   const PlacementQuery& m_query;
--- a/src/libnutmeg/reservations.cpp
+++ b/src/libnutmeg/reservations.cpp
@@ -27,8 +27,7 @@
              LimitsOf(world, totals, candidate, bound).m_inner;
 }
 
-/// @return the least loaded engine of this instance with room, other than the
-/// one asked for. It knows the load of others no better than who asks.
+/// @return the least loaded engine with room, other than the one asked for.
 UpstreamId FindAlternative(const World& world,
                            const DestinationView& view,
                            const LoadTotals& totals,
@@ -37,7 +36,6 @@
   const Candidate* best = nullptr;
   for (const Candidate& candidate : view.m_candidates) {
     if (candidate.m_row->m_id == asked ||
-        candidate.m_row->m_owner != world.m_instances.m_self ||
         !HasPlace(world, totals, candidate, bound)) {
       continue;
     }
@@ -75,36 +73,6 @@
   return answer;
 }
 
-/// @return the least loaded engine of this instance below the bound.
-std::optional<PlacementChoice> ChooseOwned(const World& world,
-                                           const RequestRow& row,
-                                           const DestinationView& view) {
-  const auto route = world.m_routes.find(row.m_request.m_route);
-  if (route == world.m_routes.end()) {
-    return std::nullopt;
-  }
-  const LoadTotals totals = SumLoads(view);
-  int best = -1;
-  for (int index = 0; index < static_cast<int>(view.m_candidates.size());
-       ++index) {
-    const Candidate& candidate = view.m_candidates[index];
-    const bool has_place =
-        candidate.m_row->m_owner == world.m_instances.m_self &&
-        MayReceive(row, candidate) &&
-        candidate.Load() <
-            LimitsOf(world, totals, candidate, route->second.m_bound).m_hard;
-    if (has_place &&
-        (best < 0 || candidate.Load() < view.m_candidates[best].Load())) {
-      best = index;
-    }
-  }
-  if (best < 0) {
-    return std::nullopt;
-  }
-  return PlacementChoice{.m_candidate = best,
-                         .m_reason = PlacementReason::kOverflow};
-}
-
 /// Places a request after the owner answered, or by itself without answer.
 void Settle(World& world,
             RequestRow& row,
@@ -124,10 +92,9 @@
       return;
     }
   }
-  const auto choice = ChooseOwned(world, row, view);
-  const auto other = choice ? choice : Decide(world, row, view, now);
-  if (other && !other->m_wait) {
-    Place(world, row, view, *other, now);
+  const auto choice = Decide(world, row, view, now);
+  if (choice && !choice->m_wait) {
+    Place(world, row, view, *choice, now);
   } else {
     world.m_requests.SetPhase(row, RequestPhase::kAdmitted, now);
   }
