Wire first turns, list polls and empty look-ups

Cause: placement wants to know a chat's first turn; the instance list was polled without regard to the budget; a look-up could answer an empty list. Change: those three, and a tick at least every 10 ms.

--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -171,6 +171,13 @@
   for (const Endpoint& endpoint : m_hooks.m_choose_entry(chat, route)) {
     addresses.push_back(endpoint.str());
   }
+  if (addresses.empty()) {
+    Problem problem = RequestProblem(503, "not-ready", "No instance",
+                                     "no instance takes new callers now");
+    problem.m_retry_after = std::chrono::seconds(1);
+    SendProblem(exchange, problem, NewPublicId());
+    return;
+  }
   const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(
       m_settings->m_drain.m_keep);
   const ordered_json body{
@@ -214,6 +221,7 @@
         added.m_chat = chat.m_chat;
         added.m_digest = chat.m_digest;
         added.m_streamed = chat.m_streamed;
+        added.m_first_turn = chat.m_first_turn;
         net::OutgoingRequest outgoing;
         outgoing.m_path = request.m_path;
         Submit(exchange, std::move(added), std::move(outgoing));
--- a/src/nutmegd/chat_request.cpp
+++ b/src/nutmegd/chat_request.cpp
@@ -39,6 +39,15 @@
   return ChatKey(hash);
 }
 
+bool IsFirstTurn(const simdjson::dom::array& messages) {
+  for (const element message : messages) {
+    if (TextOf(message, "role") == "assistant") {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
 struct ChatRequestReader::Parser {
@@ -75,6 +84,7 @@
     }
   }
   ChatRequest request;
+  request.m_first_turn = IsFirstTurn(messages);
   request.m_route = RouteId(*model);
   element stream;
   if (root["stream"].get(stream) == simdjson::SUCCESS && !stream.is_null() &&
--- a/src/nutmegd/chat_request.h
+++ b/src/nutmegd/chat_request.h
@@ -17,6 +17,7 @@
   ChatKey m_chat;
   RequestDigest m_digest;
   bool m_streamed = false;
+  bool m_first_turn = true;  ///< No message is an earlier answer.
 };
 
 /// A body that is not a chat completion request.
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -41,7 +41,7 @@
 using net::LogLevel;
 
 /// Longest time between two ticks; timers of the systems are this exact.
-constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr Duration kTickPeriod = std::chrono::milliseconds(10);
 /// Ticks in a row before other watchers get their turn.
 constexpr int kTicksInARow = 8;
 /// HTTP, TCP and IP header bytes of a call to the platform, each way.
@@ -222,12 +222,13 @@
       m_operator_api(m_world,
                      {.m_token_digests = settings.m_operators},
                      MakeOperatorHooks()),
-      m_caller_server(loop,
-                      settings.m_instance.m_caller_address,
-                      CallerServerOptions(settings),
-                      [this](const std::shared_ptr<net::HttpExchange>& exchange) {
-                        m_caller_api.Handle(exchange);
-                      }),
+      m_caller_server(
+          loop,
+          settings.m_instance.m_caller_address,
+          CallerServerOptions(settings),
+          [this](const std::shared_ptr<net::HttpExchange>& exchange) {
+            m_caller_api.Handle(exchange);
+          }),
       m_operator_server(loop,
                         settings.m_instance.m_operator_address,
                         {},
@@ -238,7 +239,12 @@
       m_interrupt(loop, SIGINT, [this] { HandleStopSignal(); }),
       m_tick_timer(loop, [this] { Wake(); }),
       m_soon(loop, [this] { Wake(); }),
-      m_list_timer(loop, [this] { FetchInstanceList(); }),
+      m_list_timer(loop,
+                   [this] {
+                     if (WantsInstanceList(m_world, BootTime())) {
+                       FetchInstanceList();
+                     }
+                   }),
       m_before_sleep(loop, [this] {
         if (m_dirty) {
           RunTicks();
