Tell probing what ordinary traffic shows

Cause: the free evidence of requests was not used. Change: each attempt's headers, end or failure goes to NoteTrafficEvidence; the problem type answer-not-kept has its own word.

--- a/src/include/nutmeghollow/budget.h
+++ b/src/include/nutmeghollow/budget.h
@@ -60,7 +60,7 @@
   BudgetParameters m_parameters;
   std::array<ControlCounters, static_cast<int>(ControlClass::kCount)>
       m_counters;
-  Bytes m_rate{1700};      ///< Rate in force for the current fleet size.
+  Bytes m_rate{1700};   ///< Rate in force for the current fleet size.
   double m_tokens = 0;  ///< Bytes that may be sent; negative after a burst.
   TimePoint m_filled_at{};
   TimePoint m_next_rate{};  ///< When the rate is set anew.
--- a/src/libnutmeg/attempt_events.cpp
+++ b/src/libnutmeg/attempt_events.cpp
@@ -190,6 +190,31 @@
   }
 }
 
+/// Tells probing what an attempt says about the health of its upstream.
+void NoteEvidence(World& world,
+                  const RequestRow& row,
+                  AttemptEventKind kind,
+                  TimePoint now) {
+  switch (kind) {
+    case AttemptEventKind::kHeaders:
+    case AttemptEventKind::kComplete:
+      NoteTrafficEvidence(world, row.m_upstream, true, now);
+      break;
+    case AttemptEventKind::kConnectFailed:
+    case AttemptEventKind::kBroken:
+    case AttemptEventKind::kTimeout:
+    case AttemptEventKind::kWrongRequestId:
+      NoteTrafficEvidence(world, row.m_upstream, false, now);
+      break;
+    case AttemptEventKind::kBytesSent:
+    case AttemptEventKind::kAnswerBytes:
+    case AttemptEventKind::kNotKept:
+    case AttemptEventKind::kRefused:
+    case AttemptEventKind::kIncomplete:
+      break;
+  }
+}
+
 }  // namespace
 
 void ResumeAttempt(World& world, RequestRow& row, TimePoint now) {
@@ -219,6 +244,7 @@
     return;
   }
   HandleBytes(*row, event.m_bytes);
+  NoteEvidence(world, *row, event.m_kind, now);
   switch (event.m_kind) {
     case AttemptEventKind::kBytesSent:
       HandleBytesSent(world, *row, now);
--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -91,6 +91,8 @@
       return "key-in-progress";
     case Refusal::kKeyUnknown:
       return "outcome-unknown";
+    case Refusal::kAnswerNotKept:
+      return "answer-not-kept";
     case Refusal::kQuarantined:
       return "quarantined";
     case Refusal::kUpstreamTimeout:
