--- a/src/libnet/datagram_seal_test.cpp
+++ b/src/libnet/datagram_seal_test.cpp
@@ -11,8 +11,8 @@
 
 namespace leaf = boost::leaf;
 
-const InstanceId instance_a("inst-a");
-const InstanceId instance_b("inst-b");
+const InstanceId kInstanceA("inst-a");
+const InstanceId kInstanceB("inst-b");
 
 FleetKeys Keys(char fill) {
   return FleetKeys{{std::string(32, fill)}};
@@ -35,10 +35,10 @@
 }
 
 TEST(DatagramSeal, OpensWhatAPeerSealed) {
-  DatagramSeal a(instance_a, Incarnation(1), Keys('k'));
-  DatagramSeal b(instance_b, Incarnation(1), Keys('k'));
+  DatagramSeal a(kInstanceA, Incarnation(1), Keys('k'));
+  DatagramSeal b(kInstanceB, Incarnation(1), Keys('k'));
   std::string payload;
-  EXPECT_EQ(Try(b, a.Seal(instance_b, "hello"), &payload), std::nullopt);
+  EXPECT_EQ(Try(b, a.Seal(kInstanceB, "hello"), &payload), std::nullopt);
   EXPECT_EQ(payload, "hello");
 }
 
@@ -51,9 +51,9 @@
 class Forged : public ::testing::TestWithParam<ForgedCase> {};
 
 TEST_P(Forged, IsRejectedForItsReason) {
-  DatagramSeal a(instance_a, Incarnation(5), Keys('k'));
-  DatagramSeal b(instance_b, Incarnation(5), Keys('k'));
-  EXPECT_EQ(Try(b, a.Seal(instance_b, "first")), std::nullopt);
+  DatagramSeal a(kInstanceA, Incarnation(5), Keys('k'));
+  DatagramSeal b(kInstanceB, Incarnation(5), Keys('k'));
+  EXPECT_EQ(Try(b, a.Seal(kInstanceB, "first")), std::nullopt);
   EXPECT_EQ(Try(b, GetParam().m_make(a, b)), GetParam().m_reason);
 }
 
@@ -70,7 +70,7 @@
                    DatagramRejection::kMalformed},
         ForgedCase{
             "OtherVersion",
-            [](auto& a, auto&) { return Changed(a.Seal(instance_b, "x"), 0); },
+            [](auto& a, auto&) { return Changed(a.Seal(kInstanceB, "x"), 0); },
             DatagramRejection::kMalformed},
         ForgedCase{"TooLong",
                    [](auto&, auto&) { return std::string(1201, '\1'); },
@@ -82,20 +82,20 @@
                    DatagramRejection::kMalformed},
         ForgedCase{
             "ChangedSender",
-            [](auto& a, auto&) { return Changed(a.Seal(instance_b, "x"), 3); },
+            [](auto& a, auto&) { return Changed(a.Seal(kInstanceB, "x"), 3); },
             DatagramRejection::kBadMac},
         ForgedCase{
             "ChangedSession",
-            [](auto& a, auto&) { return Changed(a.Seal(instance_b, "x"), 9); },
+            [](auto& a, auto&) { return Changed(a.Seal(kInstanceB, "x"), 9); },
             DatagramRejection::kBadMac},
         ForgedCase{
             "ChangedPayload",
-            [](auto& a, auto&) { return Changed(a.Seal(instance_b, "x"), 24); },
+            [](auto& a, auto&) { return Changed(a.Seal(kInstanceB, "x"), 24); },
             DatagramRejection::kBadMac},
         ForgedCase{"OtherKey",
                    [](auto&, auto&) {
-                     DatagramSeal other(instance_a, Incarnation(5), Keys('z'));
-                     return other.Seal(instance_b, "x");
+                     DatagramSeal other(kInstanceA, Incarnation(5), Keys('z'));
+                     return other.Seal(kInstanceB, "x");
                    },
                    DatagramRejection::kBadMac},
         ForgedCase{
@@ -103,20 +103,20 @@
             [](auto& a, auto&) { return a.Seal(InstanceId("inst-c"), "x"); },
             DatagramRejection::kBadMac},
         ForgedCase{"Reflected",
-                   [](auto&, auto& b) { return b.Seal(instance_b, "x"); },
+                   [](auto&, auto& b) { return b.Seal(kInstanceB, "x"); },
                    DatagramRejection::kOwn},
         ForgedCase{"Replayed",
                    [](auto& a, auto& b) {
-                     std::string datagram = a.Seal(instance_b, "x");
+                     std::string datagram = a.Seal(kInstanceB, "x");
                      EXPECT_EQ(Try(b, datagram), std::nullopt);
                      return datagram;
                    },
                    DatagramRejection::kReplayed},
         ForgedCase{"ReplayedFromBeforeTheWindow",
                    [](auto& a, auto& b) {
-                     std::string old = a.Seal(instance_b, "x");
+                     std::string old = a.Seal(kInstanceB, "x");
                      for (int i = 0; i < 1100; ++i) {
-                       EXPECT_EQ(Try(b, a.Seal(instance_b, "y")), std::nullopt);
+                       EXPECT_EQ(Try(b, a.Seal(kInstanceB, "y")), std::nullopt);
                      }
                      return old;
                    },
@@ -124,20 +124,20 @@
         ForgedCase{
             "ReplayedFromBeforeARestart",
             [](auto& a, auto& b) {
-              DatagramSeal restarted(instance_a, Incarnation(6), Keys('k'));
-              EXPECT_EQ(Try(b, restarted.Seal(instance_b, "x")), std::nullopt);
-              return a.Seal(instance_b, "x");
+              DatagramSeal restarted(kInstanceA, Incarnation(6), Keys('k'));
+              EXPECT_EQ(Try(b, restarted.Seal(kInstanceB, "x")), std::nullopt);
+              return a.Seal(kInstanceB, "x");
             },
             DatagramRejection::kOldSession}),
     [](const auto& info) { return info.param.m_name; });
 
 TEST(DatagramSeal, AcceptsDatagramsOutOfOrderOnce) {
-  DatagramSeal a(instance_a, Incarnation(1), Keys('k'));
-  DatagramSeal b(instance_b, Incarnation(1), Keys('k'));
+  DatagramSeal a(kInstanceA, Incarnation(1), Keys('k'));
+  DatagramSeal b(kInstanceB, Incarnation(1), Keys('k'));
   std::vector<std::string> datagrams;
   datagrams.reserve(500);
   for (int i = 0; i < 500; ++i) {
-    datagrams.push_back(a.Seal(instance_b, "x"));
+    datagrams.push_back(a.Seal(kInstanceB, "x"));
   }
   std::mt19937 random(7);
   std::shuffle(datagrams.begin(), datagrams.end(), random);
@@ -150,16 +150,16 @@
 }
 
 TEST(DatagramSeal, AcceptsTheNextKeyDuringARollout) {
-  DatagramSeal a(instance_a, Incarnation(1), Keys('n'));
-  DatagramSeal b(instance_b, Incarnation(1),
+  DatagramSeal a(kInstanceA, Incarnation(1), Keys('n'));
+  DatagramSeal b(kInstanceB, Incarnation(1),
                  FleetKeys{{std::string(32, 'k'), std::string(32, 'n')}});
-  EXPECT_EQ(Try(b, a.Seal(instance_b, "x")), std::nullopt);
+  EXPECT_EQ(Try(b, a.Seal(kInstanceB, "x")), std::nullopt);
 }
 
 TEST(DatagramSeal, RejectsEveryTruncationAndRandomBytes) {
-  DatagramSeal a(instance_a, Incarnation(1), Keys('k'));
-  DatagramSeal b(instance_b, Incarnation(1), Keys('k'));
-  const std::string whole = a.Seal(instance_b, "some payload");
+  DatagramSeal a(kInstanceA, Incarnation(1), Keys('k'));
+  DatagramSeal b(kInstanceB, Incarnation(1), Keys('k'));
+  const std::string whole = a.Seal(kInstanceB, "some payload");
   for (std::size_t size = 0; size < whole.size(); ++size) {
     EXPECT_NE(Try(b, whole.substr(0, size)), std::nullopt);
   }
--- a/src/libnet/peer_rpc_test.cpp
+++ b/src/libnet/peer_rpc_test.cpp
@@ -16,9 +16,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const InstanceId server_id("inst-server");
-const InstanceId client_id("inst-client");
-const Endpoint any_port("127.0.0.1:0");
+const InstanceId kServerId("inst-server");
+const InstanceId kClientId("inst-client");
+const Endpoint kAnyPort("127.0.0.1:0");
 
 FleetKeys Keys(char fill) {
   return FleetKeys{{std::string(32, fill)}};
@@ -52,11 +52,11 @@
 
   void StartServer(const PeerServerOptions& options = {}) {
     m_server = std::make_unique<PeerServer>(
-        m_kj, any_port, PeerIdentity{server_id, Keys('k')}, m_hooks, options);
+        m_kj, kAnyPort, PeerIdentity{kServerId, Keys('k')}, m_hooks, options);
   }
 
   PeerAddress ServerAddress() const {
-    return {server_id,
+    return {kServerId,
             Endpoint("127.0.0.1:" + std::to_string(m_server->Port()))};
   }
 
@@ -106,7 +106,7 @@
 
 TEST_F(PeerRpc, CarriesEachKindOfCallOverOneConnection) {
   StartServer();
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   std::optional<ConfigurationTransfer> transfer;
   client.FetchConfiguration(
       ServerAddress(), Revision(3), seconds(10),
@@ -128,7 +128,7 @@
   EXPECT_TRUE(granted.m_value->m_granted);
   EXPECT_FALSE(refused.m_value->m_granted);
   EXPECT_EQ(refused.m_value->m_alternative, UpstreamId("other"));
-  EXPECT_EQ(m_asked_by, client_id);
+  EXPECT_EQ(m_asked_by, kClientId);
   EXPECT_EQ(m_server->Counters().m_accepted, 1U);
   EXPECT_GT(client.Traffic().m_sent, 0);
 }
@@ -145,7 +145,7 @@
     return transfer;
   };
   StartServer();
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   std::optional<PeerAnswer<ConfigurationTransfer>> end;
   client.FetchConfiguration(ServerAddress(), Revision(0), seconds(10),
                             [&end](auto answer) { end = std::move(answer); });
@@ -165,7 +165,7 @@
 
 TEST_P(Stranger, IsRejected) {
   StartServer();
-  PeerClient client(m_kj, {client_id, Keys(GetParam().m_key)});
+  PeerClient client(m_kj, {kClientId, Keys(GetParam().m_key)});
   PeerAddress address = ServerAddress();
   address.m_id = GetParam().m_expected_server;
   const auto answer = Reserve(client, address, "free");
@@ -178,14 +178,14 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     Stranger,
-    ::testing::Values(StrangerCase{"OtherKey", 'z', server_id},
+    ::testing::Values(StrangerCase{"OtherKey", 'z', kServerId},
                       StrangerCase{"ProofForAnotherServer", 'k',
                                    InstanceId("inst-other")}),
     [](const auto& info) { return info.param.m_name; });
 
 TEST_F(PeerRpc, GivesUpASilentPeerAndOpensANewConnection) {
   StartServer();
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   const auto silent =
       Reserve(client, ServerAddress(), "silent", milliseconds(300));
   EXPECT_EQ(silent.m_failure, PeerFailure::kTimeout);
@@ -199,12 +199,12 @@
 TEST_F(PeerRpc, ReconnectsAfterTheServerRestarted) {
   StartServer();
   const PeerAddress address = ServerAddress();
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   EXPECT_TRUE(Reserve(client, address, "free").m_value);
   m_server.reset();
   EXPECT_EQ(Reserve(client, address, "free").m_failure, PeerFailure::kBroken);
   m_server = std::make_unique<PeerServer>(
-      m_kj, address.m_endpoint, PeerIdentity{server_id, Keys('k')}, m_hooks);
+      m_kj, address.m_endpoint, PeerIdentity{kServerId, Keys('k')}, m_hooks);
   EXPECT_TRUE(Reserve(client, address, "free").m_value);
 }
 
@@ -217,9 +217,9 @@
                     public ::testing::WithParamInterface<UnreachableCase> {};
 
 TEST_P(Unreachable, EndsAsBroken) {
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   const auto answer =
-      Reserve(client, {server_id, Endpoint(GetParam().m_endpoint)}, "free");
+      Reserve(client, {kServerId, Endpoint(GetParam().m_endpoint)}, "free");
   EXPECT_EQ(answer.m_failure, PeerFailure::kBroken);
 }
 
@@ -253,7 +253,7 @@
     ev_run(m_loop, EVRUN_NOWAIT);
   }
   EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 0; }));
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   EXPECT_TRUE(Reserve(client, ServerAddress(), "free").m_value);
 }
 
@@ -273,7 +273,7 @@
   StartServer({.m_connection_limit = 1});
   const int descriptor = OpenSocket();
   EXPECT_TRUE(RunUntil([this] { return m_server->Connections() == 1; }));
-  PeerClient client(m_kj, {client_id, Keys('k')});
+  PeerClient client(m_kj, {kClientId, Keys('k')});
   const auto answer = Reserve(client, ServerAddress(), "free");
   EXPECT_EQ(answer.m_failure, PeerFailure::kBroken);
   EXPECT_EQ(m_server->Counters().m_refused, 1U);
--- a/src/nutmegd/settings_test.cpp
+++ b/src/nutmegd/settings_test.cpp
@@ -63,6 +63,13 @@
   EXPECT_EQ(settings->m_fleet.m_keys.m_keys.size(), 1U);
 }
 
+constexpr const char* kIsolationFinding =
+    "f:12: fleet.isolation_limit_ms: must be a whole number from 1 to "
+    "86400000";
+constexpr const char* kPolicyFinding =
+    "f:17: placement.policy: must be one of bounded, least_loaded, "
+    "local_only, random, two_choices";
+
 struct FindingCase {
   const char* m_name;
   std::string m_appended;
@@ -86,12 +93,9 @@
             "FiveMistakes",
             "isolation_limit_ms = 0\n[drain]\nkeep_ms = \"ten\"\n"
             "keep = 1\n[placement]\npolicy = \"best\"\n[ops]\n",
-            {"f:12: fleet.isolation_limit_ms: must be a whole number from 1 to "
-             "86400000",
+            {kIsolationFinding,
              "f:14: drain.keep_ms: must be a whole number from 1 to 86400000",
-             "f:15: drain.keep: unknown key",
-             "f:17: placement.policy: must be one of bounded, least_loaded, "
-             "local_only, random, two_choices",
+             "f:15: drain.keep: unknown key", kPolicyFinding,
              "f:18: ops: unknown section"}},
         FindingCase{"BadOperatorDigest",
                     "[operators]\nanna = \"secret\"\n",
