--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -115,7 +115,9 @@
   void CarryOut(const std::vector<Action>& actions);
   net::TableStore MakeStore(PlatformUse* use);
   net::TableStore& StoreFor(StorePurpose purpose) {
-    return purpose == StorePurpose::kClaim ? m_claim_store : m_control_store;
+    const bool work =
+        purpose == StorePurpose::kClaim || purpose == StorePurpose::kOperator;
+    return work ? m_work_store : m_control_store;
   }
   void NoteControlTraffic();
   void NotePlatformUse(PlatformUse* use, ControlClass control_class);
@@ -162,11 +164,12 @@
   std::optional<int> m_exit_code;
 
   net::HttpClient m_client;
-  // Claims are callers' work; all else at the platform is control traffic.
-  PlatformUse m_claim_use;
+  // Claims are callers' work and commands are operators' work; all else at
+  // the platform is control traffic.
+  PlatformUse m_work_use;
   PlatformUse m_control_use;
   PlatformUse m_list_use;
-  net::TableStore m_claim_store;
+  net::TableStore m_work_store;
   net::TableStore m_control_store;
   net::InstanceList m_instance_list;
   net::UpstreamClient m_upstreams;
@@ -193,7 +196,7 @@
     : m_loop(loop),
       m_settings(settings),
       m_client(loop),
-      m_claim_store(MakeStore(&m_claim_use)),
+      m_work_store(MakeStore(&m_work_use)),
       m_control_store(MakeStore(&m_control_use)),
       m_instance_list(net::MakeInstanceList(m_client,
                                             PlatformOptionsOf(settings),
--- a/src/nutmegd/operator_views.cpp
+++ b/src/nutmegd/operator_views.cpp
@@ -1,5 +1,6 @@
 #include "nutmegd/operator_views.h"
 
+#include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -9,6 +10,12 @@
 
 using nlohmann::ordered_json;
 
+/// Words for the phases of a request, in the order of RequestPhase.
+constexpr std::array<const char*, static_cast<int>(RequestPhase::kCount)>
+    kPhaseWords{"arrived",   "claiming", "waiting",    "queued", "admitted",
+                "reserving", "placed",   "dispatched", "sent",   "streaming",
+                "recording", "refused",  "done"};
+
 std::int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -126,9 +133,15 @@
 }
 
 std::string StatusFields(const World& world) {
+  ordered_json by_phase = ordered_json::object();
+  for (std::size_t index = 0; index < kPhaseWords.size(); ++index) {
+    const auto phase = static_cast<RequestPhase>(index);
+    by_phase[kPhaseWords[index]] = world.m_requests.InPhase(phase).size();
+  }
   const ControlBudget& budget = world.m_budget;
   const ordered_json view{{"draining", world.m_draining},
                           {"requests_in_progress", world.m_requests.size()},
+                          {"requests_by_phase", by_phase},
                           {"failed_checks", FailedChecks()},
                           {"control",
                            {{"bytes_per_second_budget", budget.m_rate.value()},
--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -268,6 +268,7 @@
       {"kept", m_streams.size()},
       {"prompt_tokens", m_prompt_tokens},
       {"cached_tokens", m_cached_tokens},
+      {"generated_tokens", m_generated_tokens},
       {"cache_used", m_cache.Used()},
       {"orders", m_orders},
       {"last_work_after_leaving_ms", Milliseconds(m_last_work_after_leaving)}};
--- a/src/standins/engine.h
+++ b/src/standins/engine.h
@@ -151,6 +151,7 @@
   std::int64_t m_cancelled = 0;
   int m_peak_running = 0;
   std::int64_t m_prompt_tokens = 0;
+  std::int64_t m_generated_tokens = 0;
   std::int64_t m_cached_tokens = 0;
   TimePoint m_leaving_since{};
   Duration m_last_work_after_leaving{};
--- a/src/standins/engine_batch.cpp
+++ b/src/standins/engine_batch.cpp
@@ -163,6 +163,7 @@
 }
 
 void Engine::EmitToken(EngineStream& stream) {
+  ++m_generated_tokens;
   const std::string& token = stream.m_tokens[stream.m_emitted++];
   const nlohmann::json choice{{"index", 0},
                               {"delta", {{"content", token}}},
