Let a new instance learn the fleet before it probes upstreams

Cause: seven instances started together needed 10 to 16 s to know each other and suspected live ones. Each took itself for the only prober of all 15 upstreams; n1 alone dropped 389 probes, and the probes used the bytes of membership. Ruled out: losses in the proxy (the same without load), a late instance list. Change: no probe in the first 4 s of a process. Also: changes of revision, lease and isolation are logged; the caller API uses the configuration's token index instead of its own copy.

--- a/src/include/nutmeghollow/probing.h
+++ b/src/include/nutmeghollow/probing.h
@@ -42,6 +42,9 @@
   /// Time to the next probe while the outcome is in doubt.
   Duration m_retry_period = std::chrono::milliseconds(500);
   Duration m_timeout = std::chrono::milliseconds(800);
+  /// Time after the start without probes. A new instance learns of the others
+  /// first; until then it takes itself for the only prober of every upstream.
+  Duration m_start_delay = std::chrono::seconds(4);
   int m_failures_to_fail = 2;   ///< Failed probes in a row.
   int m_successes_to_pass = 2;  ///< Good probes in a row, after a failure.
   /// Highest share of a route's upstreams that may be ejected.
@@ -96,6 +99,7 @@
   std::size_t m_upstream_count = 0;
   TimePoint m_next_assignment{};
   TimePoint m_next_due{};
+  TimePoint m_send_after{};  ///< No probe is sent before this time.
   TimePoint m_next_merge{};
   bool m_merge_needed = false;
   bool m_doubts_itself = false;
--- a/src/libnutmeg/probing.cpp
+++ b/src/libnutmeg/probing.cpp
@@ -206,7 +206,7 @@
 
 void SendDueProbes(World& world, TimePoint now) {
   ProbingState& probing = world.m_probing;
-  if (now < probing.m_next_due) {
+  if (now < probing.m_next_due || now < probing.m_send_after) {
     return;
   }
   probing.m_next_due = TimePoint::max();
--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -147,7 +147,7 @@
 }
 
 bool CallerApi::Ready() const {
-  return m_world->m_configuration.m_revision != Revision();
+  return m_world->m_configuration.Ready();
 }
 
 void CallerApi::HandleHealth(const Exchange& exchange, bool readiness) {
@@ -342,10 +342,10 @@
     SendProblem(exchange, problem, NewPublicId());
     return std::nullopt;
   }
-  RefreshTokenIndex();
   const std::string token = BearerToken(exchange->Request().m_headers);
-  auto found = m_customer_of_digest.find(Sha256Hex(token));
-  if (token.empty() || found == m_customer_of_digest.end()) {
+  const auto& customers = m_world->m_configuration.m_customers_by_token;
+  const auto found = customers.find(Sha256Hex(token));
+  if (token.empty() || found == customers.end()) {
     SendProblem(exchange,
                 RequestProblem(401, "bad-token", "Unknown token",
                                "the bearer token belongs to no customer"),
@@ -355,20 +355,6 @@
   return found->second;
 }
 
-void CallerApi::RefreshTokenIndex() {
-  const Revision revision = m_world->m_configuration.m_revision;
-  if (m_index_revision == revision) {
-    return;
-  }
-  m_index_revision = revision;
-  m_customer_of_digest.clear();
-  for (const auto& [id, customer] : m_world->m_customers) {
-    for (const std::string& digest : customer.m_token_digests) {
-      m_customer_of_digest.emplace(digest, id);
-    }
-  }
-}
-
 std::optional<CallerApi::Waiting> CallerApi::TakeWaiting(RequestId request,
                                                          Outcome outcome) {
   auto node = m_waiting.extract(request);
--- a/src/nutmegd/caller_api.h
+++ b/src/nutmegd/caller_api.h
@@ -102,7 +102,6 @@
   void SendJson(const Exchange& exchange, const std::string& body);
   int PriorityRank(const CustomerId& customer) const;
   PublicRequestId NewPublicId();
-  void RefreshTokenIndex();
   bool Ready() const;
 
   const World* m_world;
@@ -111,8 +110,6 @@
   CallerApiHooks m_hooks;
   ChatRequestReader m_reader;
   std::unordered_map<RequestId, Waiting> m_waiting;
-  std::unordered_map<std::string, CustomerId> m_customer_of_digest;
-  std::optional<Revision> m_index_revision;
   std::uint64_t m_last_request = 0;
   std::string m_id_prefix;
 };
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -24,6 +24,7 @@
 #include "libnet/upstream_client.h"
 #include "libnet/upstream_prober.h"
 #include "nutmegd/caller_api.h"
+#include "nutmegd/change_log.h"
 #include "nutmegd/digest.h"
 #include "nutmegd/operator_views.h"
 #include "nutmegd/peer_link.h"
@@ -48,13 +49,6 @@
 constexpr std::uint64_t kRequestHeaderBytes = 240;
 constexpr std::uint64_t kAnswerHeaderBytes = 240;
 
-void LogCheckFailure(const CheckFailure& failure) {
-  Log(LogLevel::kError, "check_failed",
-      {{"message", std::string(failure.m_message)},
-       {"expression", std::string(failure.m_expression)},
-       {"place", fmt::format("{}:{}", failure.m_file, failure.m_line)}});
-}
-
 net::HttpServerOptions CallerServerOptions(const Settings& settings) {
   net::HttpServerOptions options;
   options.m_body_limit = settings.m_callers.m_body_limit;
@@ -162,6 +156,7 @@
   std::mt19937_64 m_random{std::random_device()()};
   bool m_dirty = true;
   std::optional<int> m_exit_code;
+  ChangeLog m_change_log;
 
   net::HttpClient m_client;
   // Claims are callers' work and commands are operators' work; all else at
@@ -282,6 +277,8 @@
   m_world.m_drain_parameters.m_limit = m_settings.m_drain.m_limit;
   m_world.m_claims.m_process =
       fmt::format("{}-{:x}", m_settings.m_instance.m_id.str(), m_random());
+  m_world.m_probing.m_send_after =
+      BootTime() + m_world.m_probing.m_parameters.m_start_delay;
   StartMembership(m_world, SelfRow(m_settings), BootTime());
 }
 
@@ -358,6 +355,7 @@
     CarryOut(Tick(m_world, BootTime()));
     m_operator_api.DeliverReplies();
     AnswerClaimCommands();
+    m_change_log.Write(m_world);
     m_dirty = m_dirty || m_world.m_tick_again;
   }
   if (m_dirty) {
--- a/src/nutmegd/operator_views.cpp
+++ b/src/nutmegd/operator_views.cpp
@@ -89,8 +89,11 @@
 
 net::OperatorAnswer ExplanationAnswer(const Explanation& explanation) {
   if (!explanation.m_route_found) {
+    const ordered_json finding{
+        {"place", "MODEL"},
+        {"message", "no such route; name it: explain CHAT MODEL"}};
     const ordered_json view{{"result", "not_found"},
-                            {"detail", "no such route"}};
+                            {"findings", ordered_json::array({finding})}};
     return {404, view.dump()};
   }
   ordered_json order = ordered_json::array();
