--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -203,12 +203,16 @@
     reader.ReadEndpoint("caller_address", &target.m_caller_address, true);
     reader.ReadEndpoint("operator_address", &target.m_operator_address, true);
     reader.ReadEndpoint("peer_address", &target.m_peer_address, true);
-    target.m_advertised_caller_address = target.m_caller_address;
-    target.m_advertised_peer_address = target.m_peer_address;
     reader.ReadEndpoint("advertised_caller_address",
                         &target.m_advertised_caller_address);
     reader.ReadEndpoint("advertised_peer_address",
                         &target.m_advertised_peer_address);
+    if (target.m_advertised_caller_address.empty()) {
+      target.m_advertised_caller_address = target.m_caller_address;
+    }
+    if (target.m_advertised_peer_address.empty()) {
+      target.m_advertised_peer_address = target.m_peer_address;
+    }
   }
 
   void ReadFleet() {
--- a/src/nutmegd/settings_test.cpp
+++ b/src/nutmegd/settings_test.cpp
@@ -106,6 +106,15 @@
                      "error"}}),
     [](const auto& test) { return test.param.m_name; });
 
+TEST(Settings, ReportsABadAddressOnce) {
+  const KeyFile key(std::string(64, 'a'));
+  std::string text = Good(key.m_path);
+  text.replace(text.find("127.0.0.1:1"), 11, "localhost:1");
+  EXPECT_EQ(FindingsOf(text),
+            std::vector<std::string>{
+                "f:5: instance.caller_address: must be \"IP:PORT\""});
+}
+
 TEST(Settings, ReportsEveryMissingKey) {
   EXPECT_EQ(FindingsOf("").size(), 8U);
 }
