--- a/testsuite/relay_cost.py
+++ b/testsuite/relay_cost.py
@@ -16,7 +16,7 @@
 
 
 def cpu_seconds(process):
-    with open(f"/proc/{process.m_popen.pid}/stat", encoding="ascii") as stat:
+    with open(f"/proc/{process.m_process.m_popen.pid}/stat", encoding="ascii") as stat:
         fields = stat.read().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / TICKS
 
