Install pkg-config and openssl with the other packages

Cause: the build asks for pkg-config and the install page uses openssl; neither was in the list, so a fresh machine without them could not configure the build. Change: both are in the list of make deps. Conclusion: not tried on a machine without any of the packages.

--- a/src/build-scripts/install-deps.sh
+++ b/src/build-scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-  g++ cmake ninja-build make git ccache python3
+  g++ cmake ninja-build make git ccache pkg-config openssl python3
   clang-format clang-tidy clang-tools shellcheck
   libev-dev libcapnp-dev libboost1.81-dev libtomlplusplus-dev
   libmicrohttpd-dev libcurl4-openssl-dev libssl-dev libgflags-dev
