Tell the status of upstreams by one function

Cause: the words for an upstream's status stood twice. Change: operator_json.h offers UpstreamStatusWord; the daemon's views use it. Conclusion: one place to change the words.

--- a/src/libnet/operator_json.cpp
+++ b/src/libnet/operator_json.cpp
@@ -69,20 +69,6 @@
   return "";
 }
 
-const char* StatusWord(UpstreamStatus status) {
-  switch (status) {
-    case UpstreamStatus::kUsable:
-      return "usable";
-    case UpstreamStatus::kSuspect:
-      return "suspect";
-    case UpstreamStatus::kEjected:
-      return "ejected";
-    case UpstreamStatus::kLeaving:
-      return "leaving";
-  }
-  return "";
-}
-
 const char* StageWord(OrderStage stage) {
   switch (stage) {
     case OrderStage::kUnread:
@@ -132,7 +118,7 @@
       {"address", row.m_endpoint.str()},
       {"data_centre", row.m_data_centre.str()},
       {"region", row.m_region.str()},
-      {"status", StatusWord(row.m_status)},
+      {"status", UpstreamStatusWord(row.m_status)},
       {"status_for_ms", AgeJson(row.m_status_since, now)},
       {"slow_start", row.m_slow_start_since.has_value()},
       {"owner", row.m_owner.str()},
@@ -174,6 +160,20 @@
 
 }  // namespace
 
+const char* UpstreamStatusWord(UpstreamStatus status) {
+  switch (status) {
+    case UpstreamStatus::kUsable:
+      return "usable";
+    case UpstreamStatus::kSuspect:
+      return "suspect";
+    case UpstreamStatus::kEjected:
+      return "ejected";
+    case UpstreamStatus::kLeaving:
+      return "leaving";
+  }
+  return "";
+}
+
 OperatorAnswer RefusedAnswer(int status, const Findings& findings) {
   return MakeAnswer(
       status, {{"result", "refused"}, {"findings", FindingsJson(findings)}});
--- a/src/libnet/operator_json.h
+++ b/src/libnet/operator_json.h
@@ -11,6 +11,9 @@
 
 namespace nutmeghollow::net::detail {
 
+/// @return the word for the status of an upstream.
+const char* UpstreamStatusWord(UpstreamStatus status);
+
 /// @return an answer that refuses a call, with the findings.
 OperatorAnswer RefusedAnswer(int status, const Findings& findings);
 /// @return the answer to a command or a question that ended.
--- a/src/nutmegd/operator_views.cpp
+++ b/src/nutmegd/operator_views.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "libnet/operator_json.h"
+
 namespace nutmeghollow {
 namespace {
 
@@ -25,23 +27,9 @@
   return age ? ordered_json(Milliseconds(*age)) : ordered_json();
 }
 
-const char* StatusWord(UpstreamStatus status) {
-  switch (status) {
-    case UpstreamStatus::kUsable:
-      return "usable";
-    case UpstreamStatus::kSuspect:
-      return "suspect";
-    case UpstreamStatus::kEjected:
-      return "ejected";
-    case UpstreamStatus::kLeaving:
-      return "leaving";
-  }
-  return "usable";
-}
-
 ordered_json EngineView(const ExplainedEngine& engine) {
   return {{"engine", engine.m_id.str()},
-          {"status", StatusWord(engine.m_status)},
+          {"status", net::detail::UpstreamStatusWord(engine.m_status)},
           {"owner", engine.m_owner.str()},
           {"local_running", engine.m_local_running},
           {"remote_running", engine.m_remote_running},
