--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 	cmake --build $(BUILD_DIR)
 
 configure:
-	cmake -S . -B $(BUILD_DIR) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE)
+	cmake -S . -B $(BUILD_DIR) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) \
+	  -DNUTMEG_WERROR=ON
 
 deps:
 	bash src/build-scripts/install-deps.sh
--- a/src/cmake/Compiler.cmake
+++ b/src/cmake/Compiler.cmake
@@ -6,8 +6,14 @@
 
 option(NUTMEG_SANITIZE "build with the address and undefined sanitizers" OFF)
 add_library(nutmeg_options INTERFACE)
-target_compile_options(nutmeg_options INTERFACE -Wall -Wextra -Werror -Wno-psabi
-  -Wno-missing-field-initializers)
+# Warnings are errors for developers only: another compiler may have more.
+option(NUTMEG_WERROR "treat warnings as errors" OFF)
+# GCC 12 reports false overlaps inside std::string at -O3 (its bug 105329).
+target_compile_options(nutmeg_options INTERFACE -Wall -Wextra -Wno-psabi
+  -Wno-missing-field-initializers -Wno-restrict)
+if(NUTMEG_WERROR)
+  target_compile_options(nutmeg_options INTERFACE -Werror)
+endif()
 target_include_directories(nutmeg_options INTERFACE
   ${CMAKE_SOURCE_DIR}/src/include ${CMAKE_SOURCE_DIR}/src)
 if(NUTMEG_SANITIZE)
--- a/src/cmake/Targets.cmake
+++ b/src/cmake/Targets.cmake
@@ -1,4 +1,6 @@
-include(GoogleTest)
+if(NOT NUTMEG_ONLY_DAEMON)
+  include(GoogleTest)
+endif()
 
 # Adds a static library of the sources in the current folder, and a test
 # program of its *_test.cpp files.
@@ -16,7 +18,7 @@
   add_library(${name} STATIC ${sources})
   target_link_libraries(${name} PUBLIC nutmeg_options ${ARG_LIBRARIES})
   nutmeg_add_tests(${name} ${tests})
-  if(benchmarks)
+  if(benchmarks AND NOT NUTMEG_ONLY_DAEMON)
     add_executable(${name}_bench ${benchmarks})
     target_link_libraries(${name}_bench PRIVATE ${name} benchmark::benchmark_main)
   endif()
@@ -24,7 +26,7 @@
 
 # Adds the GoogleTest program of a library.
 function(nutmeg_add_tests library)
-  if(NOT ARGN)
+  if(NOT ARGN OR NUTMEG_ONLY_DAEMON)
     return()
   endif()
   add_executable(${library}_test ${ARGN})
--- /dev/null
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -0,0 +1,211 @@
+/// @file
+/// The upstreams of all services: who is registered, how they fare, and which
+/// one a request goes to.
+///
+/// Health is learnt from ordinary traffic: an upstream that cannot be reached
+/// or breaks off rests for a time that doubles, and then gets one request as a
+/// trial. When most upstreams of a service would rest, none does, since the
+/// cause is then likely on this side.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "nutmeghollow/routing.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// Identifies a part of a prompt; equal parts have equal ids.
+using PartId = Number<struct PartTag>;
+
+/// A part of a prompt, in the order of the prompt.
+struct PromptPart {
+  PartId m_id;
+  Tokens m_tokens;
+};
+
+/// An upstream as it registered itself.
+struct RegisteredUpstream {
+  UpstreamId m_id;
+  std::int64_t m_born_ms = 0;  ///< Start of its process, civil time.
+  ServiceId m_service;
+  Endpoint m_endpoint;
+  DataCentreId m_data_centre;
+  int m_slots = 1;
+  bool m_draining = false;
+  Duration m_cold{};  ///< How much longer it is slow after its start.
+};
+
+/// Load as an upstream reported it.
+struct LoadReport {
+  int m_running = 0;
+  int m_waiting = 0;
+  int m_slots = 1;
+};
+
+/// How one attempt ended, as far as the upstream's health is concerned.
+enum class AttemptHealth {
+  kServed,       ///< A whole answer that is no error.
+  kFailed,       ///< Its own error.
+  kRefused,      ///< It did not run the request.
+  kUnreachable,  ///< No connection.
+  kBroken,       ///< The connection broke or the bytes made no sense.
+  kSilent,       ///< No answer in the time it was given.
+  kAbandoned,    ///< Ended from this side; says nothing about it.
+};
+
+/// Settings of choosing and of health.
+struct UpstreamPoolParameters {
+  /// First rest after a failure: long enough for its caller's next try to go
+  /// elsewhere, short enough to find a restarted upstream soon.
+  Duration m_first_rest = std::chrono::milliseconds(300);
+  /// Longest rest: a registration of a dead upstream lasts a few seconds.
+  Duration m_longest_rest = std::chrono::seconds(4);
+  /// Part of a service's upstreams that may rest at once.
+  double m_most_resting = 0.5;
+  /// Most load of an engine, as a multiple of the mean. Under the users' bound
+  /// of 2, since each instance sees the loads late.
+  double m_load_bound = 1.5;
+  /// Requests above the multiple that are always allowed.
+  double m_load_slack = 2.0;
+  /// A load report older than this is not used.
+  Duration m_report_life = std::chrono::seconds(4);
+  /// A part that was not used here for this long counts as evicted.
+  Duration m_part_life = std::chrono::seconds(60);
+  /// Prompt tokens that an engine reads in a millisecond.
+  double m_prefill_rate = 56.0;
+  /// Time to the first token that each running request adds, in milliseconds.
+  double m_slot_cost = 2.0;
+  /// Share of the newest result in the moving averages.
+  double m_average_weight = 0.15;
+  /// Cost factor of an upstream that fails all its requests.
+  double m_failure_cost = 8.0;
+};
+
+/// A request for which an upstream is wanted.
+struct UpstreamWish {
+  ServiceId m_service;
+  const std::vector<PromptPart>* m_prompt = nullptr;  ///< Null for none.
+  std::vector<UpstreamId> m_tried;  ///< Not to be chosen again.
+  DataCentreId m_data_centre;       ///< Preferred among equals.
+};
+
+/// All upstreams.
+class UpstreamPool {
+ public:
+  explicit UpstreamPool(UpstreamPoolParameters parameters = {});
+
+  /// Adds or updates a registration. Another birth under the same id is a new
+  /// upstream, of which nothing is known.
+  void Put(const RegisteredUpstream& registration, TimePoint now);
+  void Remove(const UpstreamId& id);
+  /// @return registered ids.
+  std::vector<UpstreamId> Ids() const;
+  /// @return the registration, or null.
+  const RegisteredUpstream* Find(const UpstreamId& id) const;
+
+  /// Chooses an upstream that takes new requests.
+  /// @return nothing when the service has none.
+  std::optional<UpstreamId> Choose(const UpstreamWish& wish, TimePoint now);
+  /// @return true when some upstream of the service takes new requests.
+  bool HasUsable(const ServiceId& service) const;
+
+  /// Notes that a request was sent. @param prompt null for none.
+  void NoteSent(const UpstreamId& id,
+                const std::vector<PromptPart>* prompt,
+                TimePoint now);
+  /// Notes the first part of an answer: the prompt has been read.
+  void NoteFirstAnswer(const UpstreamId& id,
+                       const std::vector<PromptPart>* prompt);
+  /// Notes the end of an attempt. @param took from sending to the end; zero
+  /// when it says nothing about the upstream's speed.
+  /// @param answered true when NoteFirstAnswer was called for it.
+  void NoteEnd(const UpstreamId& id,
+               AttemptHealth health,
+               Duration took,
+               const std::vector<PromptPart>* prompt,
+               bool answered,
+               TimePoint now);
+  /// Notes a load report that came with an answer.
+  void NoteLoad(const UpstreamId& id, const LoadReport& load, TimePoint now);
+  /// Notes that another upstream answers at this one's address.
+  void NoteReplaced(const UpstreamId& id, TimePoint now);
+
+  /// @return requests in progress at an upstream from this instance.
+  int Active(const UpstreamId& id) const;
+  /// @return requests in progress by upstream, without zeros.
+  std::vector<std::pair<UpstreamId, int>> ActiveByUpstream() const;
+  /// Replaces what another instance has in progress.
+  void SetPeerActive(const InstanceId& peer,
+                     const std::map<UpstreamId, int>& active);
+  void ForgetPeer(const InstanceId& peer);
+
+  /// Places of a service and how many are taken, as estimated.
+  struct Occupancy {
+    double m_taken = 0;
+    double m_places = 0;
+  };
+  Occupancy OccupancyOf(const ServiceId& service, TimePoint now) const;
+
+ private:
+  struct KnownPart {
+    TimePoint m_used{};
+    Tokens m_tokens;
+  };
+  struct Upstream {
+    RegisteredUpstream m_registration;
+    TimePoint m_cold_until{};
+    int m_active = 0;
+    double m_pending_prefill = 0;  ///< Tokens sent and not yet read.
+    int m_failures = 0;            ///< In a row.
+    TimePoint m_rest_until{};
+    double m_failure_rate = 0;  ///< Moving average, 0 to 1.
+    double m_took_ms = 0;       ///< Moving average of whole answers; 0: none.
+    std::optional<LoadReport> m_report;
+    TimePoint m_report_at{};
+    int m_active_at_report = 0;
+    std::unordered_map<PartId, KnownPart> m_parts;
+  };
+  struct Candidate {
+    Upstream* m_upstream = nullptr;
+    double m_load = 0;
+    double m_cost = 0;
+    bool m_rests = false;
+  };
+
+  Upstream* Find(const UpstreamId& id, bool /*mutable_row*/);
+  std::vector<Candidate> Collect(const UpstreamWish& wish, TimePoint now);
+  void MarkResting(std::vector<Candidate>& candidates, TimePoint now) const;
+  double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
+  double EngineCost(const Upstream& upstream,
+                    const std::vector<PromptPart>& prompt,
+                    int rank,
+                    double load,
+                    TimePoint now) const;
+  double ServiceCost(const Upstream& upstream,
+                     double load,
+                     double mean_took_ms,
+                     double mean_failure_rate) const;
+  void CostEngines(std::vector<Candidate>& candidates,
+                   const UpstreamWish& wish,
+                   TimePoint now) const;
+  void CostServices(std::vector<Candidate>& candidates) const;
+  double UnreadTokens(const Upstream& upstream,
+                      const std::vector<PromptPart>& prompt,
+                      bool assume_shared,
+                      TimePoint now) const;
+  void RememberParts(Upstream& upstream,
+                     const std::vector<PromptPart>& prompt,
+                     TimePoint now);
+
+  UpstreamPoolParameters m_parameters;
+  std::map<UpstreamId, Upstream> m_upstreams;
+  std::map<InstanceId, std::map<UpstreamId, int>> m_peer_active;
+  std::uint64_t m_turn = 0;  ///< Breaks ties in turn.
+};
+
+}  // namespace nutmeghollow
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -19,8 +19,11 @@
 namespace {
 
 constexpr long kConnectionCacheSize = 1024;
-/// Shorter than the idle time after which servers close a connection.
-constexpr long kReuseMaxIdleSeconds = 20;
+/// Bytes read at once from a connection. Smaller than libcurl's 16 KiB, since
+/// each call in progress holds one such buffer and most reads are one event.
+constexpr long kReceiveBufferBytes = 4 << 10;
+/// Bytes of a request body copied at once; the least that libcurl takes.
+constexpr long kSendBufferBytes = 16 << 10;
 constexpr long kKeepaliveIdleSeconds = 10;
 constexpr long kKeepaliveIntervalSeconds = 5;
 constexpr unsigned kTcpUserTimeoutMs = 15000;
@@ -289,7 +292,10 @@
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kReuseMaxIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(wanted.m_reuse_max_idle.count()));
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    Milliseconds(wanted.m_connect_timeout));
   const long own = wanted.m_own_connection ? 1L : 0L;
@@ -328,12 +334,14 @@
 
 void HttpClient::Impl::AddHeaders(Call& call) {
   bool has_content_type = false;
+  bool has_accept = false;
   for (const auto& [name, value] : call.m_call.m_headers) {
     if (HasLineBreak(name) || HasLineBreak(value)) {
       call.m_failure = "a header has a line break";
       continue;
     }
     has_content_type |= LowerCase(name) == "content-type";
+    has_accept |= LowerCase(name) == "accept";
     // libcurl drops "Name:"; a semicolon asks for an empty value.
     std::string line = name;
     line.append(value.empty() ? ";" : ": ").append(value);
@@ -343,6 +351,9 @@
   if (!has_content_type) {
     call.m_headers = curl_slist_append(call.m_headers, "Content-Type:");
   }
+  if (!has_accept) {
+    call.m_headers = curl_slist_append(call.m_headers, "Accept:");
+  }
   curl_easy_setopt(call.m_easy, CURLOPT_HTTPHEADER, call.m_headers);
 }
 
@@ -400,7 +411,8 @@
     return;  // An interim answer; the real one follows.
   }
   call.m_headers_done = true;
-  call.m_framed = call.m_call.m_method == "HEAD" ||
+  call.m_framed = call.m_call.m_accept_close_delimited ||
+                  call.m_call.m_method == "HEAD" ||
                   call.m_status == kStatusNoContent ||
                   call.m_status == kStatusNotModified ||
                   call.m_answer_headers.contains("content-length") ||
--- a/src/libnet/http_client.h
+++ b/src/libnet/http_client.h
@@ -35,6 +35,10 @@
   Duration m_total_timeout = std::chrono::seconds(600);
   /// Opens a new connection and closes it afterwards.
   bool m_own_connection = false;
+  /// A connection that was idle for longer is not used again.
+  std::chrono::seconds m_reuse_max_idle{20};
+  /// Takes an answer without a length that ends with a regular close.
+  bool m_accept_close_delimited = false;
 };
 
 /// How a call ended.
--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -62,9 +62,12 @@
   }
 }
 
-std::size_t MhdExchange::ReadHeader(const char* method, const char* url) {
+std::size_t MhdExchange::ReadHeader(const char* method,
+                                    const char* url,
+                                    std::string target) {
   m_request.m_method = method;
   m_request.m_path = url;
+  m_request.m_target = std::move(target);
   MHD_get_connection_values(m_connection, MHD_HEADER_KIND, CollectHeader,
                             &m_request.m_headers);
   MHD_get_connection_values(m_connection, MHD_GET_ARGUMENT_KIND, CollectQuery,
--- a/src/libnet/http_exchange.h
+++ b/src/libnet/http_exchange.h
@@ -42,7 +42,9 @@
   void OnDrained(std::function<void()> callback) override;
 
   /// Fills in the request line and header fields. @return their size.
-  std::size_t ReadHeader(const char* method, const char* url);
+  std::size_t ReadHeader(const char* method,
+                         const char* url,
+                         std::string target);
   /// Appends a part of the body. @return false above the limit.
   bool AppendBody(std::string_view data);
   /// Hands a ready answer to the library, or suspends the connection.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -26,11 +26,22 @@
 constexpr Duration kGoneCheckPeriod = std::chrono::milliseconds(250);
 /// Passes of the library in a row before other watchers get their turn.
 constexpr int kRunPasses = 8;
-/// The library's memory for a connection, beyond the header limit.
-constexpr std::size_t kConnectionMemory = 48 << 10;
 /// A declared body above this is refused without reading it.
 constexpr std::int64_t kDiscardLimit = 64 << 20;
 
+/// What the library keeps for a request: first its target alone, and the
+/// exchange once its header has been read.
+struct RequestState {
+  std::string m_target;
+  std::shared_ptr<MhdExchange> m_exchange;
+};
+
+void* KeepTarget(void* /*server*/,
+                 const char* target,
+                 MHD_Connection* /*connection*/) {
+  return new RequestState{target, nullptr};
+}
+
 std::int64_t DeclaredLength(const HttpRequest& request) {
   const std::string text = HeaderValue(request.m_headers, "content-length");
   std::int64_t length = 0;
@@ -71,7 +82,7 @@
   MHD_Result StartRequest(MHD_Connection* connection,
                           const char* url,
                           const char* method,
-                          void** state);
+                          RequestState& state);
   MHD_Result ContinueRequest(const ExchangeHandle& exchange,
                              const char* upload_data,
                              std::size_t* upload_size);
@@ -106,12 +117,13 @@
 
   const auto idle_seconds = static_cast<unsigned int>(
       std::chrono::ceil<std::chrono::seconds>(options.m_idle_timeout).count());
-  const std::size_t memory =
-      kConnectionMemory +
-      static_cast<std::size_t>(options.m_header_limit.value());
+  const auto memory =
+      static_cast<std::size_t>(options.m_connection_memory.value() +
+                               options.m_header_limit.value());
   m_daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listen_descriptor,
+      MHD_OPTION_URI_LOG_CALLBACK, &KeepTarget, nullptr,
       MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned int>(options.m_connection_limit),
@@ -176,22 +188,24 @@
                                       std::size_t* upload_size,
                                       void** state) {
   auto* self = static_cast<Impl*>(server);
-  if (*state == nullptr) {
-    return self->StartRequest(connection, url, method, state);
+  auto& request = *static_cast<RequestState*>(*state);
+  if (request.m_exchange == nullptr) {
+    return self->StartRequest(connection, url, method, request);
   }
   // A copy, since the handler may end the request meanwhile.
-  const ExchangeHandle exchange = *static_cast<ExchangeHandle*>(*state);
+  const ExchangeHandle exchange = request.m_exchange;
   return self->ContinueRequest(exchange, upload_data, upload_size);
 }
 
 MHD_Result HttpServer::Impl::StartRequest(MHD_Connection* connection,
                                           const char* url,
                                           const char* method,
-                                          void** state) {
+                                          RequestState& state) {
   auto exchange = std::make_shared<MhdExchange>(m_link, connection);
   m_exchanges.insert(exchange.get());
-  *state = new ExchangeHandle(exchange);
-  const std::size_t header_size = exchange->ReadHeader(method, url);
+  state.m_exchange = exchange;
+  const std::size_t header_size =
+      exchange->ReadHeader(method, url, std::move(state.m_target));
   const auto header_limit =
       static_cast<std::size_t>(m_link->m_options.m_header_limit.value());
   if (header_size > header_limit) {
@@ -232,10 +246,12 @@
   if (*state == nullptr) {
     return;
   }
-  auto* handle = static_cast<ExchangeHandle*>(*state);
-  const ExchangeHandle exchange = *handle;
-  delete handle;
-  *state = nullptr;
+  const std::unique_ptr<RequestState> request(
+      static_cast<RequestState*>(std::exchange(*state, nullptr)));
+  const ExchangeHandle exchange = request->m_exchange;
+  if (exchange == nullptr) {
+    return;  // Ended before its header was whole.
+  }
   static_cast<Impl*>(server)->m_exchanges.erase(exchange.get());
   exchange->Detach(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -28,7 +28,8 @@
 /// One HTTP request.
 struct HttpRequest {
   std::string m_method;
-  std::string m_path;  ///< Without the query; percent-decoded.
+  std::string m_path;    ///< Without the query; percent-decoded.
+  std::string m_target;  ///< Path and query, byte for byte as received.
   std::map<std::string, std::string> m_query;
   HeaderMap m_headers;
   std::string m_body;
@@ -87,6 +88,8 @@
   Bytes m_body_limit{8 << 20};           ///< Larger bodies get 413.
   Bytes m_header_limit{32 << 10};        ///< Memory for a request's header.
   Bytes m_stream_high_water{256 << 10};  ///< Unsent bytes that stop a writer.
+  /// The library's memory for a connection, beyond the header limit.
+  Bytes m_connection_memory{48 << 10};
   int m_connection_limit = 20000;
   /// Longest silence of a caller whose answer is not being prepared.
   Duration m_idle_timeout = std::chrono::seconds(120);
--- /dev/null
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -0,0 +1,428 @@
+#include "nutmeghollow/upstream_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "nutmeghollow/hashing.h"
+
+namespace nutmeghollow {
+namespace {
+
+/// Parts remembered for an engine. The least recently used ones go first.
+constexpr std::size_t kMostParts = 1024;
+/// Cost of each further place in the order of a prompt's engines, in
+/// milliseconds: keeps instances that know nothing of each other alike.
+constexpr double kRankCost = 6.0;
+/// Places in that order that differ in cost.
+constexpr int kMostRanks = 4;
+/// Cost of an engine in another data centre, in milliseconds: decides between
+/// engines that are otherwise alike.
+constexpr double kDistanceCost = 1.0;
+/// A server's answer time counts as slow only against this many times the
+/// mean, and a mean of fewer milliseconds is not compared.
+constexpr double kSlowFactorLimit = 10.0;
+/// Failures after which the rest no longer doubles.
+constexpr int kMostDoublings = 5;
+
+double Milliseconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+/// The last shared part of a prompt: the chat's own history. The part after it
+/// belongs to the request alone.
+std::uint64_t ChatHash(const std::vector<PromptPart>& prompt) {
+  if (prompt.empty()) {
+    return 0;
+  }
+  const std::size_t index = prompt.size() >= 2 ? prompt.size() - 2 : 0;
+  return prompt[index].m_id.value();
+}
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(UpstreamPoolParameters parameters)
+    : m_parameters(parameters) {}
+
+void UpstreamPool::Put(const RegisteredUpstream& registration, TimePoint now) {
+  Upstream& row = m_upstreams[registration.m_id];
+  const RegisteredUpstream& old = row.m_registration;
+  const bool same = old.m_id == registration.m_id &&
+                    old.m_born_ms == registration.m_born_ms &&
+                    old.m_endpoint == registration.m_endpoint;
+  if (!same) {
+    const int active = row.m_active;
+    row = Upstream();
+    row.m_active = active;  // Attempts at the earlier process still end.
+  }
+  row.m_registration = registration;
+  row.m_cold_until = now + registration.m_cold;
+}
+
+void UpstreamPool::Remove(const UpstreamId& id) {
+  m_upstreams.erase(id);
+}
+
+std::vector<UpstreamId> UpstreamPool::Ids() const {
+  std::vector<UpstreamId> ids;
+  for (const auto& [id, row] : m_upstreams) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+const RegisteredUpstream* UpstreamPool::Find(const UpstreamId& id) const {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : &found->second.m_registration;
+}
+
+UpstreamPool::Upstream* UpstreamPool::Find(const UpstreamId& id,
+                                           bool /*mutable_row*/) {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+bool UpstreamPool::HasUsable(const ServiceId& service) const {
+  return std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                     [&](const auto& entry) {
+                       const auto& row = entry.second.m_registration;
+                       return row.m_service == service && !row.m_draining;
+                     });
+}
+
+double UpstreamPool::EstimatedLoad(const Upstream& upstream,
+                                   TimePoint now) const {
+  double load = upstream.m_active;
+  for (const auto& [peer, active] : m_peer_active) {
+    const auto found = active.find(upstream.m_registration.m_id);
+    load += found == active.end() ? 0 : found->second;
+  }
+  if (upstream.m_report &&
+      now - upstream.m_report_at < m_parameters.m_report_life) {
+    const double reported =
+        upstream.m_report->m_running + upstream.m_report->m_waiting +
+        upstream.m_active - upstream.m_active_at_report;
+    load = std::max(load, reported);
+  }
+  return load;
+}
+
+std::vector<UpstreamPool::Candidate> UpstreamPool::Collect(
+    const UpstreamWish& wish,
+    TimePoint now) {
+  std::vector<Candidate> candidates;
+  for (auto& [id, row] : m_upstreams) {
+    const bool tried = std::find(wish.m_tried.begin(), wish.m_tried.end(),
+                                 id) != wish.m_tried.end();
+    if (row.m_registration.m_service != wish.m_service ||
+        row.m_registration.m_draining || tried) {
+      continue;
+    }
+    candidates.push_back({&row, EstimatedLoad(row, now), 0, false});
+  }
+  MarkResting(candidates, now);
+  return candidates;
+}
+
+void UpstreamPool::MarkResting(std::vector<Candidate>& candidates,
+                               TimePoint now) const {
+  std::size_t resting = 0;
+  for (Candidate& candidate : candidates) {
+    const Upstream& row = *candidate.m_upstream;
+    // After its rest an upstream gets one request at a time until one is
+    // served.
+    const bool on_trial = row.m_failures > 0 && row.m_active > 0;
+    candidate.m_rests = now < row.m_rest_until || on_trial;
+    resting += candidate.m_rests ? 1 : 0;
+  }
+  const auto most = static_cast<std::size_t>(
+      m_parameters.m_most_resting * static_cast<double>(candidates.size()));
+  if (resting <= most) {
+    return;
+  }
+  for (Candidate& candidate : candidates) {
+    candidate.m_rests = false;
+  }
+}
+
+double UpstreamPool::UnreadTokens(const Upstream& upstream,
+                                  const std::vector<PromptPart>& prompt,
+                                  bool assume_shared,
+                                  TimePoint now) const {
+  double unread = 0;
+  bool cached = true;
+  for (std::size_t index = 0; index < prompt.size(); ++index) {
+    const PromptPart& part = prompt[index];
+    const bool shared = index + 1 < prompt.size();
+    const auto known = upstream.m_parts.find(part.m_id);
+    const bool fresh = known != upstream.m_parts.end() &&
+                       now - known->second.m_used < m_parameters.m_part_life;
+    // A part is of use only when all parts before it are kept too.
+    cached = cached && (fresh || (assume_shared && shared));
+    unread += cached ? 0 : static_cast<double>(part.m_tokens.value());
+  }
+  return unread;
+}
+
+double UpstreamPool::EngineCost(const Upstream& upstream,
+                                const std::vector<PromptPart>& prompt,
+                                int rank,
+                                double load,
+                                TimePoint now) const {
+  const double unread = UnreadTokens(upstream, prompt, rank == 0, now);
+  double cost = (unread + upstream.m_pending_prefill) /
+                m_parameters.m_prefill_rate;
+  cost += load * m_parameters.m_slot_cost;
+  cost += std::min(rank, kMostRanks) * kRankCost;
+  const double slots = std::max(1, upstream.m_registration.m_slots);
+  if (load >= slots) {
+    cost *= 1.0 + load / slots;
+  }
+  return cost * (1.0 + m_parameters.m_failure_cost * upstream.m_failure_rate);
+}
+
+void UpstreamPool::CostEngines(std::vector<Candidate>& candidates,
+                               const UpstreamWish& wish,
+                               TimePoint now) const {
+  const std::uint64_t chat = ChatHash(*wish.m_prompt);
+  std::vector<std::pair<double, Candidate*>> order;
+  for (Candidate& candidate : candidates) {
+    const UpstreamId& id = candidate.m_upstream->m_registration.m_id;
+    order.emplace_back(-RendezvousScore(chat, HashText(id.str()), 1.0),
+                       &candidate);
+  }
+  std::sort(order.begin(), order.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  int rank = 0;
+  for (const auto& [score, candidate] : order) {
+    const Upstream& row = *candidate->m_upstream;
+    const bool near = row.m_registration.m_data_centre == wish.m_data_centre;
+    candidate->m_cost =
+        EngineCost(row, *wish.m_prompt, rank, candidate->m_load, now) +
+        (near ? 0 : kDistanceCost);
+    ++rank;
+  }
+}
+
+double UpstreamPool::ServiceCost(const Upstream& upstream,
+                                 double load,
+                                 double mean_took_ms,
+                                 double mean_failure_rate) const {
+  const double slots = std::max(1, upstream.m_registration.m_slots);
+  double slowness = 1.0;
+  if (mean_took_ms > 0 && upstream.m_took_ms > 0) {
+    slowness = std::clamp(upstream.m_took_ms / mean_took_ms, 1.0,
+                          kSlowFactorLimit);
+  }
+  const double excess =
+      std::max(0.0, upstream.m_failure_rate - mean_failure_rate);
+  return (load + 1.0) / slots * slowness *
+         (1.0 + m_parameters.m_failure_cost * excess);
+}
+
+void UpstreamPool::CostServices(std::vector<Candidate>& candidates) const {
+  double took = 0;
+  double failure_rate = 0;
+  int timed = 0;
+  for (const Candidate& candidate : candidates) {
+    took += candidate.m_upstream->m_took_ms;
+    timed += candidate.m_upstream->m_took_ms > 0 ? 1 : 0;
+    failure_rate += candidate.m_upstream->m_failure_rate;
+  }
+  took /= std::max(1, timed);
+  failure_rate /= std::max<double>(1, static_cast<double>(candidates.size()));
+  for (Candidate& candidate : candidates) {
+    candidate.m_cost = ServiceCost(*candidate.m_upstream, candidate.m_load,
+                                   took, failure_rate);
+  }
+}
+
+std::optional<UpstreamId> UpstreamPool::Choose(const UpstreamWish& wish,
+                                               TimePoint now) {
+  std::vector<Candidate> candidates = Collect(wish, now);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const bool engines = wish.m_prompt != nullptr && !wish.m_prompt->empty();
+  if (engines) {
+    CostEngines(candidates, wish, now);
+  } else {
+    CostServices(candidates);
+  }
+  double mean = 0;
+  for (const Candidate& candidate : candidates) {
+    mean += candidate.m_load / static_cast<double>(candidates.size());
+  }
+  const double bound =
+      m_parameters.m_load_bound * mean + m_parameters.m_load_slack;
+  const auto is_over = [&](const Candidate& candidate) {
+    return engines && candidate.m_load + 1 > bound;
+  };
+  ++m_turn;
+  const std::size_t start = m_turn % candidates.size();
+  const Candidate* best = nullptr;
+  for (std::size_t step = 0; step < candidates.size(); ++step) {
+    const Candidate& candidate = candidates[(start + step) % candidates.size()];
+    const auto rank = [&](const Candidate& one) {
+      return std::tuple(one.m_rests, is_over(one), one.m_cost);
+    };
+    if (best == nullptr || rank(candidate) < rank(*best)) {
+      best = &candidate;
+    }
+  }
+  return best->m_upstream->m_registration.m_id;
+}
+
+void UpstreamPool::RememberParts(Upstream& upstream,
+                                 const std::vector<PromptPart>& prompt,
+                                 TimePoint now) {
+  // The last part belongs to this request alone.
+  for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
+    upstream.m_parts[prompt[index].m_id] = {now, prompt[index].m_tokens};
+  }
+  if (upstream.m_parts.size() <= kMostParts) {
+    return;
+  }
+  const auto oldest = std::min_element(
+      upstream.m_parts.begin(), upstream.m_parts.end(),
+      [](const auto& a, const auto& b) {
+        return a.second.m_used < b.second.m_used;
+      });
+  upstream.m_parts.erase(oldest);
+}
+
+void UpstreamPool::NoteSent(const UpstreamId& id,
+                            const std::vector<PromptPart>* prompt,
+                            TimePoint now) {
+  Upstream* row = Find(id, true);
+  if (row == nullptr) {
+    return;
+  }
+  ++row->m_active;
+  if (prompt != nullptr) {
+    row->m_pending_prefill += UnreadTokens(*row, *prompt, false, now);
+    RememberParts(*row, *prompt, now);
+  }
+}
+
+void UpstreamPool::NoteFirstAnswer(const UpstreamId& id,
+                                   const std::vector<PromptPart>* prompt) {
+  Upstream* row = Find(id, true);
+  if (row == nullptr || prompt == nullptr) {
+    return;
+  }
+  // Engines read prompts in order, so what was sent before is read too.
+  row->m_pending_prefill = std::max(0.0, row->m_pending_prefill / 2.0);
+  if (row->m_active <= 1) {
+    row->m_pending_prefill = 0;
+  }
+}
+
+void UpstreamPool::NoteEnd(const UpstreamId& id,
+                           AttemptHealth health,
+                           Duration took,
+                           const std::vector<PromptPart>* prompt,
+                           bool answered,
+                           TimePoint now) {
+  Upstream* row = Find(id, true);
+  if (row == nullptr) {
+    return;
+  }
+  row->m_active = std::max(0, row->m_active - 1);
+  if (prompt != nullptr && !answered) {
+    NoteFirstAnswer(id, prompt);
+  }
+  const double weight = m_parameters.m_average_weight;
+  switch (health) {
+    case AttemptHealth::kServed:
+      row->m_failures = 0;
+      row->m_rest_until = TimePoint();
+      row->m_failure_rate *= 1.0 - weight;
+      if (took > Duration::zero()) {
+        row->m_took_ms = row->m_took_ms == 0
+                             ? Milliseconds(took)
+                             : row->m_took_ms * (1.0 - weight) +
+                                   Milliseconds(took) * weight;
+      }
+      return;
+    case AttemptHealth::kFailed:
+      row->m_failures = 0;
+      row->m_failure_rate += weight * (1.0 - row->m_failure_rate);
+      return;
+    case AttemptHealth::kRefused:
+    case AttemptHealth::kAbandoned:
+      return;
+    case AttemptHealth::kUnreachable:
+    case AttemptHealth::kBroken:
+    case AttemptHealth::kSilent:
+      break;
+  }
+  row->m_failure_rate += weight * (1.0 - row->m_failure_rate);
+  const int doublings = std::min(row->m_failures, kMostDoublings);
+  ++row->m_failures;
+  row->m_rest_until =
+      now + std::min(m_parameters.m_first_rest * (1 << doublings),
+                     m_parameters.m_longest_rest);
+  if (health == AttemptHealth::kUnreachable) {
+    row->m_parts.clear();  // Its memory is likely gone.
+  }
+}
+
+void UpstreamPool::NoteLoad(const UpstreamId& id,
+                            const LoadReport& load,
+                            TimePoint now) {
+  Upstream* row = Find(id, true);
+  if (row == nullptr) {
+    return;
+  }
+  row->m_report = load;
+  row->m_report_at = now;
+  row->m_active_at_report = row->m_active;
+}
+
+void UpstreamPool::NoteReplaced(const UpstreamId& id, TimePoint now) {
+  Upstream* row = Find(id, true);
+  if (row != nullptr) {
+    row->m_failures = kMostDoublings;
+    row->m_rest_until = now + m_parameters.m_longest_rest;
+  }
+}
+
+int UpstreamPool::Active(const UpstreamId& id) const {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? 0 : found->second.m_active;
+}
+
+std::vector<std::pair<UpstreamId, int>> UpstreamPool::ActiveByUpstream() const {
+  std::vector<std::pair<UpstreamId, int>> active;
+  for (const auto& [id, row] : m_upstreams) {
+    if (row.m_active > 0) {
+      active.emplace_back(id, row.m_active);
+    }
+  }
+  return active;
+}
+
+void UpstreamPool::SetPeerActive(const InstanceId& peer,
+                                 const std::map<UpstreamId, int>& active) {
+  m_peer_active[peer] = active;
+}
+
+void UpstreamPool::ForgetPeer(const InstanceId& peer) {
+  m_peer_active.erase(peer);
+}
+
+UpstreamPool::Occupancy UpstreamPool::OccupancyOf(const ServiceId& service,
+                                                  TimePoint now) const {
+  Occupancy occupancy;
+  for (const auto& [id, row] : m_upstreams) {
+    if (row.m_registration.m_service == service &&
+        !row.m_registration.m_draining) {
+      occupancy.m_taken += EstimatedLoad(row, now);
+      occupancy.m_places += row.m_registration.m_slots;
+    }
+  }
+  return occupancy;
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/gateway.cpp
@@ -0,0 +1,463 @@
+#include "nutmegd/gateway.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+#include "libnet/event_loop.h"
+#include "libnet/http_server.h"
+#include "libnet/log.h"
+#include "nutmegd/gateway_state.h"
+#include "nutmegd/registrations.h"
+#include "nutmegd/route_relay.h"
+#include "nutmegd/table_follower.h"
+#include "nutmeghollow/entry_directory.h"
+
+namespace nutmeghollow {
+namespace {
+
+using net::BootTime;
+using net::Log;
+using net::LogLevel;
+using nlohmann::json;
+
+/// Table of the instances; one row each, written once.
+constexpr const char* kInstanceTable = "nutmeg_instances";
+/// Longest time for an answer to a write: several times a slow one.
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
+/// Pause before a failed write is repeated.
+constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
+/// How often the settings file is compared with what was read.
+constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
+/// How often the end of a planned stop is looked for.
+constexpr Duration kDrainPeriod = std::chrono::milliseconds(50);
+/// A planned stop ends this long before it would be ended by force.
+constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+/// A stopping instance serves for this many times the life of an entry
+/// answer, since some callers keep one for three times its life.
+constexpr int kDrainKeeps = 4;
+/// Most addresses of an entry answer.
+constexpr std::size_t kMostAddresses = 64;
+/// Memory of the HTTP library for each connection beyond the header limit.
+constexpr Bytes kConnectionMemory{8 << 10};
+/// Read from callers at most; the configuration's own limits are checked on
+/// each request and lie below.
+constexpr Bytes kHeaderLimit{20 << 10};
+constexpr Bytes kBodyLimit{16 << 20};
+/// Idle connections of callers are kept for longer than any caller reuses one.
+constexpr Duration kCallerIdle = std::chrono::seconds(120);
+
+std::string ReadFile(const std::string& name) {
+  std::ifstream stream(name);
+  std::stringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+net::HttpServerOptions CallerOptions() {
+  net::HttpServerOptions options;
+  options.m_body_limit = kBodyLimit;
+  options.m_header_limit = kHeaderLimit;
+  options.m_connection_memory = kConnectionMemory;
+  options.m_idle_timeout = kCallerIdle;
+  return options;
+}
+
+}  // namespace
+
+class Gateway::Impl {
+ public:
+  Impl(struct ev_loop* loop,
+       const Settings& settings,
+       std::string settings_file,
+       net::RouteProtocol protocol,
+       const RowFeedMaker& make_feed);
+  int Run();
+
+ private:
+  using Exchange = std::shared_ptr<net::HttpExchange>;
+
+  void ApplySettings();
+  void ReloadSettings(const char* cause);
+  void HandleCaller(const Exchange& exchange);
+  void HandleEntry(const Exchange& exchange);
+  void HandleOperator(const Exchange& exchange);
+  bool Ready() const;
+
+  TableFollowerEvents ConfigurationEvents();
+  TableFollowerEvents RegistrationEvents();
+  TableFollowerEvents InstanceEvents();
+  void HandleConfiguration(const net::FeedRow& row);
+  void HandleInstance(const net::FeedRow& row);
+  std::string SelfRow() const;
+  void WriteSelf();
+
+  void StartDrain(const char* cause);
+  void CheckDrain();
+
+  struct ev_loop* m_loop;
+  Settings m_settings;
+  std::string m_settings_file;
+  std::string m_settings_text;
+  net::HttpClient m_client;
+  GatewayState m_state;
+  net::RowFeed m_feed;
+  Registrations m_registrations;
+  EntryDirectory m_directory;
+  std::map<std::uint64_t, std::shared_ptr<RouteRelay>> m_relays;
+  std::uint64_t m_last_relay = 0;
+  bool m_registrations_read = false;
+  std::optional<TimePoint> m_drain_started;
+  int m_exit_code = 0;
+
+  TableFollower m_configuration_follower;
+  TableFollower m_registration_follower;
+  TableFollower m_instance_follower;
+  net::HttpServer m_caller_server;
+  net::HttpServer m_entry_server;
+  net::HttpServer m_operator_server;
+  net::SignalWatcher m_terminate;
+  net::SignalWatcher m_interrupt;
+  net::SignalWatcher m_hang_up;
+  net::Timer m_settings_timer;
+  net::Timer m_write_timer;
+  net::Timer m_drain_timer;
+};
+
+Gateway::Impl::Impl(struct ev_loop* loop,
+                    const Settings& settings,
+                    std::string settings_file,
+                    net::RouteProtocol protocol,
+                    const RowFeedMaker& make_feed)
+    : m_loop(loop),
+      m_settings(settings),
+      m_settings_file(std::move(settings_file)),
+      m_settings_text(ReadFile(m_settings_file)),
+      m_client(loop),
+      m_feed(make_feed(m_client,
+                       [this] { return m_settings.m_platform.m_address; })),
+      m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
+      m_configuration_follower(
+          loop,
+          m_feed,
+          {.m_table = protocol.m_configuration_table,
+           .m_wait = std::chrono::milliseconds(1500)},
+          ConfigurationEvents()),
+      m_registration_follower(loop,
+                              m_feed,
+                              {.m_table = protocol.m_registration_table,
+                               .m_wait = std::chrono::milliseconds(2000),
+                               .m_least_period =
+                                   std::chrono::milliseconds(250)},
+                              RegistrationEvents()),
+      m_instance_follower(loop,
+                          m_feed,
+                          {.m_table = kInstanceTable,
+                           .m_wait = std::chrono::milliseconds(4000),
+                           .m_least_period = std::chrono::milliseconds(250)},
+                          InstanceEvents()),
+      m_caller_server(loop,
+                      settings.m_instance.m_caller_address,
+                      CallerOptions(),
+                      [this](const Exchange& exchange) {
+                        HandleCaller(exchange);
+                      }),
+      m_entry_server(loop,
+                     settings.m_gateway.m_entry_address,
+                     CallerOptions(),
+                     [this](const Exchange& exchange) {
+                       HandleEntry(exchange);
+                     }),
+      m_operator_server(loop,
+                        settings.m_instance.m_operator_address,
+                        CallerOptions(),
+                        [this](const Exchange& exchange) {
+                          HandleOperator(exchange);
+                        }),
+      m_terminate(loop, SIGTERM, [this] { StartDrain("SIGTERM"); }),
+      m_interrupt(loop, SIGINT, [this] { StartDrain("SIGINT"); }),
+      m_hang_up(loop, SIGHUP, [this] { ReloadSettings("SIGHUP"); }),
+      m_settings_timer(loop,
+                       [this] {
+                         if (ReadFile(m_settings_file) != m_settings_text) {
+                           ReloadSettings("file changed");
+                         }
+                       }),
+      m_write_timer(loop, [this] { WriteSelf(); }),
+      m_drain_timer(loop, [this] { CheckDrain(); }) {
+  m_state.m_loop = loop;
+  m_state.m_client = &m_client;
+  m_state.m_protocol = std::move(protocol);
+  m_state.m_settings = &m_settings;
+  ApplySettings();
+  m_settings_timer.StartRepeating(kSettingsPeriod);
+  WriteSelf();
+}
+
+int Gateway::Impl::Run() {
+  Log(LogLevel::kInfo, "started",
+      {{"instance", m_settings.m_instance.m_id.str()},
+       {"data_centre", m_settings.m_instance.m_data_centre.str()}});
+  ev_run(m_loop, 0);
+  return m_exit_code;
+}
+
+void Gateway::Impl::ApplySettings() {
+  RetryAllowanceParameters allowance;
+  allowance.m_ratio = m_settings.m_gateway.m_retry_ratio;
+  allowance.m_slack = m_settings.m_gateway.m_retry_slack;
+  allowance.m_window = m_settings.m_gateway.m_retry_window;
+  m_state.m_allowance.SetParameters(allowance);
+  net::SetLogLevel(m_settings.m_log_level);
+}
+
+void Gateway::Impl::ReloadSettings(const char* cause) {
+  const std::string text = ReadFile(m_settings_file);
+  m_settings_text = text;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(settings, ParseSettings(text, m_settings_file));
+        // Addresses listened on stay as they are until the next start.
+        m_settings.m_platform = settings.m_platform;
+        m_settings.m_gateway = settings.m_gateway;
+        m_settings.m_log_level = settings.m_log_level;
+        ApplySettings();
+        Log(LogLevel::kInfo, "settings_reloaded",
+            {{"cause", std::string(cause)}});
+        return {};
+      },
+      [&](const SettingsFindings& error) {
+        for (const SettingsFinding& finding : error.m_findings) {
+          Log(LogLevel::kError, "settings_not_used",
+              {{"cause", std::string(cause)},
+               {"finding", FormatFinding(finding)}});
+        }
+      },
+      [&] {
+        Log(LogLevel::kError, "settings_not_used",
+            {{"cause", std::string(cause)}});
+      });
+}
+
+bool Gateway::Impl::Ready() const {
+  return !m_drain_started && m_state.m_configuration != nullptr &&
+         m_registrations_read &&
+         (!m_state.m_configuration->HasCustomers() ||
+          m_state.MayServeKeys(BootTime()));
+}
+
+void Gateway::Impl::HandleCaller(const Exchange& exchange) {
+  const std::uint64_t id = ++m_last_relay;
+  auto relay = std::make_shared<RouteRelay>(&m_state, exchange,
+                                            [this, id] { m_relays.erase(id); });
+  m_relays.emplace(id, relay);
+  relay->Start();
+}
+
+void Gateway::Impl::HandleEntry(const Exchange& exchange) {
+  const net::HttpRequest& request = exchange->Request();
+  if (request.m_path != "/v1/entry") {
+    exchange->Respond(404, {{"Content-Type", "text/plain"}}, "unknown path\n");
+    return;
+  }
+  const auto field = [&](const char* name) {
+    const auto found = request.m_query.find(name);
+    return found == request.m_query.end() ? std::string() : found->second;
+  };
+  EntryInstance* self = m_directory.Find(m_settings.m_instance.m_id);
+  if (self != nullptr) {
+    self->m_ready = Ready();
+  }
+  json addresses = json::array();
+  for (const Endpoint& endpoint : m_directory.Choose(
+           RegionId(field("region")), DataCentreId(field("data_centre")),
+           kMostAddresses)) {
+    addresses.push_back(endpoint.str());
+  }
+  if (addresses.empty()) {
+    addresses.push_back(
+        m_settings.m_instance.m_advertised_caller_address.str());
+  }
+  const json body{{"addresses", addresses},
+                  {"keep_seconds", m_settings.m_gateway.m_keep_seconds}};
+  exchange->Respond(200, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void Gateway::Impl::HandleOperator(const Exchange& exchange) {
+  const std::string& path = exchange->Request().m_path;
+  const net::HeaderList text{{"Content-Type", "text/plain"}};
+  if (path == "/livez") {
+    exchange->Respond(200, text, "ok\n");
+  } else if (path == "/readyz") {
+    const bool ready = Ready();
+    exchange->Respond(ready ? 200 : 503, text, ready ? "ok\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    exchange->Respond(200, text, m_state.m_metrics.Render());
+  } else {
+    exchange->Respond(404, text, "unknown path\n");
+  }
+}
+
+TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
+  TableFollowerEvents events;
+  events.m_on_row = [this](const net::FeedRow& row) {
+    HandleConfiguration(row);
+  };
+  events.m_on_current = [this](TimePoint asked_at) {
+    m_state.m_proof.Confirm(asked_at);
+  };
+  events.m_on_lost = [](const std::string& reason) {
+    Log(LogLevel::kWarning, "configuration_feed_lost", {{"reason", reason}});
+  };
+  events.m_on_regained = [](Duration outage) {
+    Log(LogLevel::kInfo, "configuration_feed_regained",
+        {{"outage_ms", outage.count() / 1000}});
+  };
+  return events;
+}
+
+void Gateway::Impl::HandleConfiguration(const net::FeedRow& row) {
+  if (row.m_key != m_state.m_protocol.m_configuration_key || row.m_removed) {
+    return;
+  }
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(read,
+                        m_state.m_protocol.m_read_configuration(row.m_value));
+        if (m_state.m_configuration != nullptr &&
+            read.m_revision <= m_state.m_configuration->m_revision) {
+          return {};
+        }
+        Log(LogLevel::kInfo, "configuration_adopted",
+            {{"revision", static_cast<std::int64_t>(read.m_revision.value())},
+             {"routes", static_cast<std::int64_t>(read.RouteCount())}});
+        m_state.m_configuration =
+            std::make_shared<const RoutingConfiguration>(std::move(read));
+        return {};
+      },
+      [&](const net::BadDocument& error) {
+        for (const Finding& finding : error.m_findings) {
+          Log(LogLevel::kError, "configuration_not_used",
+              {{"place", finding.m_place}, {"fault", finding.m_message}});
+        }
+      },
+      [] { Log(LogLevel::kError, "configuration_not_used", {}); });
+}
+
+TableFollowerEvents Gateway::Impl::RegistrationEvents() {
+  TableFollowerEvents events;
+  events.m_on_row = [this](const net::FeedRow& row) {
+    m_registrations.HandleRow(row);
+  };
+  events.m_on_current = [this](TimePoint /*asked_at*/) {
+    m_registrations_read = true;
+  };
+  events.m_on_lost = [](const std::string& reason) {
+    Log(LogLevel::kWarning, "registration_feed_lost", {{"reason", reason}});
+  };
+  events.m_on_regained = [this](Duration outage) {
+    m_registrations.HandleRegained(outage);
+  };
+  return events;
+}
+
+TableFollowerEvents Gateway::Impl::InstanceEvents() {
+  TableFollowerEvents events;
+  events.m_on_row = [this](const net::FeedRow& row) { HandleInstance(row); };
+  return events;
+}
+
+void Gateway::Impl::HandleInstance(const net::FeedRow& row) {
+  const InstanceId id(row.m_key);
+  if (row.m_removed) {
+    m_directory.Remove(id);
+  } else {
+    const json value = json::parse(row.m_value, nullptr, false);
+    if (!value.is_object() || !value.contains("caller")) {
+      Log(LogLevel::kWarning, "instance_row_not_used", {{"key", row.m_key}});
+      return;
+    }
+    m_directory.Put({id, Endpoint(value.value("caller", "")),
+                     DataCentreId(value.value("data_centre", "")),
+                     RegionId(value.value("region", "")), true, true});
+  }
+  m_state.m_allowance.SetInstances(
+      std::max(1, static_cast<int>(m_directory.size())));
+}
+
+std::string Gateway::Impl::SelfRow() const {
+  const InstanceSettings& self = m_settings.m_instance;
+  return json{{"caller", self.m_advertised_caller_address.str()},
+              {"peer", self.m_advertised_peer_address.str()},
+              {"data_centre", self.m_data_centre.str()},
+              {"region", self.m_region.str()}}
+      .dump();
+}
+
+void Gateway::Impl::WriteSelf() {
+  net::FeedWrite write;
+  write.m_table = kInstanceTable;
+  write.m_key = m_settings.m_instance.m_id.str();
+  if (!m_drain_started) {
+    write.m_value = SelfRow();
+  }
+  m_feed.m_write(write, kWriteTimeout, [this](const net::FeedResult& result) {
+    if (result.m_status != net::FeedStatus::kDone) {
+      Log(LogLevel::kWarning, "instance_row_not_written",
+          {{"reason", result.m_detail}});
+      m_write_timer.Start(kWriteRetry);
+    }
+  });
+}
+
+void Gateway::Impl::StartDrain(const char* cause) {
+  if (m_drain_started) {
+    return;
+  }
+  m_drain_started = BootTime();
+  Log(LogLevel::kInfo, "drain_started",
+      {{"cause", std::string(cause)},
+       {"requests", static_cast<std::int64_t>(m_relays.size())}});
+  m_caller_server.CloseAfterAnswers();
+  WriteSelf();
+  m_drain_timer.StartRepeating(kDrainPeriod);
+}
+
+void Gateway::Impl::CheckDrain() {
+  const Duration elapsed = BootTime() - *m_drain_started;
+  const Duration keep =
+      std::chrono::seconds(m_settings.m_gateway.m_keep_seconds) * kDrainKeeps;
+  const Duration limit = m_settings.m_gateway.m_stop_grace - kStopMargin;
+  const bool served_long_enough = elapsed >= std::min(keep, limit);
+  if (elapsed < limit && !(served_long_enough && m_relays.empty())) {
+    return;
+  }
+  Log(LogLevel::kInfo, "stopped",
+      {{"cut_requests", static_cast<std::int64_t>(m_relays.size())},
+       {"after_ms", elapsed.count() / 1000}});
+  m_drain_timer.Stop();
+  ev_break(m_loop, EVBREAK_ALL);
+}
+
+Gateway::Gateway(struct ev_loop* loop,
+                 const Settings& settings,
+                 std::string settings_file,
+                 net::RouteProtocol protocol,
+                 const RowFeedMaker& make_feed)
+    : m_impl(std::make_unique<Impl>(loop,
+                                    settings,
+                                    std::move(settings_file),
+                                    std::move(protocol),
+                                    make_feed)) {}
+
+Gateway::~Gateway() = default;
+
+int Gateway::Run() {
+  return m_impl->Run();
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/gateway_state.h
@@ -0,0 +1,53 @@
+/// @file
+/// What the parts of the gateway share.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "libnet/http_client.h"
+#include "libnet/route_protocol.h"
+#include "nutmegd/settings.h"
+#include "nutmeghollow/attempt_policy.h"
+#include "nutmeghollow/configuration_proof.h"
+#include "nutmeghollow/metrics.h"
+#include "nutmeghollow/retry_allowance.h"
+#include "nutmeghollow/routing.h"
+#include "nutmeghollow/upstream_pool.h"
+
+namespace nutmeghollow {
+
+/// A request is sent this long before the bound on taken-away keys at the
+/// latest: the time in which it reaches the upstream and starts to run.
+inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(500);
+
+/// State of a gateway, read and written by its requests.
+struct GatewayState {
+  struct ev_loop* m_loop = nullptr;
+  net::HttpClient* m_client = nullptr;
+  net::RouteProtocol m_protocol;
+  const Settings* m_settings = nullptr;
+  AttemptPolicyParameters m_attempt_parameters;
+
+  /// Null until one has been read.
+  std::shared_ptr<const RoutingConfiguration> m_configuration;
+  ConfigurationProof m_proof;
+  UpstreamPool m_pool;
+  RetryAllowance m_allowance;
+  MetricsRegistry m_metrics;
+  std::mt19937_64 m_random{std::random_device()()};
+
+  /// @return true while requests with a key may be sent.
+  bool MayServeKeys(TimePoint now) const {
+    return m_proof.Within(
+        m_settings->m_gateway.m_revocation_limit - kRevocationMargin, now);
+  }
+  /// @return a number from `least` to `most`, evenly spread.
+  double Draw(double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(m_random);
+  }
+};
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/main/nutmegd.cpp
+++ b/src/nutmegd/main/nutmegd.cpp
@@ -14,7 +14,10 @@
 
 #include "libnet/log.h"
 #include "nutmegd/daemon.h"
+#include "nutmegd/gateway.h"
 #include "nutmegd/settings.h"
+#include "platform/protocol.h"
+#include "platform/rows.h"
 
 DEFINE_string(settings, "", "TOML file with the settings of this instance");
 DEFINE_bool(check_settings,
@@ -58,6 +61,11 @@
   std::signal(SIGPIPE, SIG_IGN);
   RaiseDescriptorLimit();
   try {
+    if (settings.m_gateway.m_enabled) {
+      Gateway gateway(ev_default_loop(0), settings, FLAGS_settings,
+                      platform::MakeProtocol(), platform::MakeRowFeed);
+      return gateway.Run();
+    }
     Daemon daemon(ev_default_loop(0), settings);
     return daemon.Run();
   } catch (const std::exception& error) {
--- /dev/null
+++ b/src/nutmegd/route_relay.cpp
@@ -0,0 +1,604 @@
+#include "nutmegd/route_relay.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "libnet/log.h"
+#include "nutmegd/problem.h"
+#include "nutmeghollow/hashing.h"
+
+namespace nutmeghollow {
+namespace {
+
+using net::BootTime;
+using net::Log;
+using net::LogLevel;
+
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusTimeout = 408;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusMisdirected = 421;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusHeaderTooLarge = 431;
+constexpr int kStatusServerError = 500;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusGatewayTimeout = 504;
+
+/// A connection in the region takes a few milliseconds; one that takes longer
+/// than this leads to an upstream that is gone or cut off.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+/// Idle connections are reused for this long. Upstreams close theirs after
+/// some seconds, and a connection lost without notice costs an attempt.
+constexpr std::chrono::seconds kReuseMaxIdle{2};
+/// Answers that are not streams are held whole up to this size.
+constexpr std::size_t kHoldLimit = 8 << 20;
+/// Unsent bytes of a slow caller's stream at which reading stops.
+constexpr std::size_t kStreamBacklog = 64 << 10;
+/// A refused caller is asked back after this part of its time left, spread so
+/// that refused callers do not come back together.
+constexpr double kLeastReturn = 0.08;
+constexpr double kMostReturn = 0.30;
+constexpr Duration kShortestReturn = std::chrono::milliseconds(50);
+constexpr Duration kLongestReturn = std::chrono::milliseconds(1500);
+/// An unknown route or key is final only if the configuration was the newest
+/// one this short a time ago: the time in which a change must be in force.
+constexpr Duration kFreshForDenial = std::chrono::milliseconds(2000);
+/// Time that a route's time-out is answered ahead of.
+constexpr Duration kAnswerLead = std::chrono::milliseconds(10);
+
+std::size_t HeaderSize(const net::HttpRequest& request) {
+  std::size_t size = request.m_method.size() + request.m_target.size();
+  for (const auto& [name, value] : request.m_headers) {
+    size += name.size() + value.size() + 4;
+  }
+  return size;
+}
+
+std::string_view PathOf(const std::string& target) {
+  return std::string_view(target).substr(0, target.find('?'));
+}
+
+/// Statuses that promise a caller that its request did not run.
+bool PromisesNotRun(int status) {
+  return status == kStatusTimeout || status == kStatusMisdirected ||
+         status == kStatusTooMany || status == kStatusUnavailable;
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return duration.count() / 1000;
+}
+
+}  // namespace
+
+RouteRelay::RouteRelay(GatewayState* state,
+                       std::shared_ptr<net::HttpExchange> exchange,
+                       std::function<void()> on_done)
+    : m_state(state),
+      m_exchange(std::move(exchange)),
+      m_on_done(std::move(on_done)),
+      m_timer(state->m_loop, [this] {
+        const auto self = shared_from_this();
+        HandleDeadline();
+      }) {}
+
+RouteRelay::~RouteRelay() = default;
+
+void RouteRelay::Start() {
+  const TimePoint now = BootTime();
+  m_arrived = now;
+  m_deadline = now + std::chrono::seconds(60);
+  m_request = m_state->m_protocol.m_read_request(m_exchange->Request());
+  const Rejection rejection = CheckRequest(now);
+  if (rejection.m_status == kStatusUnavailable) {
+    Refuse(rejection.m_reason);
+    return;
+  }
+  if (rejection.m_status != 0) {
+    Answer(rejection.m_status, rejection.m_reason, Duration::zero());
+    return;
+  }
+  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+  m_exchange->OnGone([weak] {
+    if (const auto self = weak.lock()) {
+      self->HandleGone();
+    }
+  });
+  m_exchange->OnDrained([weak] {
+    const auto self = weak.lock();
+    if (self != nullptr && self->m_attempt) {
+      self->m_state->m_client->Resume(self->m_attempt->m_call);
+    }
+  });
+  m_timer.Start(std::max(m_deadline - now, Duration(1)));
+  m_state->m_allowance.NoteRequest(m_service, now);
+  Dispatch(now);
+}
+
+RouteRelay::Rejection RouteRelay::CheckRequest(TimePoint now) {
+  m_configuration = m_state->m_configuration;
+  if (m_configuration == nullptr) {
+    return {kStatusUnavailable, "no configuration yet"};
+  }
+  const net::HttpRequest& request = m_exchange->Request();
+  const CallerLimits& limits = m_configuration->m_limits;
+  if (HeaderSize(request) > static_cast<std::size_t>(limits.m_header.value())) {
+    return {kStatusHeaderTooLarge, "header too large"};
+  }
+  if (request.m_body.size() > static_cast<std::size_t>(limits.m_body.value())) {
+    return {kStatusTooLarge, "body too large"};
+  }
+  const HttpRoute* route = m_configuration->FindRoute(
+      m_request.m_host, PathOf(request.m_target));
+  if (route == nullptr) {
+    return {m_state->m_proof.Within(kFreshForDenial, now) ? kStatusNotFound
+                                                          : kStatusUnavailable,
+            "no such route"};
+  }
+  m_route = *route;
+  const double draw =
+      static_cast<double>(HashText(m_request.m_id.str()) >> 11) /
+      static_cast<double>(std::uint64_t{1} << 53);
+  m_service = ChooseService(m_route, draw);
+  Duration wait = m_route.m_timeout;
+  if (m_request.m_deadline) {
+    wait = std::min(wait, *m_request.m_deadline);
+  }
+  m_deadline = now + std::max(wait - kAnswerLead, Duration(1));
+  if (!request.m_body.empty()) {
+    m_body = std::make_shared<const std::string>(request.m_body);
+  }
+  return CheckKey(m_route, now);
+}
+
+RouteRelay::Rejection RouteRelay::CheckKey(const HttpRoute& route,
+                                           TimePoint now) {
+  m_priority = route.m_priority;
+  m_customer = CustomerId();
+  if (!m_configuration->HasCustomers()) {
+    return {};
+  }
+  const CustomerKeys* customer =
+      m_configuration->FindCustomer(m_request.m_key);
+  if (customer != nullptr && m_state->MayServeKeys(now)) {
+    m_customer = customer->m_id;
+    m_priority = customer->m_priority.value_or(route.m_priority);
+    return {};
+  }
+  if (route.m_anonymous) {
+    return {};
+  }
+  const bool fresh = m_state->m_proof.Within(kFreshForDenial, now);
+  if (customer == nullptr && fresh) {
+    return {kStatusUnauthorized, "unknown key"};
+  }
+  return {kStatusUnavailable, "configuration not proven current"};
+}
+
+bool RouteRelay::AdoptConfiguration(TimePoint now) {
+  m_configuration = m_state->m_configuration;
+  const HttpRoute* route = m_configuration->FindRoute(
+      m_request.m_host, PathOf(m_exchange->Request().m_target));
+  if (route == nullptr) {
+    Refuse("route was removed");
+    return false;
+  }
+  const Rejection rejection = CheckKey(*route, now);
+  if (rejection.m_status != 0) {
+    Refuse(rejection.m_reason);
+    return false;
+  }
+  const bool service_kept =
+      std::any_of(route->m_shares.begin(), route->m_shares.end(),
+                  [this](const TrafficShare& share) {
+                    return share.m_service == m_service;
+                  });
+  if (!service_kept) {
+    m_service = ChooseService(*route, m_state->Draw(0, 1));
+  }
+  return true;
+}
+
+bool RouteRelay::IsEngine() const {
+  const ServicePolicy* service = m_configuration->FindService(m_service);
+  return service != nullptr && service->m_engine.has_value();
+}
+
+const std::vector<PromptPart>* RouteRelay::Prompt() const {
+  return m_request.m_prompt.empty() ? nullptr : &m_request.m_prompt;
+}
+
+void RouteRelay::Dispatch(TimePoint now) {
+  if (!AdoptConfiguration(now)) {
+    return;
+  }
+  UpstreamWish wish;
+  wish.m_service = m_service;
+  wish.m_prompt = Prompt();
+  wish.m_tried = m_tried;
+  wish.m_data_centre = m_state->m_settings->m_instance.m_data_centre;
+  std::optional<UpstreamId> chosen = m_state->m_pool.Choose(wish, now);
+  if (!chosen && !m_tried.empty() && !m_progress.m_may_have_run) {
+    // All were tried in vain and none ran it: the first may do now.
+    wish.m_tried.clear();
+    chosen = m_state->m_pool.Choose(wish, now);
+  }
+  if (!chosen) {
+    if (m_progress.m_answer_begun) {
+      Abort("no other upstream");
+    } else if (m_progress.m_may_have_run) {
+      Fail(kStatusBadGateway, "no other upstream");
+    } else {
+      Refuse("no upstream");
+    }
+    return;
+  }
+  Send(*chosen, now);
+}
+
+net::HttpCall RouteRelay::MakeCall(const RegisteredUpstream& upstream,
+                                   TimePoint now) {
+  const net::HttpRequest& request = m_exchange->Request();
+  const Duration time_left = TimeLeft(now);
+  net::ForwardedFields fields;
+  fields.m_expected = upstream.m_id;
+  fields.m_time_left = time_left;
+  fields.m_customer = m_customer;
+  fields.m_priority = m_priority;
+  fields.m_engine = IsEngine();
+  fields.m_resume_after =
+      m_events.LastId().value_or(m_request.m_resume_after);
+  net::HttpCall call;
+  call.m_method = request.m_method;
+  call.m_endpoint = upstream.m_endpoint;
+  call.m_path = request.m_target;
+  call.m_headers = m_state->m_protocol.m_upstream_headers(request, fields);
+  call.m_body = m_body;
+  call.m_connect_timeout = std::min(kConnectTimeout, time_left);
+  const int attempts_left = m_route.m_max_attempts - m_progress.m_attempts - 1;
+  call.m_first_byte_timeout =
+      FirstByteLimit(m_route, attempts_left, time_left);
+  call.m_idle_timeout = SilenceLimit(m_route, attempts_left, time_left);
+  call.m_total_timeout = time_left;
+  call.m_own_connection = !m_route.MayRepeat();
+  call.m_reuse_max_idle = kReuseMaxIdle;
+  call.m_accept_close_delimited = true;
+  return call;
+}
+
+net::HttpCallEvents RouteRelay::MakeEvents() {
+  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+  net::HttpCallEvents events;
+  events.m_on_headers = [weak](int status, const net::HeaderMap& headers) {
+    if (const auto self = weak.lock()) {
+      self->HandleHeaders(status, headers);
+    }
+  };
+  events.m_on_data = [weak](std::string_view data) {
+    const auto self = weak.lock();
+    return self == nullptr || self->HandleData(data);
+  };
+  events.m_on_end = [weak](const net::HttpEnd& end) {
+    if (const auto self = weak.lock()) {
+      self->HandleEnd(end);
+    }
+  };
+  return events;
+}
+
+void RouteRelay::Send(const UpstreamId& upstream, TimePoint now) {
+  const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
+  Attempt attempt;
+  attempt.m_upstream = upstream;
+  attempt.m_sent_at = now;
+  attempt.m_call = m_state->m_client->Start(MakeCall(*registration, now),
+                                            MakeEvents());
+  m_attempt = std::move(attempt);
+  ++m_progress.m_attempts;
+  m_tried.push_back(upstream);
+  m_state->m_pool.NoteSent(upstream, Prompt(), now);
+}
+
+bool RouteRelay::IsStreamAnswer() const {
+  return m_route.m_streamed && m_attempt->m_status / 100 == 2;
+}
+
+void RouteRelay::HandleHeaders(int status, const net::HeaderMap& headers) {
+  Attempt& attempt = *m_attempt;
+  const net::AnswerFields fields =
+      m_state->m_protocol.m_read_answer(status, headers);
+  attempt.m_status = status;
+  attempt.m_headers = headers;
+  if (fields.m_load) {
+    m_state->m_pool.NoteLoad(attempt.m_upstream, *fields.m_load, BootTime());
+  }
+  if (fields.m_wrong_upstream) {
+    attempt.m_failure = AttemptFailure::kWrongUpstream;
+  } else if (fields.m_not_run) {
+    attempt.m_failure = AttemptFailure::kRefused;
+  } else if (!fields.m_signed || fields.m_echoed_id != m_request.m_id) {
+    // Bytes that belong to no request, or to another one.
+    m_progress.m_may_have_run = true;
+    CancelAttempt(AttemptHealth::kBroken);
+    HandleFailure(AttemptFailure::kBroken);
+  } else if (status >= kStatusServerError) {
+    attempt.m_failure = AttemptFailure::kFailed;
+  }
+}
+
+bool RouteRelay::HandleData(std::string_view data) {
+  if (m_done || !m_attempt) {
+    return true;
+  }
+  Attempt& attempt = *m_attempt;
+  if (!attempt.m_answered) {
+    attempt.m_answered = true;
+    m_state->m_pool.NoteFirstAnswer(attempt.m_upstream, Prompt());
+  }
+  if (!attempt.m_failure && IsStreamAnswer()) {
+    if (m_exchange->Buffered() > kStreamBacklog) {
+      return false;
+    }
+    RelayEvents(data);
+    return true;
+  }
+  if (attempt.m_body.size() + data.size() > kHoldLimit) {
+    m_progress.m_may_have_run = true;
+    CancelAttempt(AttemptHealth::kAbandoned);
+    Fail(kStatusBadGateway, "answer too large to hold");
+    return true;
+  }
+  attempt.m_body.append(data);
+  return true;
+}
+
+void RouteRelay::RelayEvents(std::string_view data) {
+  const std::string events = m_events.Take(data);
+  if (events.empty()) {
+    return;
+  }
+  BeginStream();
+  m_exchange->Write(events);
+}
+
+void RouteRelay::BeginStream() {
+  if (m_progress.m_answer_begun) {
+    return;
+  }
+  m_progress.m_answer_begun = true;
+  m_first_event_at = BootTime();
+  m_exchange->BeginStream(
+      m_attempt->m_status,
+      m_state->m_protocol.m_caller_headers(m_attempt->m_headers));
+}
+
+void RouteRelay::HandleEnd(const net::HttpEnd& end) {
+  if (m_done || !m_attempt) {
+    return;
+  }
+  const TimePoint now = BootTime();
+  const std::optional<AttemptFailure> told = m_attempt->m_failure;
+  if (told && ProvesNotRun(*told)) {
+    // The header says it; how the rest of the answer ended does not matter.
+    if (*told == AttemptFailure::kWrongUpstream) {
+      m_state->m_pool.NoteReplaced(m_attempt->m_upstream, now);
+    }
+    EndAttempt(AttemptHealth::kRefused, now);
+    HandleFailure(*told);
+    return;
+  }
+  m_progress.m_may_have_run =
+      m_progress.m_may_have_run || end.m_may_have_been_sent;
+  if (end.m_kind == net::HttpEndKind::kComplete) {
+    if (IsStreamAnswer()) {
+      EndStream();
+    } else {
+      EndWhole();
+    }
+    return;
+  }
+  AttemptFailure failure = AttemptFailure::kBroken;
+  AttemptHealth health = AttemptHealth::kBroken;
+  if (!end.m_may_have_been_sent) {
+    failure = AttemptFailure::kUnreachable;
+    health = AttemptHealth::kUnreachable;
+  } else if (end.m_kind == net::HttpEndKind::kTimeout) {
+    failure = AttemptFailure::kSilent;
+    health = AttemptHealth::kSilent;
+  }
+  EndAttempt(health, now);
+  HandleFailure(failure);
+}
+
+void RouteRelay::EndWhole() {
+  Attempt& attempt = *m_attempt;
+  HeldAnswer answer{attempt.m_status,
+                    m_state->m_protocol.m_caller_headers(attempt.m_headers),
+                    std::move(attempt.m_body)};
+  if (attempt.m_failure == AttemptFailure::kFailed) {
+    EndAttempt(AttemptHealth::kFailed, BootTime());
+    m_held = std::move(answer);
+    HandleFailure(AttemptFailure::kFailed);
+    return;
+  }
+  EndAttempt(AttemptHealth::kServed, BootTime());
+  m_held = std::move(answer);
+  GiveHeldAnswer();
+}
+
+void RouteRelay::EndStream() {
+  BeginStream();
+  if (!m_events.Rest().empty()) {
+    m_exchange->Write(m_events.Rest());
+  }
+  const int status = m_attempt->m_status;
+  EndAttempt(AttemptHealth::kServed, BootTime());
+  m_exchange->EndStream();
+  Finish("served", status, "");
+}
+
+void RouteRelay::EndAttempt(AttemptHealth health, TimePoint now) {
+  const Attempt attempt = std::move(*m_attempt);
+  m_attempt.reset();
+  const bool timed = health == AttemptHealth::kServed && !m_route.m_streamed;
+  m_state->m_pool.NoteEnd(attempt.m_upstream, health,
+                          timed ? now - attempt.m_sent_at : Duration::zero(),
+                          Prompt(), attempt.m_answered, now);
+  if (health != AttemptHealth::kServed) {
+    Log(LogLevel::kDebug, "attempt_ended",
+        {{"request", m_request.m_id.str()},
+         {"upstream", attempt.m_upstream.str()},
+         {"health", std::int64_t{static_cast<int>(health)}},
+         {"status", std::int64_t{attempt.m_status}},
+         {"after_ms", Milliseconds(now - attempt.m_sent_at)}});
+  }
+}
+
+void RouteRelay::CancelAttempt(AttemptHealth health) {
+  if (m_attempt) {
+    m_state->m_client->Cancel(m_attempt->m_call);
+    EndAttempt(health, BootTime());
+  }
+}
+
+void RouteRelay::HandleFailure(AttemptFailure failure) {
+  const TimePoint now = BootTime();
+  m_events.DropRest();
+  m_progress.m_time_left = TimeLeft(now);
+  m_progress.m_can_resume = m_events.LastId().has_value();
+  NextStep step = DecideNextStep(m_route, failure, m_progress,
+                                 m_state->m_attempt_parameters);
+  const bool sends = step == NextStep::kSendAgain || step == NextStep::kResume;
+  if (sends && !m_state->m_allowance.Take(m_service, now)) {
+    step = DecideEnd(failure, m_progress);
+  }
+  switch (step) {
+    case NextStep::kSendAgain:
+    case NextStep::kResume:
+      Dispatch(now);
+      return;
+    case NextStep::kGiveOn:
+      GiveHeldAnswer();
+      return;
+    case NextStep::kRefuse:
+      Refuse("upstreams did not run it");
+      return;
+    case NextStep::kFail:
+      Fail(kStatusBadGateway, "the upstream broke off");
+      return;
+    case NextStep::kTimeOut:
+      Fail(kStatusGatewayTimeout, "no answer in time");
+      return;
+    case NextStep::kAbort:
+      Abort("the stream broke off");
+      return;
+  }
+}
+
+void RouteRelay::HandleDeadline() {
+  if (m_done) {
+    return;
+  }
+  const bool silent = m_attempt && !m_attempt->m_answered;
+  if (m_attempt) {
+    m_progress.m_may_have_run = true;
+  }
+  CancelAttempt(silent ? AttemptHealth::kSilent : AttemptHealth::kAbandoned);
+  if (m_progress.m_answer_begun) {
+    Abort("time-out");
+  } else if (m_progress.m_may_have_run) {
+    Fail(kStatusGatewayTimeout, "no answer in time");
+  } else {
+    Refuse("no answer in time");
+  }
+}
+
+void RouteRelay::HandleGone() {
+  if (m_done) {
+    return;
+  }
+  CancelAttempt(AttemptHealth::kAbandoned);
+  Finish("caller_gone", 0, "");
+}
+
+void RouteRelay::GiveHeldAnswer() {
+  HeldAnswer answer = std::move(*m_held);
+  if (PromisesNotRun(answer.m_status)) {
+    // The upstream's own status would promise what is not certain.
+    m_held.reset();
+    Fail(kStatusBadGateway, "the upstream failed");
+    return;
+  }
+  m_exchange->Respond(answer.m_status, answer.m_headers,
+                      std::move(answer.m_body));
+  Finish("served", answer.m_status, "");
+}
+
+void RouteRelay::Refuse(const char* reason) {
+  const auto left = static_cast<double>(
+      std::max(TimeLeft(BootTime()), Duration::zero()).count());
+  const Duration wish(static_cast<std::int64_t>(
+      left * m_state->Draw(kLeastReturn, kMostReturn)));
+  Answer(kStatusUnavailable, reason,
+         std::clamp(wish, kShortestReturn, kLongestReturn));
+}
+
+void RouteRelay::Fail(int status, const char* reason) {
+  if (m_held) {
+    GiveHeldAnswer();
+    return;
+  }
+  Answer(status, reason, Duration::zero());
+}
+
+void RouteRelay::Answer(int status, const char* reason, Duration retry_after) {
+  Problem problem;
+  problem.m_status = status;
+  problem.m_type = "route";
+  problem.m_title = "Request not served";
+  problem.m_detail = reason;
+  problem.m_outcome = m_progress.m_may_have_run ? Outcome::kUnknown
+                                                : Outcome::kNotRun;
+  net::HeaderList headers = ProblemHeaders(problem);
+  if (!m_request.m_id.empty()) {
+    headers.emplace_back("Request-Id", m_request.m_id.str());
+  }
+  if (retry_after > Duration::zero()) {
+    headers.emplace_back("Retry-After",
+                         m_state->m_protocol.m_write_retry_after(retry_after));
+  }
+  m_exchange->Respond(status, headers, ProblemBody(problem, m_request.m_id));
+  Finish(status == kStatusUnavailable ? "refused" : "failed", status, reason);
+}
+
+void RouteRelay::Abort(const char* reason) {
+  m_exchange->AbortStream();
+  Finish("broken_off", m_progress.m_answer_begun ? 200 : 0, reason);
+}
+
+void RouteRelay::Finish(const char* outcome, int status, const char* reason) {
+  const auto self = shared_from_this();
+  m_done = true;
+  m_timer.Stop();
+  const TimePoint now = BootTime();
+  const bool good = std::string_view(outcome) == "served";
+  m_state->m_metrics.Count("nutmeg_route_requests",
+                           std::string("outcome=\"") + outcome + "\"");
+  Log(good ? LogLevel::kDebug : LogLevel::kInfo, "request_ended",
+      {{"request", m_request.m_id.str()},
+       {"route", m_route.m_name},
+       {"outcome", std::string(outcome)},
+       {"status", std::int64_t{status}},
+       {"reason", std::string(reason)},
+       {"attempts", std::int64_t{m_progress.m_attempts}},
+       {"upstream", m_tried.empty() ? "" : m_tried.back().str()},
+       {"first_ms", m_first_event_at == TimePoint()
+                        ? std::int64_t{-1}
+                        : Milliseconds(m_first_event_at - m_arrived)},
+       {"took_ms", Milliseconds(now - m_arrived)}});
+  m_on_done();
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/route_relay.h
@@ -0,0 +1,119 @@
+/// @file
+/// One caller's request on an HTTP route, from its arrival to the end of its
+/// answer.
+///
+/// The request is sent to one upstream after another as the attempt policy
+/// says. Answers that are not streams are held until they are whole, so a
+/// failed attempt leaves no trace; of a stream only whole events are given on.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libnet/event_loop.h"
+#include "libnet/http_server.h"
+#include "nutmegd/gateway_state.h"
+#include "nutmeghollow/event_stream.h"
+
+namespace nutmeghollow {
+
+/// Relays one request. Owned by the gateway until `m_on_done`.
+class RouteRelay : public std::enable_shared_from_this<RouteRelay> {
+ public:
+  RouteRelay(GatewayState* state,
+             std::shared_ptr<net::HttpExchange> exchange,
+             std::function<void()> on_done);
+  ~RouteRelay();
+  RouteRelay(const RouteRelay&) = delete;
+  RouteRelay& operator=(const RouteRelay&) = delete;
+
+  /// Checks the request and sends it, or answers it at once.
+  void Start();
+
+ private:
+  /// Why a request may not be sent now.
+  struct Rejection {
+    int m_status = 0;  ///< 0: none.
+    const char* m_reason = "";
+  };
+  /// An upstream's own error answer, kept while others are asked.
+  struct HeldAnswer {
+    int m_status = 0;
+    net::HeaderList m_headers;
+    std::string m_body;
+  };
+  /// The attempt in progress.
+  struct Attempt {
+    net::HttpCallId m_call;
+    UpstreamId m_upstream;
+    TimePoint m_sent_at{};
+    int m_status = 0;
+    net::HeaderMap m_headers;
+    std::optional<AttemptFailure> m_failure;  ///< Told by the header.
+    bool m_answered = false;
+    std::string m_body;
+  };
+
+  Rejection CheckRequest(TimePoint now);
+  /// @return why the customer's key does not allow the request.
+  Rejection CheckKey(const HttpRoute& route, TimePoint now);
+  bool AdoptConfiguration(TimePoint now);
+  void Dispatch(TimePoint now);
+  void Send(const UpstreamId& upstream, TimePoint now);
+  net::HttpCall MakeCall(const RegisteredUpstream& upstream, TimePoint now);
+  net::HttpCallEvents MakeEvents();
+
+  void HandleHeaders(int status, const net::HeaderMap& headers);
+  bool HandleData(std::string_view data);
+  void HandleEnd(const net::HttpEnd& end);
+  void HandleFailure(AttemptFailure failure);
+  void HandleDeadline();
+  void HandleGone();
+
+  void BeginStream();
+  void RelayEvents(std::string_view data);
+  void EndWhole();
+  void EndStream();
+  void EndAttempt(AttemptHealth health, TimePoint now);
+  void CancelAttempt(AttemptHealth health);
+
+  void Refuse(const char* reason);
+  void Fail(int status, const char* reason);
+  void Answer(int status, const char* reason, Duration retry_after);
+  void GiveHeldAnswer();
+  void Abort(const char* reason);
+  void Finish(const char* outcome, int status, const char* reason);
+
+  bool IsEngine() const;
+  bool IsStreamAnswer() const;
+  const std::vector<PromptPart>* Prompt() const;
+  Duration TimeLeft(TimePoint now) const { return m_deadline - now; }
+
+  GatewayState* m_state;
+  std::shared_ptr<net::HttpExchange> m_exchange;
+  std::function<void()> m_on_done;
+  net::Timer m_timer;
+
+  net::RouteRequest m_request;
+  std::shared_ptr<const std::string> m_body;
+  std::shared_ptr<const RoutingConfiguration> m_configuration;
+  HttpRoute m_route;
+  ServiceId m_service;
+  CustomerId m_customer;
+  int m_priority = 0;
+  TimePoint m_arrived{};
+  TimePoint m_deadline{};
+
+  RequestProgress m_progress;
+  std::vector<UpstreamId> m_tried;
+  std::optional<Attempt> m_attempt;
+  std::optional<HeldAnswer> m_held;
+  EventSplitter m_events;
+  TimePoint m_first_event_at{};
+  bool m_resuming = false;
+  bool m_done = false;
+};
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -102,6 +102,30 @@
     return value;
   }
 
+  /// Reads a number, whole or not, within limits.
+  std::optional<double> ReadReal(const char* key,
+                                 double least,
+                                 double greatest) {
+    const toml::node* node = Take(key, false);
+    if (node == nullptr) {
+      return std::nullopt;
+    }
+    const std::optional<double> value = node->value<double>();
+    if (!value || *value < least || *value > greatest) {
+      AddFinding(node, key,
+                 fmt::format("must be a number from {} to {}", least, greatest));
+      return std::nullopt;
+    }
+    return value;
+  }
+
+  void ReadSeconds(const char* key, Duration* target) {
+    constexpr double kGreatest = 86'400;
+    if (const auto value = ReadReal(key, 0, kGreatest)) {
+      *target = Duration(static_cast<std::int64_t>(*value * 1e6));
+    }
+  }
+
   void ReadMilliseconds(const char* key,
                         Duration* target,
                         std::int64_t least = 1) {
@@ -173,6 +197,7 @@
       : m_root(root), m_file(std::move(file)) {}
 
   Settings Read() {
+    ReadGateway();
     ReadInstance();
     ReadFleet();
     ReadPlatform();
@@ -215,10 +240,32 @@
     }
   }
 
+  void ReadGateway() {
+    GatewaySettings& target = m_settings.m_gateway;
+    target.m_enabled = m_root.contains("gateway");
+    if (!target.m_enabled) {
+      return;
+    }
+    SectionReader reader = Open("gateway");
+    reader.ReadEndpoint("entry_address", &target.m_entry_address, true);
+    reader.ReadMilliseconds("revocation_limit_ms", &target.m_revocation_limit);
+    reader.ReadSeconds("stop_grace_seconds", &target.m_stop_grace);
+    reader.ReadSeconds("retry_window_seconds", &target.m_retry_window);
+    const auto read = [&](const char* key, double* number) {
+      *number = reader.ReadReal(key, 0, 1e6).value_or(*number);
+    };
+    read("retry_ratio", &target.m_retry_ratio);
+    read("retry_slack", &target.m_retry_slack);
+    if (const auto keep = reader.ReadNumber("keep_seconds", 1, 3600)) {
+      target.m_keep_seconds = *keep;
+    }
+  }
+
   void ReadFleet() {
     FleetSettings& target = m_settings.m_fleet;
     SectionReader reader = Open("fleet");
-    reader.Read("key_file", &target.m_key_file, true);
+    reader.Read("key_file", &target.m_key_file,
+                !m_settings.m_gateway.m_enabled);
     ReadKey(&reader);
     reader.ReadMilliseconds("isolation_limit_ms", &target.m_isolation_limit);
     reader.ReadBytes("control_bytes_per_second",
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -54,7 +54,7 @@
 /// [fleet]: how instances talk to one another.
 struct FleetSettings {
   /// key_file: file that holds the fleet keys in hex, one a line; the first
-  /// one signs and all are accepted. Required.
+  /// one signs and all are accepted. Required, but for a gateway.
   std::string m_key_file;
   /// The keys themselves, read from the file.
   net::FleetKeys m_keys;
@@ -118,8 +118,30 @@
   Duration m_idle_timeout = std::chrono::seconds(10);
 };
 
+/// [gateway]: service of HTTP routes that operators configure, with upstreams
+/// that register themselves. Without this section the instance serves chats.
+struct GatewaySettings {
+  bool m_enabled = false;  ///< The section is there.
+  /// entry_address: "IP:PORT" where callers ask for instances. Required.
+  Endpoint m_entry_address;
+  /// keep_seconds: how long callers keep an entry answer.
+  std::int64_t m_keep_seconds = 1;
+  /// revocation_limit_ms: an API key must stop working everywhere this long
+  /// after it was taken away.
+  Duration m_revocation_limit = std::chrono::seconds(5);
+  /// stop_grace_seconds: a planned stop that takes longer is ended by force.
+  Duration m_stop_grace = std::chrono::seconds(8);
+  /// retry_ratio: repeated sends per request, fleet-wide.
+  double m_retry_ratio = 0.2;
+  /// retry_slack: repeated sends on top, fleet-wide, in a window.
+  double m_retry_slack = 50;
+  /// retry_window_seconds: the window of both.
+  Duration m_retry_window = std::chrono::seconds(10);
+};
+
 /// The whole settings file.
 struct Settings {
+  GatewaySettings m_gateway;
   InstanceSettings m_instance;
   FleetSettings m_fleet;
   PlatformSettings m_platform;
--- /dev/null
+++ b/src/nutmegd/table_follower.cpp
@@ -0,0 +1,125 @@
+#include "nutmegd/table_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmeghollow {
+
+namespace {
+
+/// Doublings of the pause after which it is at its longest.
+constexpr int kMostDoublings = 4;
+
+}  // namespace
+
+TableFollower::TableFollower(struct ev_loop* loop,
+                             net::RowFeed feed,
+                             TableFollowerOptions options,
+                             TableFollowerEvents events)
+    : m_feed(std::move(feed)),
+      m_options(std::move(options)),
+      m_events(std::move(events)),
+      m_timer(loop, [this] { Ask(); }),
+      m_last_answer(net::BootTime()) {
+  m_timer.Start(Duration::zero());
+}
+
+TableFollower::~TableFollower() = default;
+
+void TableFollower::Ask() {
+  const TimePoint asked_at = net::BootTime();
+  const std::weak_ptr<bool> alive = m_alive;
+  if (!m_has_all) {
+    m_feed.m_read_all(m_options.m_table, m_options.m_answer_margin,
+                      [this, alive, asked_at](const net::FeedResult& result) {
+                        if (!alive.expired()) {
+                          HandleAll(result, asked_at);
+                        }
+                      });
+    return;
+  }
+  m_feed.m_wait_changes(m_options.m_table, m_version, m_options.m_wait,
+                        m_options.m_wait + m_options.m_answer_margin,
+                        [this, alive, asked_at](const net::FeedResult& result) {
+                          if (!alive.expired()) {
+                            HandleChanges(result, asked_at);
+                          }
+                        });
+}
+
+void TableFollower::HandleAll(const net::FeedResult& result,
+                              TimePoint asked_at) {
+  if (result.m_status != net::FeedStatus::kDone) {
+    NoteFailure(result.m_detail);
+    return;
+  }
+  NoteAnswer();
+  std::set<std::string> gone = m_keys;
+  for (const net::FeedRow& row : result.m_rows) {
+    gone.erase(row.m_key);
+    HandleRow(row);
+  }
+  for (const std::string& key : gone) {
+    HandleRow({key, "", result.m_version, true});
+  }
+  m_has_all = true;
+  m_version = result.m_version;
+  NoteCurrent(asked_at);
+}
+
+void TableFollower::HandleChanges(const net::FeedResult& result,
+                                  TimePoint asked_at) {
+  if (result.m_status == net::FeedStatus::kHistoryGone) {
+    m_has_all = false;
+    Ask();
+    return;
+  }
+  if (result.m_status != net::FeedStatus::kDone) {
+    NoteFailure(result.m_detail);
+    return;
+  }
+  NoteAnswer();
+  for (const net::FeedRow& row : result.m_rows) {
+    HandleRow(row);
+  }
+  m_version = std::max(m_version, result.m_version);
+  NoteCurrent(asked_at);
+}
+
+void TableFollower::HandleRow(const net::FeedRow& row) {
+  if (row.m_removed) {
+    m_keys.erase(row.m_key);
+  } else {
+    m_keys.insert(row.m_key);
+  }
+  m_events.m_on_row(row);
+}
+
+void TableFollower::NoteAnswer() {
+  const TimePoint now = net::BootTime();
+  if (std::exchange(m_failures, 0) > 0 && m_events.m_on_regained) {
+    m_events.m_on_regained(now - m_last_answer);
+  }
+  m_last_answer = now;
+}
+
+void TableFollower::NoteCurrent(TimePoint asked_at) {
+  if (m_events.m_on_current) {
+    m_events.m_on_current(asked_at);
+  }
+  const Duration rest = asked_at + m_options.m_least_period - net::BootTime();
+  m_timer.Start(std::max(rest, Duration::zero()));
+}
+
+void TableFollower::NoteFailure(const std::string& reason) {
+  if (m_failures == 0 && m_events.m_on_lost) {
+    m_events.m_on_lost(reason);
+  }
+  const Duration pause =
+      std::min(m_options.m_pause * (1 << std::min(m_failures, kMostDoublings)),
+               m_options.m_longest_pause);
+  ++m_failures;
+  m_timer.Start(pause);
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/table_follower.h
@@ -0,0 +1,86 @@
+/// @file
+/// Keeps a copy of one of the platform's tables up to date.
+///
+/// It reads the table once, then waits for changes. When a call fails it asks
+/// again after a pause; when the history it needs is gone it reads the whole
+/// table anew and reports what is missing as removed.
+#pragma once
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "libnet/event_loop.h"
+#include "libnet/row_feed.h"
+
+namespace nutmeghollow {
+
+/// Settings of a follower.
+struct TableFollowerOptions {
+  std::string m_table;
+  /// Longest wait of one call for changes.
+  Duration m_wait = std::chrono::milliseconds(1500);
+  /// Time for the answer beyond the wait: several times a slow answer of a
+  /// sound store.
+  Duration m_answer_margin = std::chrono::milliseconds(600);
+  /// Pause before asking again after a failure: keeps an instance that the
+  /// store refuses well below one call in a hundred of the store's rate.
+  Duration m_pause = std::chrono::milliseconds(200);
+  /// The pause doubles up to this with each failure in a row.
+  Duration m_longest_pause = std::chrono::milliseconds(800);
+  /// Least time between two questions; changes within it come together.
+  Duration m_least_period = std::chrono::milliseconds(50);
+};
+
+/// Calls made by a follower.
+struct TableFollowerEvents {
+  std::function<void(const net::FeedRow&)> m_on_row;
+  /// After the rows of an answer. @param asked_at when the call was sent.
+  std::function<void(TimePoint asked_at)> m_on_current;
+  /// The first failure after answers, with its reason.
+  std::function<void(const std::string& reason)> m_on_lost;
+  /// The first answer after failures, with how long there was none; before
+  /// the rows of that answer.
+  std::function<void(Duration outage)> m_on_regained;
+};
+
+/// Follows one table.
+class TableFollower {
+ public:
+  TableFollower(struct ev_loop* loop,
+                net::RowFeed feed,
+                TableFollowerOptions options,
+                TableFollowerEvents events);
+  ~TableFollower();
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
+
+  /// Replaces the hooks, for example when the platform's address changed.
+  void SetFeed(net::RowFeed feed) { m_feed = std::move(feed); }
+
+ private:
+  void Ask();
+  void HandleAll(const net::FeedResult& result, TimePoint asked_at);
+  void HandleChanges(const net::FeedResult& result, TimePoint asked_at);
+  void HandleRow(const net::FeedRow& row);
+  void NoteAnswer();
+  void NoteCurrent(TimePoint asked_at);
+  void NoteFailure(const std::string& reason);
+
+  net::RowFeed m_feed;
+  TableFollowerOptions m_options;
+  TableFollowerEvents m_events;
+  net::Timer m_timer;
+  bool m_has_all = false;
+  net::FeedVersion m_version;
+  std::set<std::string> m_keys;  ///< Rows that were reported and not removed.
+  int m_failures = 0;            ///< In a row.
+  TimePoint m_last_answer{};
+  /// Ends with this object; calls that outlive it do nothing.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace nutmeghollow
