Share loads, placements and readiness between gateway instances

Change: cost of an engine is what it must read, and waiting only beyond a part of the latency target; instances tell one another loads, placements and readiness in authenticated datagrams (Cap'n Proto, fleet key in the platform's tables); rows of lost instances are removed by one.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -22,6 +22,22 @@
 /// Identifies a part of a prompt; equal parts have equal ids.
 using PartId = Number<struct PartTag>;
 
+/// Short name of an upstream between instances: the low 32 bits of the hash of
+/// its id.
+using UpstreamHash = Number<struct UpstreamHashTag, std::uint32_t>;
+
+/// Requests that an instance has in progress at an upstream.
+struct ActiveRequests {
+  UpstreamHash m_upstream;
+  int m_count = 0;
+};
+
+/// An upstream to which a part of a prompt was sent.
+struct PartPlacement {
+  PartId m_part;
+  UpstreamHash m_upstream;
+};
+
 /// A part of a prompt, in the order of the prompt.
 struct PromptPart {
   PartId m_id;
@@ -69,17 +85,27 @@
   double m_most_resting = 0.5;
   /// Most load of an engine, as a multiple of the mean. Under the users' bound
   /// of 2, since each instance sees the loads late.
-  double m_load_bound = 1.5;
+  double m_load_bound = 1.75;
   /// Requests above the multiple that are always allowed.
   double m_load_slack = 2.0;
-  /// A load report older than this is not used.
-  Duration m_report_life = std::chrono::seconds(4);
+  /// A load report older than this is not used: what other instances tell is
+  /// as new, and one that is cut off has at least an upper bound.
+  Duration m_report_life = std::chrono::milliseconds(1000);
   /// A part that was not used here for this long counts as evicted.
   Duration m_part_life = std::chrono::seconds(60);
   /// Prompt tokens that an engine reads in a millisecond.
   double m_prefill_rate = 56.0;
   /// Time to the first token that each running request adds, in milliseconds.
   double m_slot_cost = 2.0;
+  /// Part of the latency target below which a predicted time to the first
+  /// token costs nothing: reading a shared part again costs every caller of
+  /// the engine, waiting within the target costs nobody.
+  double m_free_wait = 0.4;
+  /// Cost of a millisecond beyond that, against one of reading.
+  double m_wait_cost = 3.0;
+  /// Cost of each running request, in milliseconds: among engines that have
+  /// read the same, the less loaded one is chosen.
+  double m_load_cost = 0.5;
   /// Share of the newest result in the moving averages.
   double m_average_weight = 0.15;
   /// Cost factor of an upstream that fails all its requests.
@@ -92,6 +118,17 @@
   const std::vector<PromptPart>* m_prompt = nullptr;  ///< Null for none.
   std::vector<UpstreamId> m_tried;  ///< Not to be chosen again.
   DataCentreId m_data_centre;       ///< Preferred among equals.
+  Duration m_latency_target{};      ///< To the first token.
+};
+
+/// A chosen upstream and what decided for it.
+struct UpstreamChoice {
+  UpstreamId m_id;
+  int m_rank = 0;            ///< Place in the order of the prompt's engines.
+  double m_load = 0;         ///< Estimated requests in progress.
+  double m_mean_load = 0;    ///< Of the service's upstreams.
+  double m_unread_tokens = 0;  ///< Of the prompt, as estimated.
+  bool m_home_over_bound = false;  ///< The first of the order was too loaded.
 };
 
 /// All upstreams.
@@ -110,7 +147,7 @@
 
   /// Chooses an upstream that takes new requests.
   /// @return nothing when the service has none.
-  std::optional<UpstreamId> Choose(const UpstreamWish& wish, TimePoint now);
+  std::optional<UpstreamChoice> Choose(const UpstreamWish& wish, TimePoint now);
   /// @return true when some upstream of the service takes new requests.
   bool HasUsable(const ServiceId& service) const;
 
@@ -137,12 +174,16 @@
 
   /// @return requests in progress at an upstream from this instance.
   int Active(const UpstreamId& id) const;
-  /// @return requests in progress by upstream, without zeros.
-  std::vector<std::pair<UpstreamId, int>> ActiveByUpstream() const;
+  /// @return requests in progress from this instance, without zeros.
+  std::vector<ActiveRequests> ActiveByUpstream() const;
   /// Replaces what another instance has in progress.
   void SetPeerActive(const InstanceId& peer,
-                     const std::map<UpstreamId, int>& active);
+                     const std::vector<ActiveRequests>& active);
   void ForgetPeer(const InstanceId& peer);
+  /// @return where chats were sent since the last call, the newest last.
+  std::vector<PartPlacement> TakePlacements();
+  /// Notes where another instance sent a part.
+  void NotePeerPlacement(const PartPlacement& placement, TimePoint now);
 
   /// Places of a service and how many are taken, as estimated.
   struct Occupancy {
@@ -152,12 +193,9 @@
   Occupancy OccupancyOf(const ServiceId& service, TimePoint now) const;
 
  private:
-  struct KnownPart {
-    TimePoint m_used{};
-    Tokens m_tokens;
-  };
   struct Upstream {
     RegisteredUpstream m_registration;
+    UpstreamHash m_hash;
     TimePoint m_cold_until{};
     int m_active = 0;
     double m_pending_prefill = 0;  ///< Tokens sent and not yet read.
@@ -168,24 +206,23 @@
     std::optional<LoadReport> m_report;
     TimePoint m_report_at{};
     int m_active_at_report = 0;
-    std::unordered_map<PartId, KnownPart> m_parts;
+    /// When parts were last sent here, by any instance as far as known.
+    std::unordered_map<PartId, TimePoint> m_parts;
   };
   struct Candidate {
     Upstream* m_upstream = nullptr;
     double m_load = 0;
     double m_cost = 0;
     bool m_rests = false;
+    int m_rank = 0;
+    double m_unread_tokens = 0;
   };
 
   Upstream* Find(const UpstreamId& id, bool /*mutable_row*/);
   std::vector<Candidate> Collect(const UpstreamWish& wish, TimePoint now);
   void MarkResting(std::vector<Candidate>& candidates, TimePoint now) const;
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
-  double EngineCost(const Upstream& upstream,
-                    const std::vector<PromptPart>& prompt,
-                    int rank,
-                    double load,
-                    TimePoint now) const;
+  double EngineCost(const Candidate& candidate, Duration target) const;
   double ServiceCost(const Upstream& upstream,
                      double load,
                      double mean_took_ms,
@@ -198,13 +235,14 @@
                       const std::vector<PromptPart>& prompt,
                       bool assume_shared,
                       TimePoint now) const;
-  void RememberParts(Upstream& upstream,
-                     const std::vector<PromptPart>& prompt,
-                     TimePoint now);
+  bool Knows(const Upstream& upstream, PartId part, TimePoint now) const;
+  static void Remember(Upstream& upstream, PartId part, TimePoint now);
 
   UpstreamPoolParameters m_parameters;
   std::map<UpstreamId, Upstream> m_upstreams;
-  std::map<InstanceId, std::map<UpstreamId, int>> m_peer_active;
+  std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By short name.
+  std::map<InstanceId, std::unordered_map<UpstreamHash, int>> m_peer_active;
+  std::vector<PartPlacement> m_placements;  ///< Not yet told to others.
   std::uint64_t m_turn = 0;  ///< Breaks ties in turn.
 };
 
--- a/src/libnet/row_feed.h
+++ b/src/libnet/row_feed.h
@@ -48,6 +48,8 @@
   std::string m_table;
   std::string m_key;
   std::optional<std::string> m_value;  ///< Unset to remove the row.
+  /// Version that the row must have; zero for none. Unset for any.
+  std::optional<FeedVersion> m_expected;
 };
 
 using FeedCallback = std::function<void(FeedResult)>;
--- /dev/null
+++ b/src/libnutmeg/digest.capnp
@@ -0,0 +1,25 @@
+@0xd4c06f13a28e7b95;
+
+# What an instance of the gateway tells the others, several times a second.
+# Upstreams are named by the low 32 bits of XXH3 of their ids.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("nutmeghollow::wire");
+
+struct ActiveRequests {
+  upstream @0 :UInt32;
+  count @1 :UInt16;
+}
+
+struct PartPlacement {
+  part @0 :UInt64;
+  upstream @1 :UInt32;
+}
+
+struct Digest {
+  ready @0 :Bool;
+  revision @1 :UInt64;
+  active @2 :List(ActiveRequests);
+  # Since the digest before.
+  placements @3 :List(PartPlacement);
+}
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 #include "nutmeghollow/hashing.h"
@@ -10,7 +11,10 @@
 namespace {
 
 /// Parts remembered for an engine. The least recently used ones go first.
-constexpr std::size_t kMostParts = 1024;
+constexpr std::size_t kMostParts = 512;
+/// Placements that wait to be told. More are sent between two digests only
+/// when a digest is late; the oldest ones go first.
+constexpr std::size_t kMostUntold = 64;
 /// Cost of each further place in the order of a prompt's engines, in
 /// milliseconds: keeps instances that know nothing of each other alike.
 constexpr double kRankCost = 6.0;
@@ -31,12 +35,12 @@
 
 /// The last shared part of a prompt: the chat's own history. The part after it
 /// belongs to the request alone.
-std::uint64_t ChatHash(const std::vector<PromptPart>& prompt) {
-  if (prompt.empty()) {
-    return 0;
-  }
-  const std::size_t index = prompt.size() >= 2 ? prompt.size() - 2 : 0;
-  return prompt[index].m_id.value();
+PartId ChatPart(const std::vector<PromptPart>& prompt) {
+  return prompt[prompt.size() >= 2 ? prompt.size() - 2 : 0].m_id;
+}
+
+UpstreamHash HashOf(const UpstreamId& id) {
+  return UpstreamHash(static_cast<std::uint32_t>(HashText(id.str())));
 }
 
 }  // namespace
@@ -56,10 +60,13 @@
     row.m_active = active;  // Attempts at the earlier process still end.
   }
   row.m_registration = registration;
+  row.m_hash = HashOf(registration.m_id);
+  m_ids[row.m_hash] = registration.m_id;
   row.m_cold_until = now + registration.m_cold;
 }
 
 void UpstreamPool::Remove(const UpstreamId& id) {
+  m_ids.erase(HashOf(id));
   m_upstreams.erase(id);
 }
 
@@ -94,7 +101,7 @@
                                    TimePoint now) const {
   double load = upstream.m_active;
   for (const auto& [peer, active] : m_peer_active) {
-    const auto found = active.find(upstream.m_registration.m_id);
+    const auto found = active.find(upstream.m_hash);
     load += found == active.end() ? 0 : found->second;
   }
   if (upstream.m_report &&
@@ -145,61 +152,82 @@
   }
 }
 
+bool UpstreamPool::Knows(const Upstream& upstream,
+                         PartId part,
+                         TimePoint now) const {
+  const auto known = upstream.m_parts.find(part);
+  return known != upstream.m_parts.end() &&
+         now - known->second < m_parameters.m_part_life;
+}
+
 double UpstreamPool::UnreadTokens(const Upstream& upstream,
                                   const std::vector<PromptPart>& prompt,
                                   bool assume_shared,
                                   TimePoint now) const {
+  // The last part belongs to this request alone. A part that is kept tells
+  // that all before it are kept too.
+  std::size_t kept = assume_shared ? prompt.size() - 1 : 0;
+  for (std::size_t index = prompt.size() - 1; index > kept; --index) {
+    if (Knows(upstream, prompt[index - 1].m_id, now)) {
+      kept = index;
+    }
+  }
   double unread = 0;
-  bool cached = true;
-  for (std::size_t index = 0; index < prompt.size(); ++index) {
-    const PromptPart& part = prompt[index];
-    const bool shared = index + 1 < prompt.size();
-    const auto known = upstream.m_parts.find(part.m_id);
-    const bool fresh = known != upstream.m_parts.end() &&
-                       now - known->second.m_used < m_parameters.m_part_life;
-    // A part is of use only when all parts before it are kept too.
-    cached = cached && (fresh || (assume_shared && shared));
-    unread += cached ? 0 : static_cast<double>(part.m_tokens.value());
+  for (std::size_t index = kept; index < prompt.size(); ++index) {
+    unread += static_cast<double>(prompt[index].m_tokens.value());
   }
   return unread;
 }
 
-double UpstreamPool::EngineCost(const Upstream& upstream,
-                                const std::vector<PromptPart>& prompt,
-                                int rank,
-                                double load,
-                                TimePoint now) const {
-  const double unread = UnreadTokens(upstream, prompt, rank == 0, now);
-  double cost = (unread + upstream.m_pending_prefill) /
-                m_parameters.m_prefill_rate;
-  cost += load * m_parameters.m_slot_cost;
-  cost += std::min(rank, kMostRanks) * kRankCost;
+double UpstreamPool::EngineCost(const Candidate& candidate,
+                                Duration target) const {
+  const Upstream& upstream = *candidate.m_upstream;
+  const double read_ms =
+      candidate.m_unread_tokens / m_parameters.m_prefill_rate;
+  double wait_ms = read_ms +
+                   upstream.m_pending_prefill / m_parameters.m_prefill_rate +
+                   candidate.m_load * m_parameters.m_slot_cost;
   const double slots = std::max(1, upstream.m_registration.m_slots);
-  if (load >= slots) {
-    cost *= 1.0 + load / slots;
-  }
+  if (candidate.m_load >= slots) {
+    wait_ms *= 1.0 + candidate.m_load / slots;
+  }
+  const double late_ms = std::max(
+      0.0, wait_ms - m_parameters.m_free_wait * Milliseconds(target));
+  const double cost = read_ms + m_parameters.m_wait_cost * late_ms +
+                      candidate.m_load * m_parameters.m_load_cost +
+                      std::min(candidate.m_rank, kMostRanks) * kRankCost;
   return cost * (1.0 + m_parameters.m_failure_cost * upstream.m_failure_rate);
 }
 
 void UpstreamPool::CostEngines(std::vector<Candidate>& candidates,
                                const UpstreamWish& wish,
                                TimePoint now) const {
-  const std::uint64_t chat = ChatHash(*wish.m_prompt);
-  std::vector<std::pair<double, Candidate*>> order;
+  const PartId chat = ChatPart(*wish.m_prompt);
+  // Engines that rest come last, so that the next one stands in for them at
+  // every instance alike.
+  std::vector<std::tuple<bool, double, Candidate*>> order;
   for (Candidate& candidate : candidates) {
     const UpstreamId& id = candidate.m_upstream->m_registration.m_id;
-    order.emplace_back(-RendezvousScore(chat, HashText(id.str()), 1.0),
+    order.emplace_back(candidate.m_rests,
+                       -RendezvousScore(chat.value(), HashText(id.str()), 1.0),
                        &candidate);
   }
-  std::sort(order.begin(), order.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::sort(order.begin(), order.end());
+  // An engine that is known to keep the chat goes before the first of the
+  // order, which is only likely to.
+  const bool kept_somewhere =
+      std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
+        return !one.m_rests && Knows(*one.m_upstream, chat, now);
+      });
   int rank = 0;
-  for (const auto& [score, candidate] : order) {
+  for (const auto& [rests, score, candidate] : order) {
     const Upstream& row = *candidate->m_upstream;
     const bool near = row.m_registration.m_data_centre == wish.m_data_centre;
+    candidate->m_rank = rank;
+    candidate->m_unread_tokens =
+        UnreadTokens(row, *wish.m_prompt, rank == 0 && !kept_somewhere, now);
     candidate->m_cost =
-        EngineCost(row, *wish.m_prompt, rank, candidate->m_load, now) +
-        (near ? 0 : kDistanceCost);
+        EngineCost(*candidate, wish.m_latency_target) + (near ? 0 : kDistanceCost);
     ++rank;
   }
 }
@@ -237,7 +265,7 @@
   }
 }
 
-std::optional<UpstreamId> UpstreamPool::Choose(const UpstreamWish& wish,
+std::optional<UpstreamChoice> UpstreamPool::Choose(const UpstreamWish& wish,
                                                TimePoint now) {
   std::vector<Candidate> candidates = Collect(wish, now);
   if (candidates.empty()) {
@@ -270,25 +298,26 @@
       best = &candidate;
     }
   }
-  return best->m_upstream->m_registration.m_id;
+  UpstreamChoice choice;
+  choice.m_id = best->m_upstream->m_registration.m_id;
+  choice.m_rank = best->m_rank;
+  choice.m_load = best->m_load;
+  choice.m_mean_load = mean;
+  choice.m_unread_tokens = best->m_unread_tokens;
+  choice.m_home_over_bound =
+      std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
+        return one.m_rank == 0 && is_over(one);
+      });
+  return choice;
 }
 
-void UpstreamPool::RememberParts(Upstream& upstream,
-                                 const std::vector<PromptPart>& prompt,
-                                 TimePoint now) {
-  // The last part belongs to this request alone.
-  for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
-    upstream.m_parts[prompt[index].m_id] = {now, prompt[index].m_tokens};
-  }
-  if (upstream.m_parts.size() <= kMostParts) {
-    return;
+void UpstreamPool::Remember(Upstream& upstream, PartId part, TimePoint now) {
+  upstream.m_parts[part] = now;
+  if (upstream.m_parts.size() > kMostParts) {
+    upstream.m_parts.erase(std::min_element(
+        upstream.m_parts.begin(), upstream.m_parts.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
   }
-  const auto oldest = std::min_element(
-      upstream.m_parts.begin(), upstream.m_parts.end(),
-      [](const auto& a, const auto& b) {
-        return a.second.m_used < b.second.m_used;
-      });
-  upstream.m_parts.erase(oldest);
 }
 
 void UpstreamPool::NoteSent(const UpstreamId& id,
@@ -299,9 +328,15 @@
     return;
   }
   ++row->m_active;
-  if (prompt != nullptr) {
+  if (prompt != nullptr && !prompt->empty()) {
     row->m_pending_prefill += UnreadTokens(*row, *prompt, false, now);
-    RememberParts(*row, *prompt, now);
+    for (std::size_t index = 0; index + 1 < prompt->size(); ++index) {
+      Remember(*row, (*prompt)[index].m_id, now);
+    }
+    if (m_placements.size() >= kMostUntold) {
+      m_placements.erase(m_placements.begin());
+    }
+    m_placements.push_back({ChatPart(*prompt), row->m_hash});
   }
 }
 
@@ -393,25 +428,44 @@
   return found == m_upstreams.end() ? 0 : found->second.m_active;
 }
 
-std::vector<std::pair<UpstreamId, int>> UpstreamPool::ActiveByUpstream() const {
-  std::vector<std::pair<UpstreamId, int>> active;
+std::vector<ActiveRequests> UpstreamPool::ActiveByUpstream() const {
+  std::vector<ActiveRequests> active;
   for (const auto& [id, row] : m_upstreams) {
     if (row.m_active > 0) {
-      active.emplace_back(id, row.m_active);
+      active.push_back({row.m_hash, row.m_active});
     }
   }
   return active;
 }
 
 void UpstreamPool::SetPeerActive(const InstanceId& peer,
-                                 const std::map<UpstreamId, int>& active) {
-  m_peer_active[peer] = active;
+                                 const std::vector<ActiveRequests>& active) {
+  auto& counts = m_peer_active[peer];
+  counts.clear();
+  for (const ActiveRequests& entry : active) {
+    counts[entry.m_upstream] = entry.m_count;
+  }
 }
 
 void UpstreamPool::ForgetPeer(const InstanceId& peer) {
   m_peer_active.erase(peer);
 }
 
+std::vector<PartPlacement> UpstreamPool::TakePlacements() {
+  return std::exchange(m_placements, {});
+}
+
+void UpstreamPool::NotePeerPlacement(const PartPlacement& placement,
+                                     TimePoint now) {
+  const auto id = m_ids.find(placement.m_upstream);
+  if (id == m_ids.end()) {
+    return;
+  }
+  if (Upstream* row = Find(id->second, true)) {
+    Remember(*row, placement.m_part, now);
+  }
+}
+
 UpstreamPool::Occupancy UpstreamPool::OccupancyOf(const ServiceId& service,
                                                   TimePoint now) const {
   Occupancy occupancy;
--- /dev/null
+++ b/src/nutmegd/fleet_link.cpp
@@ -0,0 +1,224 @@
+#include "nutmegd/fleet_link.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "libnet/fleet_key.h"
+#include "libnet/log.h"
+
+namespace nutmeghollow {
+namespace {
+
+using net::BootTime;
+using net::Log;
+using net::LogLevel;
+
+constexpr const char* kFleetTable = "nutmeg_fleet";
+constexpr const char* kKeyRow = "key";
+constexpr std::size_t kKeyBytes = 32;
+/// Longest wait for the platform's answer about the key.
+constexpr Duration kKeyTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kKeyRetry = std::chrono::milliseconds(500);
+/// Time between two digests of a small fleet: loads change within a request's
+/// life of about a second, and five datagrams a second to six others cost well
+/// under a hundredth of a small instance's processor share.
+constexpr Duration kShortestPeriod = std::chrono::milliseconds(200);
+/// Each instance adds this much, so that a large fleet sends at one rate.
+constexpr Duration kPeriodPerPeer = std::chrono::milliseconds(10);
+/// Digests that may be lost before an instance counts as dead.
+constexpr int kMissedDigests = 4;
+/// A new instance is given this long to be heard.
+constexpr Duration kFirstContact = std::chrono::milliseconds(2000);
+/// A peer that was not heard for this long is gone for good: longer than a
+/// restart, a freeze or a cut of a few seconds.
+constexpr Duration kForgetAfter = std::chrono::seconds(12);
+
+std::string HexOf(const std::string& bytes) {
+  std::string hex;
+  for (const unsigned char byte : bytes) {
+    hex += fmt::format("{:02x}", byte);
+  }
+  return hex;
+}
+
+}  // namespace
+
+FleetLink::FleetLink(struct ev_loop* loop,
+                     InstanceId self,
+                     Endpoint endpoint,
+                     net::RowFeed feed,
+                     EntryDirectory* directory,
+                     UpstreamPool* pool,
+                     FleetLinkHooks hooks)
+    : m_loop(loop),
+      m_self(std::move(self)),
+      m_endpoint(std::move(endpoint)),
+      m_feed(std::move(feed)),
+      m_directory(directory),
+      m_pool(pool),
+      m_hooks(std::move(hooks)),
+      m_timer(loop, [this] { Tell(); }),
+      m_key_timer(loop, [this] { ReadKey(); }) {
+  m_key_timer.Start(Duration::zero());
+}
+
+FleetLink::~FleetLink() = default;
+
+void FleetLink::ReadKey() {
+  const std::weak_ptr<bool> alive = m_alive;
+  m_feed.m_read_all(kFleetTable, kKeyTimeout,
+                    [this, alive](const net::FeedResult& result) {
+                      if (alive.expired()) {
+                        return;
+                      }
+                      if (result.m_status != net::FeedStatus::kDone) {
+                        m_key_timer.Start(kKeyRetry);
+                        return;
+                      }
+                      for (const net::FeedRow& row : result.m_rows) {
+                        if (row.m_key == kKeyRow) {
+                          Open(row.m_value);
+                          return;
+                        }
+                      }
+                      OfferKey();
+                    });
+}
+
+void FleetLink::OfferKey() {
+  net::FeedWrite write;
+  write.m_table = kFleetTable;
+  write.m_key = kKeyRow;
+  write.m_value = HexOf(net::RandomBytes(kKeyBytes));
+  write.m_expected = net::FeedVersion(0);
+  const std::weak_ptr<bool> alive = m_alive;
+  m_feed.m_write(write, kKeyTimeout,
+                 [this, alive](const net::FeedResult& /*result*/) {
+                   // Whoever won, and whether or not the answer came, the row
+                   // tells which key holds.
+                   if (!alive.expired()) {
+                     m_key_timer.Start(Duration::zero());
+                   }
+                 });
+}
+
+void FleetLink::Open(const std::string& key_text) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(keys, net::ParseFleetKeys(key_text));
+        const Incarnation session(
+            static_cast<std::uint64_t>(net::CivilTime().value()));
+        m_transport = std::make_unique<net::PeerTransport>(
+            m_loop, m_endpoint, net::DatagramSeal(m_self, session, keys),
+            [this](const ReceivedDatagram& datagram) {
+              Handle(datagram);
+            });
+        Tell();
+        return {};
+      },
+      [](const net::BadFleetKey& error) {
+        Log(LogLevel::kError, "fleet_key_not_used", {{"fault", error.m_reason}});
+      },
+      [] { Log(LogLevel::kError, "fleet_key_not_used", {}); });
+}
+
+void FleetLink::PutPeer(const InstanceId& id, const Endpoint& endpoint) {
+  if (id == m_self) {
+    return;
+  }
+  Peer& peer = m_peers[id];
+  if (peer.m_endpoint != endpoint) {
+    peer = Peer{endpoint, BootTime(), std::nullopt};
+  }
+}
+
+void FleetLink::RemovePeer(const InstanceId& id) {
+  m_peers.erase(id);
+  m_pool->ForgetPeer(id);
+}
+
+Duration FleetLink::Period() const {
+  return std::max(kShortestPeriod,
+                  kPeriodPerPeer * static_cast<int>(m_peers.size()));
+}
+
+void FleetLink::Tell() {
+  FleetDigest digest;
+  digest.m_ready = m_hooks.m_ready();
+  digest.m_revision = m_hooks.m_revision();
+  digest.m_active = m_pool->ActiveByUpstream();
+  digest.m_placements = m_pool->TakePlacements();
+  const std::string payload = EncodeDigest(digest);
+  if (m_transport != nullptr) {
+    for (const auto& [id, peer] : m_peers) {
+      m_transport->Send(id, peer.m_endpoint, payload);
+    }
+  }
+  NoteAlive();
+  m_timer.Start(Period());
+}
+
+void FleetLink::Handle(const ReceivedDatagram& datagram) {
+  const auto digest = DecodeDigest(datagram.m_payload);
+  const auto peer = m_peers.find(datagram.m_from);
+  if (!digest || peer == m_peers.end()) {
+    return;
+  }
+  const TimePoint now = BootTime();
+  peer->second.m_heard = now;
+  m_pool->SetPeerActive(datagram.m_from, digest->m_active);
+  for (const PartPlacement& placement : digest->m_placements) {
+    m_pool->NotePeerPlacement(placement, now);
+  }
+  if (EntryInstance* entry = m_directory->Find(datagram.m_from)) {
+    entry->m_ready = digest->m_ready;
+    entry->m_alive = true;
+  }
+}
+
+bool FleetLink::Alive(const Peer& peer, TimePoint now) const {
+  if (!peer.m_heard) {
+    return now - peer.m_known_since < kFirstContact;
+  }
+  return now - *peer.m_heard < Period() * kMissedDigests;
+}
+
+void FleetLink::NoteAlive() {
+  const TimePoint now = BootTime();
+  for (const auto& [id, peer] : m_peers) {
+    EntryInstance* entry = m_directory->Find(id);
+    const bool alive = Alive(peer, now);
+    if (entry != nullptr && entry->m_alive != alive) {
+      Log(LogLevel::kInfo, alive ? "instance_alive" : "instance_silent",
+          {{"instance", id.str()}});
+      entry->m_alive = alive;
+    }
+    if (!alive) {
+      m_pool->ForgetPeer(id);
+    }
+  }
+}
+
+std::vector<InstanceId> FleetLink::LostPeers() const {
+  const TimePoint now = BootTime();
+  std::vector<InstanceId> lost;
+  std::size_t alive = 0;
+  for (const auto& [id, peer] : m_peers) {
+    if (Alive(peer, now)) {
+      ++alive;
+      if (id < m_self) {
+        return {};  // The first living instance does it.
+      }
+    } else if (now - peer.m_heard.value_or(peer.m_known_since) >
+               kForgetAfter) {
+      lost.push_back(id);
+    }
+  }
+  // An instance that hears few others may be the one that is cut off.
+  return alive * 2 >= m_peers.size() ? lost : std::vector<InstanceId>();
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/fleet_link.h
@@ -0,0 +1,86 @@
+/// @file
+/// Joins the instances of a gateway: each tells the others its digest over
+/// UDP, authenticated with a key that the first instance put into the
+/// platform's tables.
+#pragma once
+
+#include <ev.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "libnet/event_loop.h"
+#include "libnet/peer_transport.h"
+#include "libnet/row_feed.h"
+#include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/fleet_digest.h"
+#include "nutmeghollow/membership.h"
+#include "nutmeghollow/upstream_pool.h"
+
+namespace nutmeghollow {
+
+/// What the link needs from its instance.
+struct FleetLinkHooks {
+  /// @return whether this instance takes callers.
+  std::function<bool()> m_ready;
+  /// @return the revision in force here.
+  std::function<Revision()> m_revision;
+};
+
+/// Sends and receives digests, and notes who is alive.
+class FleetLink {
+ public:
+  /// @param directory and @param pool must outlive this object.
+  FleetLink(struct ev_loop* loop,
+            InstanceId self,
+            Endpoint endpoint,
+            net::RowFeed feed,
+            EntryDirectory* directory,
+            UpstreamPool* pool,
+            FleetLinkHooks hooks);
+  ~FleetLink();
+  FleetLink(const FleetLink&) = delete;
+  FleetLink& operator=(const FleetLink&) = delete;
+
+  /// Notes where an instance listens for digests.
+  void PutPeer(const InstanceId& id, const Endpoint& endpoint);
+  void RemovePeer(const InstanceId& id);
+  /// Tells the others now, for example that this instance is leaving.
+  void TellNow() { Tell(); }
+  /// @return instances that were not heard for a long time and may be
+  /// forgotten by all; empty unless it is this instance's part to do so.
+  std::vector<InstanceId> LostPeers() const;
+
+ private:
+  struct Peer {
+    Endpoint m_endpoint;
+    TimePoint m_known_since{};
+    std::optional<TimePoint> m_heard;
+  };
+
+  void ReadKey();
+  void OfferKey();
+  void Open(const std::string& key_text);
+  void Tell();
+  void Handle(const ReceivedDatagram& datagram);
+  void NoteAlive();
+  Duration Period() const;
+  bool Alive(const Peer& peer, TimePoint now) const;
+
+  struct ev_loop* m_loop;
+  InstanceId m_self;
+  Endpoint m_endpoint;
+  net::RowFeed m_feed;
+  EntryDirectory* m_directory;
+  UpstreamPool* m_pool;
+  FleetLinkHooks m_hooks;
+  net::Timer m_timer;
+  net::Timer m_key_timer;
+  std::map<InstanceId, Peer> m_peers;
+  std::unique_ptr<net::PeerTransport> m_transport;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -11,6 +11,7 @@
 #include "libnet/event_loop.h"
 #include "libnet/http_server.h"
 #include "libnet/log.h"
+#include "nutmegd/fleet_link.h"
 #include "nutmegd/gateway_state.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_relay.h"
@@ -33,6 +34,8 @@
 constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
 /// How often the settings file is compared with what was read.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
+/// How often rows of lost instances are looked for.
+constexpr Duration kCleanPeriod = std::chrono::seconds(3);
 /// How often the end of a planned stop is looked for.
 constexpr Duration kDrainPeriod = std::chrono::milliseconds(50);
 /// A planned stop ends this long before it would be ended by force.
@@ -95,6 +98,7 @@
   void HandleInstance(const net::FeedRow& row);
   std::string SelfRow() const;
   void WriteSelf();
+  void RemoveLostInstances();
 
   void StartDrain(const char* cause);
   void CheckDrain();
@@ -108,6 +112,7 @@
   net::RowFeed m_feed;
   Registrations m_registrations;
   EntryDirectory m_directory;
+  FleetLink m_fleet;
   std::map<std::uint64_t, std::shared_ptr<RouteRelay>> m_relays;
   std::uint64_t m_last_relay = 0;
   bool m_registrations_read = false;
@@ -126,6 +131,7 @@
   net::Timer m_settings_timer;
   net::Timer m_write_timer;
   net::Timer m_drain_timer;
+  net::Timer m_clean_timer;
 };
 
 Gateway::Impl::Impl(struct ev_loop* loop,
@@ -141,6 +147,19 @@
       m_feed(make_feed(m_client,
                        [this] { return m_settings.m_platform.m_address; })),
       m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
+      m_fleet(loop,
+              settings.m_instance.m_id,
+              settings.m_instance.m_peer_address,
+              m_feed,
+              &m_directory,
+              &m_state.m_pool,
+              {.m_ready = [this] { return Ready(); },
+               .m_revision =
+                   [this] {
+                     return m_state.m_configuration == nullptr
+                                ? Revision()
+                                : m_state.m_configuration->m_revision;
+                   }}),
       m_configuration_follower(
           loop,
           m_feed,
@@ -188,13 +207,15 @@
                          }
                        }),
       m_write_timer(loop, [this] { WriteSelf(); }),
-      m_drain_timer(loop, [this] { CheckDrain(); }) {
+      m_drain_timer(loop, [this] { CheckDrain(); }),
+      m_clean_timer(loop, [this] { RemoveLostInstances(); }) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_protocol = std::move(protocol);
   m_state.m_settings = &m_settings;
   ApplySettings();
   m_settings_timer.StartRepeating(kSettingsPeriod);
+  m_clean_timer.StartRepeating(kCleanPeriod);
   WriteSelf();
 }
 
@@ -375,6 +396,10 @@
   const InstanceId id(row.m_key);
   if (row.m_removed) {
     m_directory.Remove(id);
+    m_fleet.RemovePeer(id);
+    if (id == m_settings.m_instance.m_id && !m_drain_started) {
+      WriteSelf();  // Another instance took this one for lost.
+    }
   } else {
     const json value = json::parse(row.m_value, nullptr, false);
     if (!value.is_object() || !value.contains("caller")) {
@@ -384,6 +409,7 @@
     m_directory.Put({id, Endpoint(value.value("caller", "")),
                      DataCentreId(value.value("data_centre", "")),
                      RegionId(value.value("region", "")), true, true});
+    m_fleet.PutPeer(id, Endpoint(value.value("peer", "")));
   }
   m_state.m_allowance.SetInstances(
       std::max(1, static_cast<int>(m_directory.size())));
@@ -414,6 +440,21 @@
   });
 }
 
+void Gateway::Impl::RemoveLostInstances() {
+  for (const InstanceId& id : m_fleet.LostPeers()) {
+    Log(LogLevel::kInfo, "instance_row_removed", {{"instance", id.str()}});
+    net::FeedWrite write;
+    write.m_table = kInstanceTable;
+    write.m_key = id.str();
+    m_feed.m_write(write, kWriteTimeout, [](const net::FeedResult& result) {
+      if (result.m_status != net::FeedStatus::kDone) {
+        Log(LogLevel::kWarning, "instance_row_not_removed",
+            {{"reason", result.m_detail}});
+      }
+    });
+  }
+}
+
 void Gateway::Impl::StartDrain(const char* cause) {
   if (m_drain_started) {
     return;
@@ -423,6 +464,7 @@
       {{"cause", std::string(cause)},
        {"requests", static_cast<std::int64_t>(m_relays.size())}});
   m_caller_server.CloseAfterAnswers();
+  m_fleet.TellNow();
   WriteSelf();
   m_drain_timer.StartRepeating(kDrainPeriod);
 }
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -218,8 +218,9 @@
   wish.m_service = m_service;
   wish.m_prompt = Prompt();
   wish.m_tried = m_tried;
+  wish.m_latency_target = m_route.m_latency_target;
   wish.m_data_centre = m_state->m_settings->m_instance.m_data_centre;
-  std::optional<UpstreamId> chosen = m_state->m_pool.Choose(wish, now);
+  std::optional<UpstreamChoice> chosen = m_state->m_pool.Choose(wish, now);
   if (!chosen && !m_tried.empty() && !m_progress.m_may_have_run) {
     // All were tried in vain and none ran it: the first may do now.
     wish.m_tried.clear();
@@ -235,7 +236,16 @@
     }
     return;
   }
-  Send(*chosen, now);
+  Log(LogLevel::kDebug, "dispatched",
+      {{"request", m_request.m_id.str()},
+       {"route", m_route.m_name},
+       {"upstream", chosen->m_id.str()},
+       {"rank", std::int64_t{chosen->m_rank}},
+       {"load", chosen->m_load},
+       {"mean_load", chosen->m_mean_load},
+       {"unread_tokens", chosen->m_unread_tokens},
+       {"home_over_bound", chosen->m_home_over_bound}});
+  Send(chosen->m_id, now);
 }
 
 net::HttpCall RouteRelay::MakeCall(const RegisteredUpstream& upstream,
