Let requests that are cheap to read leave loaded engines first

Cause: 40 of 447 long prompts were sent away from the engine that kept them because it was over a bound stricter than the users'. Change: bound 2.0 x mean + 2 and a cost of 2.5 ms for each running request, so that short prompts move before long ones.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -83,10 +83,10 @@
   Duration m_longest_rest = std::chrono::seconds(4);
   /// Part of a service's upstreams that may rest at once.
   double m_most_resting = 0.5;
-  /// Most load of an engine, as a multiple of the mean. Under the users' bound
-  /// of 2, since each instance sees the loads late.
-  double m_load_bound = 1.75;
-  /// Requests above the multiple that are always allowed.
+  /// Most load of an engine, as a multiple of the mean: the users' bound.
+  double m_load_bound = 2.0;
+  /// Requests above the multiple that are always allowed. One under the users'
+  /// bound of three, since each instance sees the loads late.
   double m_load_slack = 2.0;
   /// A load report older than this is not used: what other instances tell is
   /// as new, and one that is cut off has at least an upper bound.
@@ -103,9 +103,9 @@
   double m_free_wait = 0.4;
   /// Cost of a millisecond beyond that, against one of reading.
   double m_wait_cost = 3.0;
-  /// Cost of each running request, in milliseconds: among engines that have
-  /// read the same, the less loaded one is chosen.
-  double m_load_cost = 0.5;
+  /// Cost of each running request, in milliseconds. Requests that are cheap to
+  /// read elsewhere leave a loaded engine first.
+  double m_load_cost = 2.5;
   /// Share of the newest result in the moving averages.
   double m_average_weight = 0.15;
   /// Cost factor of an upstream that fails all its requests.
