--- a/src/cmake/Compiler.cmake
+++ b/src/cmake/Compiler.cmake
@@ -8,9 +8,10 @@
 add_library(nutmeg_options INTERFACE)
 # Warnings are errors for developers only: another compiler may have more.
 option(NUTMEG_WERROR "treat warnings as errors" OFF)
-# GCC 12 reports false overlaps inside std::string at -O3 (its bug 105329).
+# GCC 12 reports false overlaps inside std::string at -O3 (its bug 105329). The
+# linter's compiler does not know that warning.
 target_compile_options(nutmeg_options INTERFACE -Wall -Wextra -Wno-psabi
-  -Wno-missing-field-initializers -Wno-restrict)
+  -Wno-missing-field-initializers -Wno-restrict -Wno-unknown-warning-option)
 if(NUTMEG_WERROR)
   target_compile_options(nutmeg_options INTERFACE -Werror)
 endif()
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -74,6 +74,9 @@
   kAbandoned,    ///< Ended from this side; says nothing about it.
 };
 
+/// @return the word for a result in logs.
+const char* AttemptHealthWord(AttemptHealth health);
+
 /// Settings of choosing and of health.
 struct UpstreamPoolParameters {
   /// First rest after a failure: long enough for its caller's next try to go
--- a/src/libnet/upstream_client_test.cpp
+++ b/src/libnet/upstream_client_test.cpp
@@ -62,7 +62,7 @@
                  }),
         m_http(std::make_unique<HttpClient>(m_loop)) {
     UpstreamClientOptions options;
-    options.m_timeouts.m_stream_first_byte = std::chrono::milliseconds(300);
+    options.m_timeouts.m_chat_first_byte = std::chrono::milliseconds(300);
     options.m_timeouts.m_idle = std::chrono::milliseconds(200);
     m_client = std::make_unique<UpstreamClient>(
         *m_http, options,
--- a/src/libnet/upstream_formats.h
+++ b/src/libnet/upstream_formats.h
@@ -30,10 +30,11 @@
 /// How long the network may take.
 struct UpstreamTimeouts {
   Duration m_connect = std::chrono::seconds(1);
-  /// To the first byte of a streamed chat.
-  Duration m_stream_first_byte = std::chrono::seconds(8);
-  /// To the first byte of any other answer.
-  Duration m_whole_first_byte = std::chrono::seconds(110);
+  /// To the first byte of a chat. A whole answer that takes longer is asked
+  /// for again on a new connection.
+  Duration m_chat_first_byte = std::chrono::seconds(8);
+  /// To the first byte of a service's answer.
+  Duration m_service_first_byte = std::chrono::seconds(110);
   /// Longest silence inside an answer.
   Duration m_idle = std::chrono::seconds(5);
 };
--- a/src/libnutmeg/attempt_events.cpp
+++ b/src/libnutmeg/attempt_events.cpp
@@ -75,14 +75,18 @@
   EndRefused(world, row, refusal, retry_after, now);
 }
 
-/// @return true when the upstream may still hold the answer's stream.
-bool MayResume(const World& world, const RequestRow& row) {
+/// @return true when the upstream may still hold the answer.
+bool MayResume(const World& world, const RequestRow& row, Refusal refusal) {
   const NewRequest& request = row.m_request;
-  if (request.m_kind != RequestKind::kChat || !request.m_streamed) {
+  if (request.m_kind != RequestKind::kChat ||
+      row.m_resumes >= world.m_request_flow_parameters.m_resume_limit) {
     return false;
   }
-  if (row.m_resumes >= world.m_request_flow_parameters.m_resume_limit) {
-    return false;
+  if (!request.m_streamed) {
+    // A whole answer comes at its end alone, so silence does not tell a slow
+    // upstream from a connection that was lost without notice: it is asked
+    // for again. After a break the chat runs again.
+    return refusal == Refusal::kUpstreamTimeout;
   }
   return row.m_resumes < 2 || !row.m_resumed_at ||
          row.m_bytes_received > *row.m_resumed_at;
@@ -93,7 +97,7 @@
                    RequestRow& row,
                    Refusal refusal,
                    TimePoint now) {
-  if (!MayResume(world, row)) {
+  if (!MayResume(world, row, refusal)) {
     RetryOrEnd(world, row, refusal, Duration::zero(), Leftover::kMayRun, now);
     return;
   }
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -45,6 +45,26 @@
 
 }  // namespace
 
+const char* AttemptHealthWord(AttemptHealth health) {
+  switch (health) {
+    case AttemptHealth::kServed:
+      return "served";
+    case AttemptHealth::kFailed:
+      return "own error";
+    case AttemptHealth::kRefused:
+      return "not run";
+    case AttemptHealth::kUnreachable:
+      return "unreachable";
+    case AttemptHealth::kBroken:
+      return "broken";
+    case AttemptHealth::kSilent:
+      return "silent";
+    case AttemptHealth::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
 UpstreamPool::UpstreamPool(UpstreamPoolParameters parameters)
     : m_parameters(parameters) {}
 
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -34,9 +34,10 @@
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
 /// Pause before a failed write is repeated.
 constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
-/// A configuration must be in force within two seconds, also after a question
-/// whose answer was lost.
-constexpr Duration kLongestConfigurationWait = std::chrono::milliseconds(1250);
+/// Proofs are at most twice as old, so that a route or key that is not known is
+/// denied for certain, and a configuration is in force within two seconds also
+/// after a question whose answer was lost.
+constexpr Duration kLongestConfigurationWait = std::chrono::milliseconds(800);
 /// How often the settings file is compared with what was read.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
 /// How often rows of lost instances are looked for.
@@ -99,6 +100,7 @@
   using Exchange = std::shared_ptr<net::HttpExchange>;
 
   void ApplySettings();
+  void RegisterGauges();
   void ReloadSettings(const char* cause);
   void HandleCaller(const Exchange& exchange);
   void HandleEntry(const Exchange& exchange);
@@ -241,6 +243,7 @@
   m_peer_feed_server.Add(kInstanceTable, &m_instance_follower);
   m_state.m_settings = &m_settings;
   ApplySettings();
+  RegisterGauges();
   m_settings_timer.StartRepeating(kSettingsPeriod);
   m_clean_timer.StartRepeating(kCleanPeriod);
   WriteSelf();
@@ -254,6 +257,30 @@
   return m_exit_code;
 }
 
+void Gateway::Impl::RegisterGauges() {
+  MetricsRegistry& metrics = m_state.m_metrics;
+  metrics.SetGauge("nutmeg_gateway_ready", "",
+                   [this] { return Ready() ? 1.0 : 0.0; });
+  metrics.SetGauge("nutmeg_gateway_requests_open", "",
+                   [this] { return static_cast<double>(m_relays.size()); });
+  metrics.SetGauge("nutmeg_gateway_revision", "", [this] {
+    return m_state.m_configuration == nullptr
+               ? 0.0
+               : static_cast<double>(
+                     m_state.m_configuration->m_revision.value());
+  });
+  metrics.SetGauge("nutmeg_gateway_proof_age_seconds", "", [this] {
+    const auto proof = m_state.m_proof.ConfirmedAt();
+    return proof ? std::chrono::duration<double>(BootTime() - *proof).count()
+                 : -1.0;
+  });
+  metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
+    return static_cast<double>(m_state.m_pool.Ids().size());
+  });
+  metrics.SetGauge("nutmeg_gateway_instances", "",
+                   [this] { return static_cast<double>(m_directory.size()); });
+}
+
 void Gateway::Impl::ApplySettings() {
   RetryAllowanceParameters allowance;
   allowance.m_ratio = m_settings.m_gateway.m_retry_ratio;
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -20,8 +20,8 @@
 namespace nutmeghollow {
 
 /// A request is sent this long before the bound on taken-away keys at the
-/// latest: the time in which it reaches the upstream and starts to run.
-inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(500);
+/// latest, since the clocks of two machines run a little apart.
+inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(200);
 
 /// State of a gateway, read and written by its requests.
 struct GatewayState {
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -38,6 +38,8 @@
 
   /// Serves a table from a follower that outlives this object.
   void Add(const std::string& table, const TableFollower* follower);
+  /// @return the port listened on, useful after asking for port 0.
+  int Port() const { return m_server.Port(); }
   /// A follower has a new proof, and perhaps changes: answers who waits.
   void NoteCurrent(const std::string& table);
 
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -235,7 +235,9 @@
     }
     return;
   }
-  Log(LogLevel::kDebug, "dispatched",
+  // Repeats are rare and explain failures; first sends are for tracing.
+  Log(m_progress.m_attempts > 0 ? LogLevel::kInfo : LogLevel::kDebug,
+      "dispatched",
       {{"request", m_request.m_id.str()},
        {"route", m_route.m_name},
        {"upstream", chosen->m_id.str()},
@@ -454,10 +456,10 @@
                           timed ? now - attempt.m_sent_at : Duration::zero(),
                           Prompt(), attempt.m_answered, now);
   if (health != AttemptHealth::kServed) {
-    Log(LogLevel::kDebug, "attempt_ended",
+    Log(LogLevel::kInfo, "attempt_ended",
         {{"request", m_request.m_id.str()},
          {"upstream", attempt.m_upstream.str()},
-         {"health", std::int64_t{static_cast<int>(health)}},
+         {"how", std::string(AttemptHealthWord(health))},
          {"status", std::int64_t{attempt.m_status}},
          {"after_ms", Milliseconds(now - attempt.m_sent_at)}});
   }
@@ -593,6 +595,15 @@
   const bool good = std::string_view(outcome) == "served";
   m_state->m_metrics.Count("nutmeg_route_requests",
                            std::string("outcome=\"") + outcome + "\"");
+  m_state->m_metrics.Observe(
+      "nutmeg_route_total_ms",
+      static_cast<double>(Milliseconds(now - m_arrived)));
+  if (m_first_event_at != TimePoint()) {
+    m_state->m_metrics.Observe(
+        "nutmeg_route_first_event_ms",
+        static_cast<double>(Milliseconds(m_first_event_at - m_arrived)));
+  }
+  const auto proof = m_state->m_proof.ConfirmedAt();
   Log(good ? LogLevel::kDebug : LogLevel::kInfo, "request_ended",
       {{"request", m_request.m_id.str()},
        {"route", m_route.m_name},
@@ -604,7 +615,13 @@
        {"first_ms", m_first_event_at == TimePoint()
                         ? std::int64_t{-1}
                         : Milliseconds(m_first_event_at - m_arrived)},
-       {"took_ms", Milliseconds(now - m_arrived)}});
+       {"took_ms", Milliseconds(now - m_arrived)},
+       {"revision",
+        m_configuration == nullptr
+            ? std::int64_t{0}
+            : static_cast<std::int64_t>(m_configuration->m_revision.value())},
+       {"proof_age_ms",
+        proof ? Milliseconds(now - *proof) : std::int64_t{-1}}});
   m_on_done();
 }
 
--- a/src/nutmegd/settings_test.cpp
+++ b/src/nutmegd/settings_test.cpp
@@ -63,6 +63,30 @@
   EXPECT_EQ(settings->m_fleet.m_keys.m_keys.size(), 1U);
 }
 
+TEST(Settings, NeedsNoFleetKeyForAGateway) {
+  std::string text = Good("");
+  text.resize(text.find("[fleet]"));
+  text +=
+      "[gateway]\nentry_address = \"127.0.0.1:5\"\nstop_grace_seconds = 8\n"
+      "retry_ratio = 0.25\n";
+  const auto settings = ParseSettings(text, "f");
+  ASSERT_TRUE(settings);
+  EXPECT_TRUE(settings->m_gateway.m_enabled);
+  EXPECT_EQ(settings->m_gateway.m_stop_grace, std::chrono::seconds(8));
+  EXPECT_DOUBLE_EQ(settings->m_gateway.m_retry_ratio, 0.25);
+}
+
+TEST(Settings, ReportsFaultsOfAGateway) {
+  std::string text = Good("");
+  text.resize(text.find("[fleet]"));
+  text += "[gateway]\nretry_ratio = \"much\"\nkeep_seconds = 0\n";
+  const std::vector<std::string> expected{
+      "f:0: gateway.entry_address: is required",
+      "f:11: gateway.retry_ratio: must be a number from 0 to 1000000",
+      "f:12: gateway.keep_seconds: must be a whole number from 1 to 3600"};
+  EXPECT_EQ(FindingsOf(text), expected);
+}
+
 constexpr const char* kIsolationFinding =
     "f:12: fleet.isolation_limit_ms: must be a whole number from 1 to "
     "86400000";
--- /dev/null
+++ b/src/nutmegd/table_follower_test.cpp
@@ -0,0 +1,239 @@
+// Followers of the platform's tables, directly and through another instance,
+// on a feed in memory.
+#include "nutmegd/table_follower.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <utility>
+
+#include "nutmegd/peer_feed.h"
+
+namespace nutmeghollow {
+namespace {
+
+using net::FeedRow;
+using net::FeedStatus;
+using net::FeedVersion;
+using std::chrono::milliseconds;
+
+/// A feed whose answers the test gives.
+class ScriptedFeed {
+ public:
+  net::RowFeed Hooks() {
+    net::RowFeed feed;
+    feed.m_read_all = [this](const std::string&, Duration,
+                             const net::FeedCallback& callback) {
+      ++m_reads;
+      m_open.push_back(callback);
+    };
+    feed.m_wait_changes = [this](const std::string&, FeedVersion after,
+                                 Duration, Duration,
+                                 const net::FeedCallback& callback) {
+      ++m_waits;
+      m_after = after;
+      m_open.push_back(callback);
+    };
+    return feed;
+  }
+
+  void Answer(FeedStatus status,
+              std::uint64_t version = 0,
+              std::vector<FeedRow> rows = {}) {
+    ASSERT_FALSE(m_open.empty());
+    const net::FeedCallback callback = m_open.front();
+    m_open.pop_front();
+    callback({status, std::move(rows), FeedVersion(version), "scripted", {}});
+  }
+
+  int m_reads = 0;
+  int m_waits = 0;
+  FeedVersion m_after;
+  std::deque<net::FeedCallback> m_open;
+};
+
+class Following : public testing::Test {
+ protected:
+  void SetUp() override {
+    m_loop = ev_loop_new(0);
+    TableFollowerOptions options;
+    options.m_table = "table";
+    options.m_pause = milliseconds(5);
+    options.m_longest_pause = milliseconds(5);
+    options.m_least_period = milliseconds(1);
+    TableFollowerEvents events;
+    events.m_on_row = [this](const FeedRow& row) {
+      m_seen += (row.m_removed ? "-" : "+") + row.m_key + " ";
+    };
+    events.m_on_current = [this](TimePoint) { ++m_current; };
+    events.m_on_lost = [this](const std::string&) { m_seen += "lost "; };
+    events.m_on_regained = [this](Duration) { m_seen += "back "; };
+    m_follower = std::make_unique<TableFollower>(m_loop, m_feed.Hooks(),
+                                                 options, events);
+    RunFor(milliseconds(10));
+  }
+
+  void TearDown() override {
+    m_follower.reset();
+    ev_loop_destroy(m_loop);
+  }
+
+  void RunFor(Duration duration) {
+    net::Timer end(m_loop, [this] { ev_break(m_loop, EVBREAK_ALL); });
+    end.Start(duration);
+    ev_run(m_loop, 0);
+  }
+
+  static FeedRow Row(const char* key, std::uint64_t version) {
+    return {key, "value", FeedVersion(version), false};
+  }
+  static FeedRow Gone(const char* key, std::uint64_t version) {
+    return {key, "", FeedVersion(version), true};
+  }
+
+  struct ev_loop* m_loop = nullptr;
+  ScriptedFeed m_feed;
+  std::unique_ptr<TableFollower> m_follower;
+  std::string m_seen;
+  int m_current = 0;
+};
+
+TEST_F(Following, ReadsAllOnceAndThenWaitsForChanges) {
+  m_feed.Answer(FeedStatus::kDone, 5, {Row("a", 3), Row("b", 5)});
+  RunFor(milliseconds(5));
+  EXPECT_EQ(m_feed.m_after, FeedVersion(5));
+  m_feed.Answer(FeedStatus::kDone, 7, {Gone("a", 6), Row("c", 7)});
+  RunFor(milliseconds(5));
+  EXPECT_EQ(m_seen, "+a +b -a +c ");
+  EXPECT_EQ(m_feed.m_reads, 1);
+  EXPECT_EQ(m_feed.m_after, FeedVersion(7));
+  EXPECT_EQ(m_current, 2);
+}
+
+TEST_F(Following, ReadsAnewWhenTheHistoryIsGone) {
+  m_feed.Answer(FeedStatus::kDone, 5, {Row("a", 3), Row("b", 5)});
+  RunFor(milliseconds(5));
+  m_feed.Answer(FeedStatus::kHistoryGone);
+  RunFor(milliseconds(5));
+  m_feed.Answer(FeedStatus::kDone, 20, {Row("b", 5), Row("d", 20)});
+  EXPECT_EQ(m_feed.m_reads, 2);
+  EXPECT_EQ(m_seen, "+a +b +b +d -a ");
+}
+
+TEST_F(Following, AsksAgainAfterAFailureAndTellsOfIt) {
+  m_feed.Answer(FeedStatus::kDone, 5, {Row("a", 3)});
+  RunFor(milliseconds(5));
+  m_feed.Answer(FeedStatus::kUnknown);
+  EXPECT_FALSE(m_follower->Current());
+  RunFor(milliseconds(20));
+  m_feed.Answer(FeedStatus::kRejected);
+  RunFor(milliseconds(20));
+  m_feed.Answer(FeedStatus::kDone, 6, {Row("b", 6)});
+  EXPECT_TRUE(m_follower->Current());
+  EXPECT_EQ(m_seen, "+a lost back +b ");
+}
+
+TEST_F(Following, KeepsChangesForThoseBehindIt) {
+  m_feed.Answer(FeedStatus::kDone, 5, {Row("a", 3)});
+  RunFor(milliseconds(5));
+  m_feed.Answer(FeedStatus::kDone, 7, {Row("b", 6), Gone("a", 7)});
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(5)).m_rows.size(), 2U);
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(6)).m_rows.size(), 1U);
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(7)).m_rows.size(), 0U);
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(4)).m_status,
+            FeedStatus::kHistoryGone);
+}
+
+/// Follows the table of `Following` through its instance, over loopback.
+class FollowingAPeer : public Following {
+ protected:
+  void SetUp() override {
+    Following::SetUp();
+    m_feed.Answer(FeedStatus::kDone, 5, {Row("a", 3)});
+    RunFor(milliseconds(5));
+    m_client = std::make_unique<net::HttpClient>(m_loop);
+    m_server = std::make_unique<PeerFeedServer>(
+        m_loop, Endpoint("127.0.0.1:0"), [this] { return &m_server_keys; });
+    m_server->Add("table", m_follower.get());
+    const Endpoint address("127.0.0.1:" + std::to_string(m_server->Port()));
+    m_peer = MakePeerFeed(
+        *m_client, m_direct.Hooks(),
+        {.m_keys = [this] { return &m_client_keys; },
+         .m_readers = [address] { return std::vector<Endpoint>{address}; }});
+  }
+
+  void TearDown() override {
+    m_server.reset();
+    m_client.reset();
+    Following::TearDown();
+  }
+
+  void Ask(std::uint64_t after) {
+    m_asked_at = net::BootTime();
+    m_peer.m_wait_changes(
+        "table", FeedVersion(after), milliseconds(300), milliseconds(600),
+        [this](net::FeedResult result) { m_result = std::move(result); });
+  }
+
+  net::FleetKeys m_server_keys{{std::string(32, 'k')}};
+  net::FleetKeys m_client_keys{{std::string(32, 'k')}};
+  std::unique_ptr<net::HttpClient> m_client;
+  std::unique_ptr<PeerFeedServer> m_server;
+  ScriptedFeed m_direct;
+  net::RowFeed m_peer;
+  TimePoint m_asked_at{};
+  std::optional<net::FeedResult> m_result;
+};
+
+TEST_F(FollowingAPeer, GetsChangesWithAProofNoYoungerThanTheReaders) {
+  Ask(5);
+  RunFor(milliseconds(50));
+  EXPECT_FALSE(m_result) << "there is nothing new to tell";
+  const TimePoint before = net::BootTime();
+  m_feed.Answer(FeedStatus::kDone, 6, {Row("b", 6)});
+  m_server->NoteCurrent("table");
+  RunFor(milliseconds(50));
+  ASSERT_TRUE(m_result);
+  ASSERT_EQ(m_result->m_status, FeedStatus::kDone);
+  ASSERT_EQ(m_result->m_rows.size(), 1U);
+  EXPECT_EQ(m_result->m_rows[0].m_key, "b");
+  EXPECT_EQ(m_result->m_version, FeedVersion(6));
+  ASSERT_TRUE(m_result->m_current_at);
+  EXPECT_LE(*m_result->m_current_at, m_follower->CurrentAt());
+  EXPECT_LT(*m_result->m_current_at, before);
+  EXPECT_EQ(m_direct.m_waits, 0);
+}
+
+TEST_F(FollowingAPeer, IsToldAtOnceWhatItMissed) {
+  m_feed.Answer(FeedStatus::kDone, 6, {Row("b", 6)});
+  Ask(5);
+  RunFor(milliseconds(50));
+  ASSERT_TRUE(m_result);
+  EXPECT_EQ(m_result->m_rows.size(), 1U);
+}
+
+TEST_F(FollowingAPeer, AsksThePlatformWhenTheReaderHasLostIt) {
+  Ask(5);
+  RunFor(milliseconds(20));
+  m_feed.Answer(FeedStatus::kUnknown);
+  RunFor(milliseconds(400));
+  EXPECT_EQ(m_direct.m_waits, 1);
+}
+
+TEST_F(FollowingAPeer, AsksThePlatformWhenTheReaderIsSilent) {
+  Ask(5);
+  RunFor(milliseconds(900));
+  EXPECT_EQ(m_direct.m_waits, 1);
+}
+
+TEST_F(FollowingAPeer, TrustsNobodyWithAnotherKey) {
+  m_client_keys.m_keys = {std::string(32, 'x')};
+  m_feed.Answer(FeedStatus::kDone, 6, {Row("b", 6)});
+  Ask(5);
+  RunFor(milliseconds(50));
+  EXPECT_FALSE(m_result);
+  EXPECT_EQ(m_direct.m_waits, 1);
+}
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/standins/engine.cpp
+++ b/src/standins/engine.cpp
@@ -152,7 +152,7 @@
 
 void Engine::HandleStream(const Exchange& exchange, const std::string& id) {
   auto found = m_streams.find(id);
-  if (found == m_streams.end() || !found->second->m_streamed) {
+  if (found == m_streams.end()) {
     RespondJson(*exchange, 404, {{"error", "the stream is not kept"}});
     return;
   }
