--- a/src/libnutmeg/placement_load_test.cpp
+++ b/src/libnutmeg/placement_load_test.cpp
@@ -141,7 +141,15 @@
                      ending.m_at_ms);
     }
     const int choice = policy.m_choose(arrival, now);
+    double total = 0;
+    for (Engine& one : engines) {
+      one.m_ends.erase(one.m_ends.begin(), one.m_ends.upper_bound(now));
+      total += static_cast<double>(one.m_ends.size());
+    }
     Engine& engine = engines[static_cast<std::size_t>(choice)];
+    const auto held = static_cast<double>(engine.m_ends.size());
+    result.m_over_bound += held > 2 * total / kEngines + 3 ? 1 : 0;
+    ++result.m_requests;
     double unread = 0;
     for (const PromptPart& part : arrival.m_prompt) {
       const std::uint64_t id = part.m_id.value();
