--- a/src/libnet/log.h
+++ b/src/libnet/log.h
@@ -47,10 +47,9 @@
 
 namespace detail {
 
-/// Lines of one event that may be written in a second, and at once. At its
-/// busiest an instance ends some 60 requests a second; a line costs about 10
-/// microseconds, so even several events at this rate stay below a thousandth
-/// of a processor.
+/// Lines of one event that may be written in a second, and at once: about as
+/// many as the requests that an instance of the users' fleets serves, so that
+/// an ordinary failure of all of them is told whole for some seconds.
 struct LogRate {
   double m_per_second = 50;
   double m_burst = 200;
