Place requests of plain services by this instance's own load

Ruled out: too few places (24 for about 15 requests in progress). Change: plain services are chosen by own load, speed and failures; ties are broken by a seed of the instance.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -139,6 +139,10 @@
  public:
   explicit UpstreamPool(UpstreamPoolParameters parameters = {});
 
+  /// Sets what breaks ties between upstreams that are alike: another number on
+  /// each instance, so that they do not all begin with the same one.
+  void SetSeed(std::uint64_t seed) { m_seed = seed; }
+
   /// Adds or updates a registration. Another birth under the same id is a new
   /// upstream, of which nothing is known.
   void Put(const RegisteredUpstream& registration, TimePoint now);
@@ -246,7 +250,8 @@
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By short name.
   std::map<InstanceId, std::unordered_map<UpstreamHash, int>> m_peer_active;
   std::vector<PartPlacement> m_placements;  ///< Not yet told to others.
-  std::uint64_t m_turn = 0;                 ///< Breaks ties in turn.
+  std::uint64_t m_turn = 0;                 ///< Counts choices.
+  std::uint64_t m_seed = 0;  ///< Breaks ties differently on each instance.
 };
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -280,8 +280,12 @@
   took /= std::max(1, timed);
   failure_rate /= std::max<double>(1, static_cast<double>(candidates.size()));
   for (Candidate& candidate : candidates) {
-    candidate.m_cost = ServiceCost(*candidate.m_upstream, candidate.m_load,
-                                   took, failure_rate);
+    // The requests of plain services end within one period of the digests, so
+    // what others told has passed. Following it, all instances would turn to
+    // the same upstream at once.
+    const double own_load = candidate.m_upstream->m_active;
+    candidate.m_cost =
+        ServiceCost(*candidate.m_upstream, own_load, took, failure_rate);
   }
 }
 
@@ -307,7 +311,7 @@
     return engines && candidate.m_load + 1 > bound;
   };
   ++m_turn;
-  const std::size_t start = m_turn % candidates.size();
+  const std::size_t start = HashPair(m_seed, m_turn) % candidates.size();
   const Candidate* best = nullptr;
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     const Candidate& candidate = candidates[(start + step) % candidates.size()];
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -87,6 +87,24 @@
   }
 }
 
+TEST(UpstreamPool, DoesNotFollowOldLoadsOfPlainServices) {
+  // Every instance was told the same. If all turned to the upstream that was
+  // free then, it alone would get their next requests.
+  std::map<UpstreamId, int> sent;
+  for (std::uint64_t instance = 0; instance < 60; ++instance) {
+    UpstreamPool pool = MakePool(4);
+    pool.SetSeed(instance);
+    for (const char* busy : {"u0", "u1", "u2"}) {
+      const auto hash = static_cast<std::uint32_t>(HashText(busy));
+      pool.SetPeerActive(InstanceId(busy), {{UpstreamHash(hash), 3}});
+    }
+    ++sent[Chosen(pool, Wish())];
+  }
+  for (const auto& [id, count] : sent) {
+    EXPECT_LT(count, 30) << id.str();
+  }
+}
+
 struct HealthCase {
   AttemptHealth m_health;
   bool m_rests;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -242,6 +242,7 @@
                          &m_registration_follower);
   m_peer_feed_server.Add(kInstanceTable, &m_instance_follower);
   m_state.m_settings = &m_settings;
+  m_state.m_pool.SetSeed(m_state.m_random());
   ApplySettings();
   RegisterGauges();
   m_settings_timer.StartRepeating(kSettingsPeriod);
--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -230,7 +230,7 @@
     if (asked_at - m_turned_at > kTurnLife) {
       m_turn = 0;
     }
-    const Endpoint reader = readers[m_turn % readers.size()];
+    const Endpoint& reader = readers[m_turn % readers.size()];
     const std::string nonce = HexOf(net::RandomBytes(kNonceBytes));
     net::HttpCall call;
     call.m_endpoint = reader;
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -112,7 +112,6 @@
   std::optional<HeldAnswer> m_held;
   EventSplitter m_events;
   TimePoint m_first_event_at{};
-  bool m_resuming = false;
   bool m_done = false;
 };
 
