--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -44,6 +44,11 @@
   Tokens m_tokens;
 };
 
+/// @param prompt not empty.
+/// @return the last shared part of a prompt: the chat's own history. The part
+/// after it belongs to the request alone.
+PartId ChatPart(const std::vector<PromptPart>& prompt);
+
 /// An upstream as it registered itself.
 struct RegisteredUpstream {
   UpstreamId m_id;
@@ -225,7 +230,7 @@
     double m_unread_tokens = 0;
   };
 
-  Upstream* Find(const UpstreamId& id, bool /*mutable_row*/);
+  Upstream* FindRow(const UpstreamId& id);
   std::vector<Candidate> Collect(const UpstreamWish& wish, TimePoint now);
   void MarkResting(std::vector<Candidate>& candidates, TimePoint now) const;
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
--- a/src/libnet/fleet_key.cpp
+++ b/src/libnet/fleet_key.cpp
@@ -9,6 +9,8 @@
 #include <charconv>
 #include <stdexcept>
 
+#include "libnet/text.h"
+
 namespace nutmeghollow::net {
 namespace {
 
@@ -16,15 +18,6 @@
 
 constexpr std::size_t kLeastKeySize = 32;
 constexpr std::size_t kLeastMacSize = 16;
-constexpr std::string_view kSpace = " \t\r";
-
-std::string_view Trim(std::string_view line) {
-  const std::size_t first = line.find_first_not_of(kSpace);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return line.substr(first, line.find_last_not_of(kSpace) - first + 1);
-}
 
 leaf::result<std::string> ParseHex(std::string_view text, int line) {
   if (text.size() % 2 != 0) {
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "libnet/event_loop.h"
+#include "libnet/text.h"
 
 namespace nutmeghollow::net {
 namespace {
@@ -49,22 +50,6 @@
          std::string_view::npos;
 }
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower;
-}
-
-std::string_view Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  const auto last = text.find_last_not_of(" \t\r\n");
-  return text.substr(first, last - first + 1);
-}
-
 /// @return the status of a line such as "HTTP/1.1 200 OK", or nothing.
 std::optional<int> ParseStatusLine(std::string_view line) {
   if (!line.starts_with("HTTP/")) {
--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -5,19 +5,14 @@
 #include <cstring>
 #include <utility>
 
+#include "libnet/text.h"
+
 namespace nutmeghollow::net {
 namespace {
 
 /// Bytes that the library asks for at once from a stream.
 constexpr std::size_t kStreamBlockSize = 16 << 10;
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower;
-}
-
 MHD_Result CollectHeader(void* target,
                          MHD_ValueKind /*kind*/,
                          const char* key,
--- /dev/null
+++ b/src/libnet/text.cpp
@@ -0,0 +1,36 @@
+#include "libnet/text.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <iterator>
+
+namespace nutmeghollow::net {
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const auto first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
+}
+
+std::string HexOf(std::string_view bytes) {
+  std::string hex;
+  hex.reserve(2 * bytes.size());
+  for (const unsigned char byte : bytes) {
+    fmt::format_to(std::back_inserter(hex), "{:02x}", byte);
+  }
+  return hex;
+}
+
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnet/text.h
@@ -0,0 +1,19 @@
+/// @file
+/// Small functions on texts that several adapters need.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace nutmeghollow::net {
+
+/// @return the text with ASCII letters in lower case.
+std::string LowerCase(std::string_view text);
+
+/// @return the text without white space at either end.
+std::string_view Trim(std::string_view text);
+
+/// @return the bytes as lower case hex digits.
+std::string HexOf(std::string_view bytes);
+
+}  // namespace nutmeghollow::net
--- a/src/libnet/upstream_formats.cpp
+++ b/src/libnet/upstream_formats.cpp
@@ -8,6 +8,8 @@
 #include <set>
 #include <string_view>
 
+#include "libnet/text.h"
+
 namespace nutmeghollow::net {
 namespace {
 
@@ -35,13 +37,6 @@
     "upgrade",    "content-length", "x-request-id", "transfer-encoding",
     "date",       "nutmeg-outcome", "x-not-run",    "server"};
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower;
-}
-
 HttpCall MakeCall(const OutgoingRequest& request, const std::string& id) {
   HttpCall call;
   call.m_method = request.m_method;
--- /dev/null
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -0,0 +1,247 @@
+// Which upstream of the pool a request goes to.
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "nutmeghollow/hashing.h"
+#include "nutmeghollow/upstream_pool.h"
+
+namespace nutmeghollow {
+namespace {
+
+/// Cost of each further place in the order of a prompt's engines, in
+/// milliseconds: keeps instances that know nothing of each other alike.
+constexpr double kRankCost = 6.0;
+/// Places in that order that differ in cost.
+constexpr int kMostRanks = 4;
+/// Cost of an engine in another data centre, in milliseconds: decides between
+/// engines that are otherwise alike.
+constexpr double kDistanceCost = 1.0;
+/// A server's answer time counts as slow only against this many times the
+/// mean, and a mean of fewer milliseconds is not compared.
+constexpr double kSlowFactorLimit = 10.0;
+
+double Milliseconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+}  // namespace
+
+double UpstreamPool::EstimatedLoad(const Upstream& upstream,
+                                   TimePoint now) const {
+  double load = upstream.m_active;
+  for (const auto& [peer, active] : m_peer_active) {
+    const auto found = active.find(upstream.m_hash);
+    load += found == active.end() ? 0 : found->second;
+  }
+  if (upstream.m_report &&
+      now - upstream.m_report_at < m_parameters.m_report_life) {
+    const double reported = upstream.m_report->m_running +
+                            upstream.m_report->m_waiting + upstream.m_active -
+                            upstream.m_active_at_report;
+    load = std::max(load, reported);
+  }
+  return load;
+}
+
+std::vector<UpstreamPool::Candidate> UpstreamPool::Collect(
+    const UpstreamWish& wish,
+    TimePoint now) {
+  std::vector<Candidate> candidates;
+  for (auto& [id, row] : m_upstreams) {
+    const bool tried = std::find(wish.m_tried.begin(), wish.m_tried.end(),
+                                 id) != wish.m_tried.end();
+    if (row.m_registration.m_service != wish.m_service ||
+        row.m_registration.m_draining || tried) {
+      continue;
+    }
+    candidates.push_back({&row, EstimatedLoad(row, now), 0, false});
+  }
+  MarkResting(candidates, now);
+  return candidates;
+}
+
+void UpstreamPool::MarkResting(std::vector<Candidate>& candidates,
+                               TimePoint now) const {
+  std::size_t resting = 0;
+  for (Candidate& candidate : candidates) {
+    const Upstream& row = *candidate.m_upstream;
+    // After its rest an upstream gets one request at a time until one is
+    // served.
+    const bool on_trial = row.m_failures > 0 && row.m_active > 0;
+    candidate.m_rests = now < row.m_rest_until || on_trial;
+    resting += candidate.m_rests ? 1 : 0;
+  }
+  const auto most = static_cast<std::size_t>(
+      m_parameters.m_most_resting * static_cast<double>(candidates.size()));
+  if (resting <= most) {
+    return;
+  }
+  for (Candidate& candidate : candidates) {
+    candidate.m_rests = false;
+  }
+}
+
+bool UpstreamPool::Knows(const Upstream& upstream,
+                         PartId part,
+                         TimePoint now) const {
+  const auto known = upstream.m_parts.find(part);
+  return known != upstream.m_parts.end() &&
+         now - known->second < m_parameters.m_part_life;
+}
+
+double UpstreamPool::UnreadTokens(const Upstream& upstream,
+                                  const std::vector<PromptPart>& prompt,
+                                  bool assume_shared,
+                                  TimePoint now) const {
+  // The last part belongs to this request alone. A part that is kept tells
+  // that all before it are kept too.
+  std::size_t kept = assume_shared ? prompt.size() - 1 : 0;
+  for (std::size_t index = prompt.size() - 1; index > kept; --index) {
+    if (Knows(upstream, prompt[index - 1].m_id, now)) {
+      kept = index;
+    }
+  }
+  double unread = 0;
+  for (std::size_t index = kept; index < prompt.size(); ++index) {
+    unread += static_cast<double>(prompt[index].m_tokens.value());
+  }
+  return unread;
+}
+
+double UpstreamPool::EngineCost(const Candidate& candidate,
+                                Duration target) const {
+  const Upstream& upstream = *candidate.m_upstream;
+  const double read_ms =
+      candidate.m_unread_tokens / m_parameters.m_prefill_rate;
+  double wait_ms = read_ms +
+                   upstream.m_pending_prefill / m_parameters.m_prefill_rate +
+                   candidate.m_load * m_parameters.m_slot_cost;
+  const double slots = std::max(1, upstream.m_registration.m_slots);
+  if (candidate.m_load >= slots) {
+    wait_ms *= 1.0 + candidate.m_load / slots;
+  }
+  const double late_ms =
+      std::max(0.0, wait_ms - m_parameters.m_free_wait * Milliseconds(target));
+  const double cost = read_ms + m_parameters.m_wait_cost * late_ms +
+                      candidate.m_load * m_parameters.m_load_cost +
+                      std::min(candidate.m_rank, kMostRanks) * kRankCost;
+  return cost * (1.0 + m_parameters.m_failure_cost * upstream.m_failure_rate);
+}
+
+void UpstreamPool::CostEngines(std::vector<Candidate>& candidates,
+                               const UpstreamWish& wish,
+                               TimePoint now) const {
+  const PartId chat = ChatPart(*wish.m_prompt);
+  // Engines that rest come last, so that the next one stands in for them at
+  // every instance alike.
+  std::vector<std::tuple<bool, double, Candidate*>> order;
+  for (Candidate& candidate : candidates) {
+    const UpstreamId& id = candidate.m_upstream->m_registration.m_id;
+    order.emplace_back(candidate.m_rests,
+                       -RendezvousScore(chat.value(), HashText(id.str()), 1.0),
+                       &candidate);
+  }
+  std::sort(order.begin(), order.end());
+  // An engine that is known to keep the chat goes before the first of the
+  // order, which is only likely to.
+  const bool kept_somewhere =
+      std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
+        return !one.m_rests && Knows(*one.m_upstream, chat, now);
+      });
+  int rank = 0;
+  for (const auto& [rests, score, candidate] : order) {
+    const Upstream& row = *candidate->m_upstream;
+    const bool near = row.m_registration.m_data_centre == wish.m_data_centre;
+    candidate->m_rank = rank;
+    candidate->m_unread_tokens =
+        UnreadTokens(row, *wish.m_prompt, rank == 0 && !kept_somewhere, now);
+    candidate->m_cost = EngineCost(*candidate, wish.m_latency_target) +
+                        (near ? 0 : kDistanceCost);
+    ++rank;
+  }
+}
+
+double UpstreamPool::ServiceCost(const Upstream& upstream,
+                                 double load,
+                                 double mean_took_ms,
+                                 double mean_failure_rate) const {
+  const double slots = std::max(1, upstream.m_registration.m_slots);
+  double slowness = 1.0;
+  if (mean_took_ms > 0 && upstream.m_took_ms > 0) {
+    slowness =
+        std::clamp(upstream.m_took_ms / mean_took_ms, 1.0, kSlowFactorLimit);
+  }
+  const double excess =
+      std::max(0.0, upstream.m_failure_rate - mean_failure_rate);
+  return (load + 1.0) / slots * slowness *
+         (1.0 + m_parameters.m_failure_cost * excess);
+}
+
+void UpstreamPool::CostServices(std::vector<Candidate>& candidates) const {
+  double took = 0;
+  double failure_rate = 0;
+  int timed = 0;
+  for (const Candidate& candidate : candidates) {
+    took += candidate.m_upstream->m_took_ms;
+    timed += candidate.m_upstream->m_took_ms > 0 ? 1 : 0;
+    failure_rate += candidate.m_upstream->m_failure_rate;
+  }
+  took /= std::max(1, timed);
+  failure_rate /= std::max<double>(1, static_cast<double>(candidates.size()));
+  for (Candidate& candidate : candidates) {
+    // The requests of plain services end within one period of the digests, so
+    // what others told has passed. Following it, all instances would turn to
+    // the same upstream at once.
+    const double own_load = candidate.m_upstream->m_active;
+    candidate.m_cost =
+        ServiceCost(*candidate.m_upstream, own_load, took, failure_rate);
+  }
+}
+
+std::optional<UpstreamChoice> UpstreamPool::Choose(const UpstreamWish& wish,
+                                                   TimePoint now) {
+  std::vector<Candidate> candidates = Collect(wish, now);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const bool engines = wish.m_prompt != nullptr && !wish.m_prompt->empty();
+  if (engines) {
+    CostEngines(candidates, wish, now);
+  } else {
+    CostServices(candidates);
+  }
+  double mean = 0;
+  for (const Candidate& candidate : candidates) {
+    mean += candidate.m_load / static_cast<double>(candidates.size());
+  }
+  const double bound =
+      m_parameters.m_load_bound * mean + m_parameters.m_load_slack;
+  const auto is_over = [&](const Candidate& candidate) {
+    return engines && candidate.m_load + 1 > bound;
+  };
+  ++m_turn;
+  const std::size_t start = HashPair(m_seed, m_turn) % candidates.size();
+  const Candidate* best = nullptr;
+  for (std::size_t step = 0; step < candidates.size(); ++step) {
+    const Candidate& candidate = candidates[(start + step) % candidates.size()];
+    const auto rank = [&](const Candidate& one) {
+      return std::tuple(one.m_rests, is_over(one), one.m_cost);
+    };
+    if (best == nullptr || rank(candidate) < rank(*best)) {
+      best = &candidate;
+    }
+  }
+  UpstreamChoice choice;
+  choice.m_id = best->m_upstream->m_registration.m_id;
+  choice.m_rank = best->m_rank;
+  choice.m_load = best->m_load;
+  choice.m_mean_load = mean;
+  choice.m_unread_tokens = best->m_unread_tokens;
+  choice.m_home_over_bound = std::any_of(
+      candidates.begin(), candidates.end(),
+      [&](const auto& one) { return one.m_rank == 0 && is_over(one); });
+  return choice;
+}
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -9,6 +9,7 @@
 
 #include "libnet/fleet_key.h"
 #include "libnet/log.h"
+#include "libnet/text.h"
 
 namespace nutmeghollow {
 namespace {
@@ -37,14 +38,6 @@
 /// restart, a freeze or a cut of a few seconds.
 constexpr Duration kForgetAfter = std::chrono::seconds(12);
 
-std::string HexOf(const std::string& bytes) {
-  std::string hex;
-  for (const unsigned char byte : bytes) {
-    hex += fmt::format("{:02x}", byte);
-  }
-  return hex;
-}
-
 }  // namespace
 
 FleetLink::FleetLink(struct ev_loop* loop,
@@ -86,7 +79,7 @@
   net::FeedWrite write;
   write.m_table = m_table;
   write.m_key = kFleetKeyRow;
-  write.m_value = HexOf(net::RandomBytes(kKeyBytes));
+  write.m_value = net::HexOf(net::RandomBytes(kKeyBytes));
   write.m_expected = net::FeedVersion(0);
   // Whoever wins, and whether or not the answer comes, the row tells which key
   // holds; it arrives with the rows of the instances.
--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "libnet/log.h"
+#include "libnet/text.h"
 
 namespace nutmeghollow {
 namespace {
@@ -16,6 +17,7 @@
 using net::BootTime;
 using net::FeedResult;
 using net::FeedStatus;
+using net::HexOf;
 using net::Log;
 using net::LogLevel;
 using nlohmann::json;
@@ -42,14 +44,6 @@
 constexpr Bytes kConnectionMemory{2 << 10};
 constexpr Bytes kHeaderLimit{4 << 10};
 
-std::string HexOf(std::string_view bytes) {
-  std::string hex;
-  for (const unsigned char byte : bytes) {
-    hex += fmt::format("{:02x}", byte);
-  }
-  return hex;
-}
-
 std::string MacOf(const net::FleetKeys& keys, std::string_view text) {
   const net::Mac mac = net::ComputeMac(keys.m_keys.front(), text);
   return HexOf({reinterpret_cast<const char*>(mac.data()), mac.size()});
