--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -13,13 +13,30 @@
   return 0
 }
 
-mapfile -t sources < <(list_files 'src/*.h' 'src/*.cpp')
+mapfile -t sources < <(list_files 'src/*.h' 'src/*.cpp' 'platform/*.h' \
+  'platform/*.cpp')
 clang-format --dry-run --Werror "${sources[@]}"
 
+# The users' platform is known in platform/ and deploy/ only.
+platform_words='Server-Seal|Not-Executed|Expect-Instance|Token-Usage|Kv-'
+platform_words+='|Prompt-Prefix|Request-Deadline|Pin-Duration|Server-Load'
+platform_words+='|rows-(tx|get|feed)|ttlS|coldRemainingMs|apiKeys|trafficSplit'
+platform_words+='|streamResume|kvCapacityTokens|afterRevision|fleetbench'
+if git grep -nEi "$platform_words" -- src testsuite; then
+  echo "lint: words of the users' platform outside platform/ and deploy/"
+  exit 1
+fi
+platform_lines=$(list_files 'platform/*.h' 'platform/*.cpp' |
+  grep -v _test.cpp | xargs cat | wc -l)
+if [ "$platform_lines" -gt 1500 ]; then
+  echo "lint: platform/ has $platform_lines lines; it should only translate"
+  exit 1
+fi
+
 mapfile -t scripts < <(list_files '*.sh' '.ci/run')
 shellcheck "${scripts[@]}"
 
-mapfile -t units < <(list_files 'src/*.cpp')
+mapfile -t units < <(list_files 'src/*.cpp' 'platform/*.cpp')
 absolute=()
 for unit in "${units[@]}"; do
   absolute+=("$PWD/$unit")
--- a/src/include/nutmeghollow/attempt_policy.h
+++ b/src/include/nutmeghollow/attempt_policy.h
@@ -9,12 +9,12 @@
 
 /// How an attempt ended without a whole answer that can be given on.
 enum class AttemptFailure {
-  kUnreachable,     ///< No connection: not run.
-  kRefused,         ///< The upstream says that it did not run the request.
-  kWrongUpstream,   ///< Another upstream answers at the address: not run.
-  kBroken,          ///< Sent; the connection broke or the bytes made no sense.
-  kSilent,          ///< Sent; no answer in the time that it was given.
-  kFailed,          ///< The upstream's own, whole error answer.
+  kUnreachable,    ///< No connection: not run.
+  kRefused,        ///< The upstream says that it did not run the request.
+  kWrongUpstream,  ///< Another upstream answers at the address: not run.
+  kBroken,         ///< Sent; the connection broke or the bytes made no sense.
+  kSilent,         ///< Sent; no answer in the time that it was given.
+  kFailed,         ///< The upstream's own, whole error answer.
 };
 
 /// @return true when the request did not run in such an attempt.
@@ -22,10 +22,10 @@
 
 /// What is known of a request when an attempt ends.
 struct RequestProgress {
-  int m_attempts = 0;          ///< Sends so far, the ended one included.
-  bool m_may_have_run = false; ///< In any attempt, the ended one included.
-  bool m_answer_begun = false; ///< The caller has a part of the answer.
-  bool m_can_resume = false;   ///< The place to go on from is known.
+  int m_attempts = 0;           ///< Sends so far, the ended one included.
+  bool m_may_have_run = false;  ///< In any attempt, the ended one included.
+  bool m_answer_begun = false;  ///< The caller has a part of the answer.
+  bool m_can_resume = false;    ///< The place to go on from is known.
   Duration m_time_left{};
 };
 
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -124,9 +124,9 @@
 /// A chosen upstream and what decided for it.
 struct UpstreamChoice {
   UpstreamId m_id;
-  int m_rank = 0;            ///< Place in the order of the prompt's engines.
-  double m_load = 0;         ///< Estimated requests in progress.
-  double m_mean_load = 0;    ///< Of the service's upstreams.
+  int m_rank = 0;              ///< Place in the order of the prompt's engines.
+  double m_load = 0;           ///< Estimated requests in progress.
+  double m_mean_load = 0;      ///< Of the service's upstreams.
   double m_unread_tokens = 0;  ///< Of the prompt, as estimated.
   bool m_home_over_bound = false;  ///< The first of the order was too loaded.
 };
@@ -243,7 +243,7 @@
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By short name.
   std::map<InstanceId, std::unordered_map<UpstreamHash, int>> m_peer_active;
   std::vector<PartPlacement> m_placements;  ///< Not yet told to others.
-  std::uint64_t m_turn = 0;  ///< Breaks ties in turn.
+  std::uint64_t m_turn = 0;                 ///< Breaks ties in turn.
 };
 
 }  // namespace nutmeghollow
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -117,9 +117,8 @@
 
   const auto idle_seconds = static_cast<unsigned int>(
       std::chrono::ceil<std::chrono::seconds>(options.m_idle_timeout).count());
-  const auto memory =
-      static_cast<std::size_t>(options.m_connection_memory.value() +
-                               options.m_header_limit.value());
+  const auto memory = static_cast<std::size_t>(
+      options.m_connection_memory.value() + options.m_header_limit.value());
   m_daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listen_descriptor,
--- a/src/libnet/log.cpp
+++ b/src/libnet/log.cpp
@@ -2,13 +2,17 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
-#include <cstdio>
+#include <climits>
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <type_traits>
+#include <utility>
 
 #include "libnet/event_loop.h"
 
@@ -77,14 +81,77 @@
   return fmt::to_string(line);
 }
 
+namespace detail {
+
+LogLimiter::Bucket& LogLimiter::BucketOf(std::string_view event) {
+  const auto found = m_buckets.find(event);
+  if (found != m_buckets.end()) {
+    return found->second;
+  }
+  Bucket bucket;
+  bucket.m_tokens = m_rate.m_burst;
+  return m_buckets.emplace(event, bucket).first->second;
+}
+
+bool LogLimiter::Admit(std::string_view event, TimePoint now) {
+  Bucket& bucket = BucketOf(event);
+  const double elapsed =
+      std::chrono::duration<double>(now - bucket.m_filled_at).count();
+  bucket.m_tokens =
+      std::min(m_rate.m_burst, bucket.m_tokens + elapsed * m_rate.m_per_second);
+  bucket.m_filled_at = now;
+  if (bucket.m_tokens < 1) {
+    ++bucket.m_dropped;
+    return false;
+  }
+  bucket.m_tokens -= 1;
+  return true;
+}
+
+void LogLimiter::NoteLost(std::string_view event) {
+  ++BucketOf(event).m_dropped;
+}
+
+std::int64_t LogLimiter::TakeDropped(std::string_view event) {
+  return std::exchange(BucketOf(event).m_dropped, 0);
+}
+
+}  // namespace detail
+
+namespace {
+
+/// Writes a line unless that would wait for the reader.
+/// @return false when it was not written.
+bool WriteLine(const std::string& line) {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  // A pipe that polls writable takes PIPE_BUF bytes at once; longer lines are
+  // cut by no event of this daemon.
+  if (poll(&output, 1, 0) != 1 || line.size() > PIPE_BUF) {
+    return false;
+  }
+  return write(STDOUT_FILENO, line.data(), line.size()) ==
+         static_cast<ssize_t>(line.size());
+}
+
+}  // namespace
+
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields) {
-  if (level < CurrentLevel()) {
+  static detail::LogLimiter limiter;
+  if (level < CurrentLevel() || !limiter.Admit(event, BootTime())) {
     return;
   }
-  fmt::print(stderr, "{}\n",
-             FormatLogLine(CivilTime().value(), level, event, fields));
+  const std::int64_t dropped = limiter.TakeDropped(event);
+  std::string line = FormatLogLine(CivilTime().value(), level, event, fields);
+  if (dropped > 0) {
+    line.pop_back();
+    line += fmt::format(R"(,"dropped_before":{}}})", dropped);
+  }
+  line += '\n';
+  if (!WriteLine(line)) {
+    limiter.NoteLost(event);
+  }
 }
 
 }  // namespace nutmeghollow::net
--- a/src/libnet/log.h
+++ b/src/libnet/log.h
@@ -1,14 +1,21 @@
 /// @file
-/// Log of the daemon: one JSON object a line on standard error.
+/// Log of the daemon: one JSON object a line on standard output.
+///
+/// The log never holds the daemon up. Each event has its own rate; lines above
+/// it, and lines that a reader does not take, are dropped and counted in the
+/// next line of the event that is written.
 #pragma once
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include "nutmeghollow/types.h"
+
 namespace nutmeghollow::net {
 
 /// How much a log line matters.
@@ -38,4 +45,40 @@
                           std::string_view event,
                           std::initializer_list<LogField> fields);
 
+namespace detail {
+
+/// Lines of one event that may be written in a second, and at once. At its
+/// busiest an instance ends some 60 requests a second; a line costs about 10
+/// microseconds, so even several events at this rate stay below a thousandth
+/// of a processor.
+struct LogRate {
+  double m_per_second = 50;
+  double m_burst = 200;
+};
+
+/// Admits lines by the rate of their event.
+class LogLimiter {
+ public:
+  explicit LogLimiter(LogRate rate = {}) : m_rate(rate) {}
+
+  /// @return true when a line of the event may be written now.
+  bool Admit(std::string_view event, TimePoint now);
+  /// Notes that an admitted line was not written after all.
+  void NoteLost(std::string_view event);
+  /// @return lines of the event dropped since the last call.
+  std::int64_t TakeDropped(std::string_view event);
+
+ private:
+  struct Bucket {
+    double m_tokens = 0;
+    TimePoint m_filled_at{};
+    std::int64_t m_dropped = 0;
+  };
+  Bucket& BucketOf(std::string_view event);
+
+  LogRate m_rate;
+  std::map<std::string, Bucket, std::less<>> m_buckets;
+};
+
+}  // namespace detail
 }  // namespace nutmeghollow::net
--- a/src/libnet/log_test.cpp
+++ b/src/libnet/log_test.cpp
@@ -25,5 +25,22 @@
   EXPECT_EQ(object["signed"], false);
 }
 
+TEST(LogLimiter, DropsAndCountsLinesAboveTheRateOfTheirEvent) {
+  detail::LogLimiter limiter({.m_per_second = 10, .m_burst = 3});
+  const TimePoint start(std::chrono::seconds(100));
+  int admitted = 0;
+  for (int line = 0; line < 8; ++line) {
+    admitted += limiter.Admit("busy", start) ? 1 : 0;
+  }
+  EXPECT_EQ(admitted, 3);
+  EXPECT_TRUE(limiter.Admit("calm", start));
+  EXPECT_EQ(limiter.TakeDropped("busy"), 5);
+  EXPECT_EQ(limiter.TakeDropped("busy"), 0);
+  EXPECT_TRUE(limiter.Admit("busy", start + std::chrono::milliseconds(100)));
+  EXPECT_FALSE(limiter.Admit("busy", start + std::chrono::milliseconds(100)));
+  limiter.NoteLost("busy");
+  EXPECT_EQ(limiter.TakeDropped("busy"), 2);
+}
+
 }  // namespace
 }  // namespace nutmeghollow::net
--- a/src/libnet/route_protocol.h
+++ b/src/libnet/route_protocol.h
@@ -21,20 +21,20 @@
 struct RouteRequest {
   PublicRequestId m_id;
   std::string m_host;
-  std::string m_key;  ///< API key; empty for none.
+  std::string m_key;                   ///< API key; empty for none.
   std::optional<Duration> m_deadline;  ///< How long the caller waits.
   std::vector<PromptPart> m_prompt;    ///< Empty when not stated.
   std::int64_t m_output_tokens = 0;    ///< Most tokens to generate; 0: unknown.
-  std::string m_resume_after;  ///< Last event that the caller has.
+  std::string m_resume_after;          ///< Last event that the caller has.
 };
 
 /// What this instance tells an upstream beside the caller's own header.
 struct ForwardedFields {
   UpstreamId m_expected;
   Duration m_time_left{};
-  CustomerId m_customer;  ///< Empty for none.
-  int m_priority = 0;     ///< Rank; 0 is the most urgent.
-  bool m_engine = false;  ///< The upstream is a model engine.
+  CustomerId m_customer;       ///< Empty for none.
+  int m_priority = 0;          ///< Rank; 0 is the most urgent.
+  bool m_engine = false;       ///< The upstream is a model engine.
   std::string m_resume_after;  ///< Goes on after this event; empty for a start.
 };
 
--- a/src/libnet/row_feed.h
+++ b/src/libnet/row_feed.h
@@ -57,9 +57,8 @@
 /// Calls to the platform's tables.
 struct RowFeed {
   /// Reads all rows of a table.
-  std::function<void(const std::string& table,
-                     Duration timeout,
-                     FeedCallback callback)>
+  std::function<
+      void(const std::string& table, Duration timeout, FeedCallback callback)>
       m_read_all;
   /// Waits for changes of a table after a position; ends with none after the
   /// wait.
--- a/src/libnutmeg/attempt_policy.cpp
+++ b/src/libnutmeg/attempt_policy.cpp
@@ -32,12 +32,10 @@
   const int most = failure == AttemptFailure::kUnreachable
                        ? route.m_max_attempts + parameters.m_most_unreached
                        : route.m_max_attempts;
-  const bool may_send =
-      has_time && may_run_again && progress.m_attempts < most;
+  const bool may_send = has_time && may_run_again && progress.m_attempts < most;
   if (progress.m_answer_begun) {
-    const bool resumable =
-        route.m_repeatability == Repeatability::kResumable &&
-        progress.m_can_resume;
+    const bool resumable = route.m_repeatability == Repeatability::kResumable &&
+                           progress.m_can_resume;
     return may_send && resumable ? NextStep::kResume : NextStep::kAbort;
   }
   return may_send ? NextStep::kSendAgain : DecideEnd(failure, progress);
@@ -63,8 +61,8 @@
   if (!route.MayRepeat() || attempts_left <= 0) {
     return time_left;
   }
-  const Duration patient = std::max(
-      route.m_latency_target * kFirstByteTargets, kLeastFirstByte);
+  const Duration patient =
+      std::max(route.m_latency_target * kFirstByteTargets, kLeastFirstByte);
   return std::min(patient, time_left);
 }
 
--- a/src/libnutmeg/entry_directory.cpp
+++ b/src/libnutmeg/entry_directory.cpp
@@ -33,8 +33,7 @@
       [&](const EntryInstance& instance) {
         return serves(instance) && instance.m_region == region;
       },
-      serves,
-      [](const EntryInstance& instance) { return instance.m_alive; },
+      serves, [](const EntryInstance& instance) { return instance.m_alive; },
       [](const EntryInstance&) { return true; }};
   std::vector<Endpoint> addresses;
   for (const Filter& filter : filters) {
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -34,8 +34,7 @@
   }
   const auto placement_count =
       std::min(digest.m_placements.size(), kMostPlacements);
-  auto placements =
-      root.initPlacements(static_cast<unsigned>(placement_count));
+  auto placements = root.initPlacements(static_cast<unsigned>(placement_count));
   for (unsigned index = 0; index < placement_count; ++index) {
     const PartPlacement& entry = digest.m_placements[index];
     placements[index].setPart(entry.m_part.value());
@@ -50,9 +49,8 @@
 std::optional<FleetDigest> DecodeDigest(std::string_view payload) {
   FleetDigest digest;
   try {
-    kj::ArrayInputStream stream(
-        kj::arrayPtr(reinterpret_cast<const kj::byte*>(payload.data()),
-                     payload.size()));
+    kj::ArrayInputStream stream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(payload.data()), payload.size()));
     capnp::ReaderOptions options;
     options.traversalLimitInWords = kReadLimitWords;
     capnp::PackedMessageReader message(stream, options);
--- /dev/null
+++ b/src/libnutmeg/gateway_parts_test.cpp
@@ -0,0 +1,135 @@
+// Small parts of the gateway: retry allowance, event splitter, proof of the
+// configuration, entry directory.
+#include <gtest/gtest.h>
+
+#include "nutmeghollow/configuration_proof.h"
+#include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/event_stream.h"
+#include "nutmeghollow/retry_allowance.h"
+
+namespace nutmeghollow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(Duration since_start) {
+  return TimePoint(seconds(100)) + since_start;
+}
+
+int TakeAll(RetryAllowance& allowance, Duration at) {
+  int taken = 0;
+  while (allowance.Take(ServiceId("s"), At(at))) {
+    ++taken;
+  }
+  return taken;
+}
+
+struct AllowanceCase {
+  int m_instances;
+  int m_requests;
+  int m_repeats;
+};
+
+class Allowance : public testing::TestWithParam<AllowanceCase> {};
+
+TEST_P(Allowance, StaysUnderTheFleetsBoundWhenEveryInstanceUsesItsShare) {
+  RetryAllowance allowance({.m_ratio = 0.2, .m_slack = 54});
+  allowance.SetInstances(GetParam().m_instances);
+  for (int index = 0; index < GetParam().m_requests; ++index) {
+    allowance.NoteRequest(ServiceId("s"), At({}));
+  }
+  const int taken = TakeAll(allowance, seconds(1));
+  EXPECT_EQ(taken, GetParam().m_repeats);
+  EXPECT_LE(taken * GetParam().m_instances,
+            0.2 * GetParam().m_requests * GetParam().m_instances + 54);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         Allowance,
+                         testing::Values(AllowanceCase{1, 0, 43},
+                                         AllowanceCase{7, 0, 6},
+                                         AllowanceCase{7, 100, 22},
+                                         AllowanceCase{90, 10, 2}));
+
+TEST(RetryAllowance, ComesBackWithTheWindow) {
+  RetryAllowance allowance({.m_ratio = 0, .m_slack = 10});
+  EXPECT_EQ(TakeAll(allowance, seconds(0)), 8);
+  EXPECT_EQ(TakeAll(allowance, seconds(9)), 0);
+  EXPECT_EQ(TakeAll(allowance, seconds(11)), 8);
+}
+
+struct SplitCase {
+  const char* m_first;
+  const char* m_second;
+  const char* m_whole;  ///< Bytes given on after both.
+  const char* m_last_id;
+  int m_events;
+};
+
+class Split : public testing::TestWithParam<SplitCase> {};
+
+TEST_P(Split, GivesOnWholeEventsOnly) {
+  EventSplitter splitter;
+  std::string whole = splitter.Take(GetParam().m_first);
+  whole += splitter.Take(GetParam().m_second);
+  EXPECT_EQ(whole, GetParam().m_whole);
+  EXPECT_EQ(splitter.LastId().value_or(""), GetParam().m_last_id);
+  EXPECT_EQ(splitter.Events(), GetParam().m_events);
+  EXPECT_EQ(whole + splitter.Rest(),
+            std::string(GetParam().m_first) + GetParam().m_second);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    Split,
+    testing::Values(SplitCase{"id: 1\ndata: a\n", "\nid: 2\nda",
+                              "id: 1\ndata: a\n\n", "1", 1},
+                    SplitCase{"id:1\ndata:a\n\nid:2\ndata:b\n\n", "",
+                              "id:1\ndata:a\n\nid:2\ndata:b\n\n", "2", 2},
+                    SplitCase{"id: 7\r\ndata: a\r\n\r", "\n",
+                              "id: 7\r\ndata: a\r\n\r\n", "7", 1},
+                    SplitCase{"data: a\n\n", "", "data: a\n\n", "", 1},
+                    SplitCase{"", "", "", "", 0}));
+
+TEST(EventSplitter, DropsATornEventBeforeAStreamGoesOn) {
+  EventSplitter splitter;
+  splitter.Take("id: 1\ndata: a\n\nid: 2\nda");
+  splitter.DropRest();
+  EXPECT_EQ(splitter.Take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+}
+
+TEST(ConfigurationProof, AgesFromWhenItWasAskedFor) {
+  ConfigurationProof proof;
+  EXPECT_FALSE(proof.Within(seconds(5), At({})));
+  proof.Confirm(At(seconds(1)));
+  proof.Confirm(At(milliseconds(500)));  // A late answer to an older question.
+  EXPECT_TRUE(proof.Within(seconds(5), At(milliseconds(5900))));
+  EXPECT_FALSE(proof.Within(seconds(5), At(milliseconds(6000))));
+}
+
+EntryInstance Entry(const char* name, const char* data_centre, bool ready) {
+  return {InstanceId(name),   Endpoint(name), DataCentreId(data_centre),
+          RegionId("region"), ready,          true};
+}
+
+TEST(EntryDirectory, NamesReadyInstancesNearby) {
+  EntryDirectory directory;
+  EXPECT_TRUE(directory.Choose({}, {}, 8).empty());
+  directory.Put(Entry("a", "one", true));
+  directory.Put(Entry("b", "two", true));
+  directory.Put(Entry("c", "two", false));
+  const auto choose = [&](const char* data_centre) {
+    return directory.Choose(RegionId("region"), DataCentreId(data_centre), 8);
+  };
+  EXPECT_EQ(choose("one"), std::vector<Endpoint>{Endpoint("a")});
+  EXPECT_EQ(choose("two"), std::vector<Endpoint>{Endpoint("b")});
+  EXPECT_EQ(choose("three").size(), 2U);
+  directory.Find(InstanceId("b"))->m_alive = false;
+  EXPECT_EQ(choose("two"), std::vector<Endpoint>{Endpoint("a")});
+  directory.Find(InstanceId("a"))->m_ready = false;
+  EXPECT_EQ(choose("two").size(), 2U);  // Those that live, ready or not.
+}
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -106,9 +106,9 @@
   }
   if (upstream.m_report &&
       now - upstream.m_report_at < m_parameters.m_report_life) {
-    const double reported =
-        upstream.m_report->m_running + upstream.m_report->m_waiting +
-        upstream.m_active - upstream.m_active_at_report;
+    const double reported = upstream.m_report->m_running +
+                            upstream.m_report->m_waiting + upstream.m_active -
+                            upstream.m_active_at_report;
     load = std::max(load, reported);
   }
   return load;
@@ -191,8 +191,8 @@
   if (candidate.m_load >= slots) {
     wait_ms *= 1.0 + candidate.m_load / slots;
   }
-  const double late_ms = std::max(
-      0.0, wait_ms - m_parameters.m_free_wait * Milliseconds(target));
+  const double late_ms =
+      std::max(0.0, wait_ms - m_parameters.m_free_wait * Milliseconds(target));
   const double cost = read_ms + m_parameters.m_wait_cost * late_ms +
                       candidate.m_load * m_parameters.m_load_cost +
                       std::min(candidate.m_rank, kMostRanks) * kRankCost;
@@ -226,8 +226,8 @@
     candidate->m_rank = rank;
     candidate->m_unread_tokens =
         UnreadTokens(row, *wish.m_prompt, rank == 0 && !kept_somewhere, now);
-    candidate->m_cost =
-        EngineCost(*candidate, wish.m_latency_target) + (near ? 0 : kDistanceCost);
+    candidate->m_cost = EngineCost(*candidate, wish.m_latency_target) +
+                        (near ? 0 : kDistanceCost);
     ++rank;
   }
 }
@@ -239,8 +239,8 @@
   const double slots = std::max(1, upstream.m_registration.m_slots);
   double slowness = 1.0;
   if (mean_took_ms > 0 && upstream.m_took_ms > 0) {
-    slowness = std::clamp(upstream.m_took_ms / mean_took_ms, 1.0,
-                          kSlowFactorLimit);
+    slowness =
+        std::clamp(upstream.m_took_ms / mean_took_ms, 1.0, kSlowFactorLimit);
   }
   const double excess =
       std::max(0.0, upstream.m_failure_rate - mean_failure_rate);
@@ -266,7 +266,7 @@
 }
 
 std::optional<UpstreamChoice> UpstreamPool::Choose(const UpstreamWish& wish,
-                                               TimePoint now) {
+                                                   TimePoint now) {
   std::vector<Candidate> candidates = Collect(wish, now);
   if (candidates.empty()) {
     return std::nullopt;
@@ -304,10 +304,9 @@
   choice.m_load = best->m_load;
   choice.m_mean_load = mean;
   choice.m_unread_tokens = best->m_unread_tokens;
-  choice.m_home_over_bound =
-      std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
-        return one.m_rank == 0 && is_over(one);
-      });
+  choice.m_home_over_bound = std::any_of(
+      candidates.begin(), candidates.end(),
+      [&](const auto& one) { return one.m_rank == 0 && is_over(one); });
   return choice;
 }
 
@@ -374,10 +373,9 @@
       row->m_rest_until = TimePoint();
       row->m_failure_rate *= 1.0 - weight;
       if (took > Duration::zero()) {
-        row->m_took_ms = row->m_took_ms == 0
-                             ? Milliseconds(took)
-                             : row->m_took_ms * (1.0 - weight) +
-                                   Milliseconds(took) * weight;
+        row->m_took_ms = row->m_took_ms == 0 ? Milliseconds(took)
+                                             : row->m_took_ms * (1.0 - weight) +
+                                                   Milliseconds(took) * weight;
       }
       return;
     case AttemptHealth::kFailed:
--- /dev/null
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -0,0 +1,226 @@
+#include "nutmeghollow/upstream_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "nutmeghollow/hashing.h"
+
+namespace nutmeghollow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceId kService("service");
+
+TimePoint At(Duration since_start) {
+  return TimePoint(seconds(100)) + since_start;
+}
+
+RegisteredUpstream Registration(const std::string& id, int slots = 8) {
+  RegisteredUpstream upstream;
+  upstream.m_id = UpstreamId(id);
+  upstream.m_service = kService;
+  upstream.m_endpoint = Endpoint("10.0.0.1:80");
+  upstream.m_slots = slots;
+  return upstream;
+}
+
+/// A pool of upstreams "u0", "u1" and so on.
+UpstreamPool MakePool(int count, int slots = 8) {
+  UpstreamPool pool;
+  for (int index = 0; index < count; ++index) {
+    pool.Put(Registration("u" + std::to_string(index), slots), At({}));
+  }
+  return pool;
+}
+
+UpstreamWish Wish(const std::vector<PromptPart>* prompt = nullptr) {
+  UpstreamWish wish;
+  wish.m_service = kService;
+  wish.m_prompt = prompt;
+  wish.m_latency_target = milliseconds(800);
+  return wish;
+}
+
+std::vector<PromptPart> Chat(std::uint64_t chat) {
+  return {{PartId(1), Tokens(500)},
+          {PartId(chat), Tokens(10000)},
+          {PartId(chat * 1000 + 7), Tokens(900)}};
+}
+
+UpstreamId Chosen(UpstreamPool& pool,
+                  const UpstreamWish& wish,
+                  Duration at = {}) {
+  const auto choice = pool.Choose(wish, At(at));
+  return choice ? choice->m_id : UpstreamId();
+}
+
+TEST(UpstreamPool, ChoosesNothingWithoutUpstreams) {
+  UpstreamPool pool;
+  EXPECT_FALSE(pool.Choose(Wish(), At({})));
+  EXPECT_FALSE(pool.HasUsable(kService));
+}
+
+TEST(UpstreamPool, PassesOverDrainingAndTriedUpstreams) {
+  UpstreamPool pool = MakePool(3);
+  RegisteredUpstream draining = Registration("u0");
+  draining.m_draining = true;
+  pool.Put(draining, At({}));
+  UpstreamWish wish = Wish();
+  wish.m_tried = {UpstreamId("u1")};
+  for (int round = 0; round < 10; ++round) {
+    EXPECT_EQ(Chosen(pool, wish), UpstreamId("u2"));
+  }
+}
+
+TEST(UpstreamPool, SpreadsPlainRequestsByLoad) {
+  UpstreamPool pool = MakePool(3);
+  for (int round = 0; round < 12; ++round) {
+    pool.NoteSent(Chosen(pool, Wish()), nullptr, At({}));
+  }
+  for (const UpstreamId& id : pool.Ids()) {
+    EXPECT_EQ(pool.Active(id), 4) << id.str();
+  }
+}
+
+struct HealthCase {
+  AttemptHealth m_health;
+  bool m_rests;
+};
+
+class Health : public testing::TestWithParam<HealthCase> {};
+
+TEST_P(Health, DecidesWhetherAnUpstreamRests) {
+  UpstreamPool pool = MakePool(4);
+  const UpstreamId first("u0");
+  pool.NoteSent(first, nullptr, At({}));
+  pool.NoteEnd(first, GetParam().m_health, {}, nullptr, false, At({}));
+  std::set<UpstreamId> chosen;
+  for (int round = 0; round < 8; ++round) {
+    chosen.insert(Chosen(pool, Wish(), milliseconds(100)));
+  }
+  EXPECT_EQ(chosen.count(first) == 0, GetParam().m_rests);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    Health,
+    testing::Values(HealthCase{AttemptHealth::kServed, false},
+                    HealthCase{AttemptHealth::kRefused, false},
+                    HealthCase{AttemptHealth::kAbandoned, false},
+                    HealthCase{AttemptHealth::kUnreachable, true},
+                    HealthCase{AttemptHealth::kBroken, true},
+                    HealthCase{AttemptHealth::kSilent, true}));
+
+TEST(UpstreamPool, GivesARestedUpstreamOneRequestAsATrial) {
+  UpstreamPool pool = MakePool(3);
+  const UpstreamId first("u0");
+  pool.NoteSent(first, nullptr, At({}));
+  pool.NoteEnd(first, AttemptHealth::kUnreachable, {}, nullptr, false, At({}));
+  const Duration later = milliseconds(400);
+  int trials = 0;
+  for (int round = 0; round < 9; ++round) {
+    const UpstreamId id = Chosen(pool, Wish(), later);
+    pool.NoteSent(id, nullptr, At(later));
+    trials += id == first ? 1 : 0;
+  }
+  EXPECT_EQ(trials, 1);
+}
+
+TEST(UpstreamPool, LetsNoneRestWhenMostWould) {
+  UpstreamPool pool = MakePool(3);
+  for (const UpstreamId& id : pool.Ids()) {
+    pool.NoteSent(id, nullptr, At({}));
+    pool.NoteEnd(id, AttemptHealth::kBroken, {}, nullptr, false, At({}));
+  }
+  EXPECT_FALSE(Chosen(pool, Wish()).empty());
+}
+
+TEST(UpstreamPool, SendsLessToAnUpstreamThatFailsItsRequests) {
+  UpstreamPool pool = MakePool(2);
+  std::map<UpstreamId, int> sent;
+  for (int round = 0; round < 200; ++round) {
+    const UpstreamId id = Chosen(pool, Wish());
+    ++sent[id];
+    pool.NoteSent(id, nullptr, At({}));
+    const bool fails = id == UpstreamId("u0") && sent[id] % 2 == 0;
+    pool.NoteEnd(id, fails ? AttemptHealth::kFailed : AttemptHealth::kServed,
+                 milliseconds(30), nullptr, true, At({}));
+  }
+  EXPECT_LT(sent[UpstreamId("u0")] * 4, sent[UpstreamId("u1")]);
+}
+
+TEST(UpstreamPool, KeepsAChatAtOneEngineOnEveryInstance) {
+  UpstreamPool one = MakePool(12, 64);
+  UpstreamPool other = MakePool(12, 64);
+  for (std::uint64_t chat = 100; chat < 130; ++chat) {
+    const auto prompt = Chat(chat);
+    EXPECT_EQ(Chosen(one, Wish(&prompt)), Chosen(other, Wish(&prompt)));
+  }
+}
+
+TEST(UpstreamPool, PrefersTheEngineThatAnotherInstanceUsedForTheChat) {
+  UpstreamPool pool = MakePool(12, 64);
+  const auto prompt = Chat(42);
+  const UpstreamId home = Chosen(pool, Wish(&prompt));
+  const UpstreamId other(home == UpstreamId("u3") ? "u4" : "u3");
+  pool.NotePeerPlacement(
+      {PartId(42),
+       UpstreamHash(static_cast<std::uint32_t>(HashText(other.str())))},
+      At({}));
+  EXPECT_EQ(Chosen(pool, Wish(&prompt)), other);
+}
+
+TEST(UpstreamPool, LeavesTheHomeEngineAboveTheLoadBound) {
+  UpstreamPool pool = MakePool(12, 64);
+  const auto prompt = Chat(42);
+  const UpstreamId home = Chosen(pool, Wish(&prompt));
+  std::vector<ActiveRequests> active{
+      {UpstreamHash(static_cast<std::uint32_t>(HashText(home.str()))), 20}};
+  pool.SetPeerActive(InstanceId("peer"), active);
+  EXPECT_NE(Chosen(pool, Wish(&prompt)), home);
+  pool.ForgetPeer(InstanceId("peer"));
+  EXPECT_EQ(Chosen(pool, Wish(&prompt)), home);
+}
+
+TEST(UpstreamPool, KeepsLoadsUnderTheBoundWithOneHotChat) {
+  UpstreamPool pool = MakePool(12, 64);
+  const auto hot = Chat(42);
+  for (int round = 0; round < 240; ++round) {
+    const auto cold = Chat(1000 + static_cast<std::uint64_t>(round % 60));
+    const auto& prompt = round % 3 == 0 ? hot : cold;
+    pool.NoteSent(Chosen(pool, Wish(&prompt)), &prompt, At({}));
+  }
+  for (const UpstreamId& id : pool.Ids()) {
+    EXPECT_LE(pool.Active(id), 2 * 240 / 12 + 3) << id.str();
+  }
+}
+
+TEST(UpstreamPool, ForgetsWhatAnEarlierProcessKept) {
+  UpstreamPool pool = MakePool(12, 64);
+  const auto prompt = Chat(42);
+  const UpstreamId home = Chosen(pool, Wish(&prompt));
+  const UpstreamId other(home == UpstreamId("u3") ? "u4" : "u3");
+  pool.NoteSent(other, &prompt, At({}));
+  ASSERT_EQ(Chosen(pool, Wish(&prompt)), other);
+  RegisteredUpstream reborn = Registration(other.str(), 64);
+  reborn.m_born_ms = 5;
+  pool.Put(reborn, At({}));
+  EXPECT_EQ(Chosen(pool, Wish(&prompt)), home);
+}
+
+TEST(UpstreamPool, CountsPlacesAndLoads) {
+  UpstreamPool pool = MakePool(2, 4);
+  pool.NoteSent(UpstreamId("u0"), nullptr, At({}));
+  pool.NoteLoad(UpstreamId("u1"), {3, 1, 4}, At({}));
+  const auto occupancy = pool.OccupancyOf(kService, At({}));
+  EXPECT_DOUBLE_EQ(occupancy.m_places, 8);
+  EXPECT_DOUBLE_EQ(occupancy.m_taken, 5);
+}
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -113,14 +113,13 @@
             static_cast<std::uint64_t>(net::CivilTime().value()));
         m_transport = std::make_unique<net::PeerTransport>(
             m_loop, m_endpoint, net::DatagramSeal(m_self, session, keys),
-            [this](const ReceivedDatagram& datagram) {
-              Handle(datagram);
-            });
+            [this](const ReceivedDatagram& datagram) { Handle(datagram); });
         Tell();
         return {};
       },
       [](const net::BadFleetKey& error) {
-        Log(LogLevel::kError, "fleet_key_not_used", {{"fault", error.m_reason}});
+        Log(LogLevel::kError, "fleet_key_not_used",
+            {{"fault", error.m_reason}});
       },
       [] { Log(LogLevel::kError, "fleet_key_not_used", {}); });
 }
@@ -212,8 +211,7 @@
       if (id < m_self) {
         return {};  // The first living instance does it.
       }
-    } else if (now - peer.m_heard.value_or(peer.m_known_since) >
-               kForgetAfter) {
+    } else if (now - peer.m_heard.value_or(peer.m_known_since) > kForgetAfter) {
       lost.push_back(id);
     }
   }
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -32,6 +32,9 @@
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
 /// Pause before a failed write is repeated.
 constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
+/// A configuration must be in force within two seconds, also after a question
+/// whose answer was lost.
+constexpr Duration kLongestConfigurationWait = std::chrono::milliseconds(1250);
 /// How often the settings file is compared with what was read.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
 /// How often rows of lost instances are looked for.
@@ -61,6 +64,15 @@
   return text.str();
 }
 
+/// @return the wait of one question for a new configuration. The newest proof
+/// is up to two waits old just before the next answer, and one lost answer
+/// must not end the service of requests with a key.
+Duration ConfigurationWait(const Settings& settings) {
+  constexpr int kWaitsPerLimit = 4;
+  return std::min(kLongestConfigurationWait,
+                  settings.m_gateway.m_revocation_limit / kWaitsPerLimit);
+}
+
 net::HttpServerOptions CallerOptions() {
   net::HttpServerOptions options;
   options.m_body_limit = kBodyLimit;
@@ -160,43 +172,39 @@
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
                    }}),
-      m_configuration_follower(
+      m_configuration_follower(loop,
+                               m_feed,
+                               {.m_table = protocol.m_configuration_table,
+                                .m_wait = ConfigurationWait(settings)},
+                               ConfigurationEvents()),
+      m_registration_follower(
           loop,
           m_feed,
-          {.m_table = protocol.m_configuration_table,
-           .m_wait = std::chrono::milliseconds(1500)},
-          ConfigurationEvents()),
-      m_registration_follower(loop,
-                              m_feed,
-                              {.m_table = protocol.m_registration_table,
-                               .m_wait = std::chrono::milliseconds(2000),
-                               .m_least_period =
-                                   std::chrono::milliseconds(250)},
-                              RegistrationEvents()),
+          {.m_table = protocol.m_registration_table,
+           .m_wait = std::chrono::milliseconds(2000),
+           .m_least_period = std::chrono::milliseconds(250)},
+          RegistrationEvents()),
       m_instance_follower(loop,
                           m_feed,
                           {.m_table = kInstanceTable,
                            .m_wait = std::chrono::milliseconds(4000),
                            .m_least_period = std::chrono::milliseconds(250)},
                           InstanceEvents()),
-      m_caller_server(loop,
-                      settings.m_instance.m_caller_address,
-                      CallerOptions(),
-                      [this](const Exchange& exchange) {
-                        HandleCaller(exchange);
-                      }),
-      m_entry_server(loop,
-                     settings.m_gateway.m_entry_address,
-                     CallerOptions(),
-                     [this](const Exchange& exchange) {
-                       HandleEntry(exchange);
-                     }),
-      m_operator_server(loop,
-                        settings.m_instance.m_operator_address,
-                        CallerOptions(),
-                        [this](const Exchange& exchange) {
-                          HandleOperator(exchange);
-                        }),
+      m_caller_server(
+          loop,
+          settings.m_instance.m_caller_address,
+          CallerOptions(),
+          [this](const Exchange& exchange) { HandleCaller(exchange); }),
+      m_entry_server(
+          loop,
+          settings.m_gateway.m_entry_address,
+          CallerOptions(),
+          [this](const Exchange& exchange) { HandleEntry(exchange); }),
+      m_operator_server(
+          loop,
+          settings.m_instance.m_operator_address,
+          CallerOptions(),
+          [this](const Exchange& exchange) { HandleOperator(exchange); }),
       m_terminate(loop, SIGTERM, [this] { StartDrain("SIGTERM"); }),
       m_interrupt(loop, SIGINT, [this] { StartDrain("SIGINT"); }),
       m_hang_up(loop, SIGHUP, [this] { ReloadSettings("SIGHUP"); }),
@@ -294,9 +302,9 @@
     self->m_ready = Ready();
   }
   json addresses = json::array();
-  for (const Endpoint& endpoint : m_directory.Choose(
-           RegionId(field("region")), DataCentreId(field("data_centre")),
-           kMostAddresses)) {
+  for (const Endpoint& endpoint :
+       m_directory.Choose(RegionId(field("region")),
+                          DataCentreId(field("data_centre")), kMostAddresses)) {
     addresses.push_back(endpoint.str());
   }
   if (addresses.empty()) {
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -130,8 +130,8 @@
   if (request.m_body.size() > static_cast<std::size_t>(limits.m_body.value())) {
     return {kStatusTooLarge, "body too large"};
   }
-  const HttpRoute* route = m_configuration->FindRoute(
-      m_request.m_host, PathOf(request.m_target));
+  const HttpRoute* route =
+      m_configuration->FindRoute(m_request.m_host, PathOf(request.m_target));
   if (route == nullptr) {
     return {m_state->m_proof.Within(kFreshForDenial, now) ? kStatusNotFound
                                                           : kStatusUnavailable,
@@ -160,8 +160,7 @@
   if (!m_configuration->HasCustomers()) {
     return {};
   }
-  const CustomerKeys* customer =
-      m_configuration->FindCustomer(m_request.m_key);
+  const CustomerKeys* customer = m_configuration->FindCustomer(m_request.m_key);
   if (customer != nullptr && m_state->MayServeKeys(now)) {
     m_customer = customer->m_id;
     m_priority = customer->m_priority.value_or(route.m_priority);
@@ -258,8 +257,7 @@
   fields.m_customer = m_customer;
   fields.m_priority = m_priority;
   fields.m_engine = IsEngine();
-  fields.m_resume_after =
-      m_events.LastId().value_or(m_request.m_resume_after);
+  fields.m_resume_after = m_events.LastId().value_or(m_request.m_resume_after);
   net::HttpCall call;
   call.m_method = request.m_method;
   call.m_endpoint = upstream.m_endpoint;
@@ -268,8 +266,7 @@
   call.m_body = m_body;
   call.m_connect_timeout = std::min(kConnectTimeout, time_left);
   const int attempts_left = m_route.m_max_attempts - m_progress.m_attempts - 1;
-  call.m_first_byte_timeout =
-      FirstByteLimit(m_route, attempts_left, time_left);
+  call.m_first_byte_timeout = FirstByteLimit(m_route, attempts_left, time_left);
   call.m_idle_timeout = SilenceLimit(m_route, attempts_left, time_left);
   call.m_total_timeout = time_left;
   call.m_own_connection = !m_route.MayRepeat();
@@ -303,8 +300,8 @@
   Attempt attempt;
   attempt.m_upstream = upstream;
   attempt.m_sent_at = now;
-  attempt.m_call = m_state->m_client->Start(MakeCall(*registration, now),
-                                            MakeEvents());
+  attempt.m_call =
+      m_state->m_client->Start(MakeCall(*registration, now), MakeEvents());
   m_attempt = std::move(attempt);
   ++m_progress.m_attempts;
   m_tried.push_back(upstream);
@@ -569,8 +566,8 @@
   problem.m_type = "route";
   problem.m_title = "Request not served";
   problem.m_detail = reason;
-  problem.m_outcome = m_progress.m_may_have_run ? Outcome::kUnknown
-                                                : Outcome::kNotRun;
+  problem.m_outcome =
+      m_progress.m_may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
   net::HeaderList headers = ProblemHeaders(problem);
   if (!m_request.m_id.empty()) {
     headers.emplace_back("Request-Id", m_request.m_id.str());
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -112,8 +112,9 @@
     }
     const std::optional<double> value = node->value<double>();
     if (!value || *value < least || *value > greatest) {
-      AddFinding(node, key,
-                 fmt::format("must be a number from {} to {}", least, greatest));
+      AddFinding(
+          node, key,
+          fmt::format("must be a number from {} to {}", least, greatest));
       return std::nullopt;
     }
     return value;
