--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -21,8 +21,8 @@
 platform_words='Server-Seal|Not-Executed|Expect-Instance|Token-Usage|Kv-'
 platform_words+='|Prompt-Prefix|Request-Deadline|Pin-Duration|Server-Load'
 platform_words+='|rows-(tx|get|feed)|ttlS|coldRemainingMs|apiKeys|trafficSplit'
-platform_words+='|streamResume|kvCapacityTokens|afterRevision|fleetbench'
-if git grep -nEi "$platform_words" -- src testsuite; then
+platform_words+='|kvCapacityTokens|afterRevision|fleetbench'
+if git grep -nEi "$platform_words" -- src testsuite ':!src/build-scripts'; then
   echo "lint: words of the users' platform outside platform/ and deploy/"
   exit 1
 fi
--- a/src/libnet/row_feed.h
+++ b/src/libnet/row_feed.h
@@ -41,6 +41,9 @@
   std::vector<FeedRow> m_rows;
   FeedVersion m_version;  ///< Newest change that the rows include.
   std::string m_detail;   ///< Why it is not kDone.
+  /// When the rows were known to be the newest, by the asker's clock. Unset
+  /// when that is when the call was sent.
+  std::optional<TimePoint> m_current_at;
 };
 
 /// A change of one row.
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <random>
 #include <utility>
 
 #include "libnet/fleet_key.h"
@@ -16,12 +17,12 @@
 using net::Log;
 using net::LogLevel;
 
-constexpr const char* kFleetTable = "nutmeg_fleet";
-constexpr const char* kKeyRow = "key";
 constexpr std::size_t kKeyBytes = 32;
 /// Longest wait for the platform's answer about the key.
 constexpr Duration kKeyTimeout = std::chrono::milliseconds(1000);
-constexpr Duration kKeyRetry = std::chrono::milliseconds(500);
+/// Offers of a key are spread over this time, so that most instances of a
+/// fleet that starts at once hear of the first one before they make one.
+constexpr Duration kOfferSpread = std::chrono::milliseconds(1000);
 /// Time between two digests of a small fleet: loads change within a request's
 /// life of about a second, and five datagrams a second to six others cost well
 /// under a hundredth of a small instance's processor share.
@@ -50,6 +51,7 @@
                      InstanceId self,
                      Endpoint endpoint,
                      net::RowFeed feed,
+                     std::string table,
                      EntryDirectory* directory,
                      UpstreamPool* pool,
                      FleetLinkHooks hooks)
@@ -57,58 +59,48 @@
       m_self(std::move(self)),
       m_endpoint(std::move(endpoint)),
       m_feed(std::move(feed)),
+      m_table(std::move(table)),
       m_directory(directory),
       m_pool(pool),
       m_hooks(std::move(hooks)),
       m_timer(loop, [this] { Tell(); }),
-      m_key_timer(loop, [this] { ReadKey(); }) {
-  m_key_timer.Start(Duration::zero());
+      m_key_timer(loop, [this] { OfferKey(); }) {
+  m_timer.Start(kShortestPeriod);
 }
 
 FleetLink::~FleetLink() = default;
 
-void FleetLink::ReadKey() {
-  const std::weak_ptr<bool> alive = m_alive;
-  m_feed.m_read_all(kFleetTable, kKeyTimeout,
-                    [this, alive](const net::FeedResult& result) {
-                      if (alive.expired()) {
-                        return;
-                      }
-                      if (result.m_status != net::FeedStatus::kDone) {
-                        m_key_timer.Start(kKeyRetry);
-                        return;
-                      }
-                      for (const net::FeedRow& row : result.m_rows) {
-                        if (row.m_key == kKeyRow) {
-                          Open(row.m_value);
-                          return;
-                        }
-                      }
-                      OfferKey();
-                    });
+void FleetLink::NoteKeyMissing() {
+  if (m_keys || m_key_timer.Active()) {
+    return;
+  }
+  std::uniform_int_distribution<Duration::rep> spread(0, kOfferSpread.count());
+  std::random_device random;
+  m_key_timer.Start(Duration(spread(random)));
 }
 
 void FleetLink::OfferKey() {
+  if (m_keys) {
+    return;
+  }
   net::FeedWrite write;
-  write.m_table = kFleetTable;
-  write.m_key = kKeyRow;
+  write.m_table = m_table;
+  write.m_key = kFleetKeyRow;
   write.m_value = HexOf(net::RandomBytes(kKeyBytes));
   write.m_expected = net::FeedVersion(0);
-  const std::weak_ptr<bool> alive = m_alive;
-  m_feed.m_write(write, kKeyTimeout,
-                 [this, alive](const net::FeedResult& /*result*/) {
-                   // Whoever won, and whether or not the answer came, the row
-                   // tells which key holds.
-                   if (!alive.expired()) {
-                     m_key_timer.Start(Duration::zero());
-                   }
-                 });
+  // Whoever wins, and whether or not the answer comes, the row tells which key
+  // holds; it arrives with the rows of the instances.
+  m_feed.m_write(write, kKeyTimeout, [](const net::FeedResult& /*result*/) {});
 }
 
-void FleetLink::Open(const std::string& key_text) {
+void FleetLink::PutKey(const std::string& key_text) {
+  if (m_keys) {
+    return;
+  }
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(keys, net::ParseFleetKeys(key_text));
+        m_keys = keys;
         const Incarnation session(
             static_cast<std::uint64_t>(net::CivilTime().value()));
         m_transport = std::make_unique<net::PeerTransport>(
@@ -134,6 +126,11 @@
   }
 }
 
+Endpoint FleetLink::AddressOf(const InstanceId& id) const {
+  const auto peer = m_peers.find(id);
+  return peer == m_peers.end() ? Endpoint() : peer->second.m_endpoint;
+}
+
 void FleetLink::RemovePeer(const InstanceId& id) {
   m_peers.erase(id);
   m_pool->ForgetPeer(id);
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -21,6 +21,10 @@
 
 namespace nutmeghollow {
 
+/// Row of the table of instances that holds the fleet's key. No instance has
+/// this name.
+inline constexpr const char* kFleetKeyRow = "~fleet-key";
+
 /// What the link needs from its instance.
 struct FleetLinkHooks {
   /// @return whether this instance takes callers.
@@ -37,6 +41,7 @@
             InstanceId self,
             Endpoint endpoint,
             net::RowFeed feed,
+            std::string table,
             EntryDirectory* directory,
             UpstreamPool* pool,
             FleetLinkHooks hooks);
@@ -44,9 +49,18 @@
   FleetLink(const FleetLink&) = delete;
   FleetLink& operator=(const FleetLink&) = delete;
 
+  /// Takes the fleet's key, as kept in the platform's table of instances.
+  void PutKey(const std::string& key_text);
+  /// The table of instances holds no key: offers one after a short, random
+  /// time, in which another instance may have been first.
+  void NoteKeyMissing();
   /// Notes where an instance listens for digests.
   void PutPeer(const InstanceId& id, const Endpoint& endpoint);
   void RemovePeer(const InstanceId& id);
+  /// @return the fleet's keys; null until they are known.
+  const net::FleetKeys* Keys() const { return m_keys ? &*m_keys : nullptr; }
+  /// @return where an instance listens for peers; empty when not known.
+  Endpoint AddressOf(const InstanceId& id) const;
   /// Tells the others now, for example that this instance is leaving.
   void TellNow() { Tell(); }
   /// @return instances that were not heard for a long time and may be
@@ -60,9 +74,7 @@
     std::optional<TimePoint> m_heard;
   };
 
-  void ReadKey();
   void OfferKey();
-  void Open(const std::string& key_text);
   void Tell();
   void Handle(const ReceivedDatagram& datagram);
   void NoteAlive();
@@ -73,12 +85,14 @@
   InstanceId m_self;
   Endpoint m_endpoint;
   net::RowFeed m_feed;
+  std::string m_table;
   EntryDirectory* m_directory;
   UpstreamPool* m_pool;
   FleetLinkHooks m_hooks;
   net::Timer m_timer;
   net::Timer m_key_timer;
   std::map<InstanceId, Peer> m_peers;
+  std::optional<net::FleetKeys> m_keys;
   std::unique_ptr<net::PeerTransport> m_transport;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -13,10 +13,12 @@
 #include "libnet/log.h"
 #include "nutmegd/fleet_link.h"
 #include "nutmegd/gateway_state.h"
+#include "nutmegd/peer_feed.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/feed_readers.h"
 
 namespace nutmeghollow {
 namespace {
@@ -109,6 +111,8 @@
   void HandleConfiguration(const net::FeedRow& row);
   void HandleInstance(const net::FeedRow& row);
   std::string SelfRow() const;
+  /// @return who to follow the platform's tables through; empty for itself.
+  std::vector<Endpoint> Readers() const;
   void WriteSelf();
   void RemoveLostInstances();
 
@@ -122,6 +126,7 @@
   net::HttpClient m_client;
   GatewayState m_state;
   net::RowFeed m_feed;
+  net::RowFeed m_peer_feed;
   Registrations m_registrations;
   EntryDirectory m_directory;
   FleetLink m_fleet;
@@ -131,6 +136,7 @@
   std::optional<TimePoint> m_drain_started;
   int m_exit_code = 0;
 
+  PeerFeedServer m_peer_feed_server;
   TableFollower m_configuration_follower;
   TableFollower m_registration_follower;
   TableFollower m_instance_follower;
@@ -158,11 +164,16 @@
       m_client(loop),
       m_feed(make_feed(m_client,
                        [this] { return m_settings.m_platform.m_address; })),
+      m_peer_feed(MakePeerFeed(m_client,
+                               m_feed,
+                               {.m_keys = [this] { return m_fleet.Keys(); },
+                                .m_readers = [this] { return Readers(); }})),
       m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
       m_fleet(loop,
               settings.m_instance.m_id,
               settings.m_instance.m_peer_address,
               m_feed,
+              kInstanceTable,
               &m_directory,
               &m_state.m_pool,
               {.m_ready = [this] { return Ready(); },
@@ -172,23 +183,26 @@
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
                    }}),
+      m_peer_feed_server(loop,
+                         settings.m_instance.m_peer_address,
+                         [this] { return m_fleet.Keys(); }),
       m_configuration_follower(loop,
-                               m_feed,
+                               m_peer_feed,
                                {.m_table = protocol.m_configuration_table,
                                 .m_wait = ConfigurationWait(settings)},
                                ConfigurationEvents()),
       m_registration_follower(
           loop,
-          m_feed,
+          m_peer_feed,
           {.m_table = protocol.m_registration_table,
            .m_wait = std::chrono::milliseconds(2000),
            .m_least_period = std::chrono::milliseconds(250)},
           RegistrationEvents()),
       m_instance_follower(loop,
-                          m_feed,
+                          m_peer_feed,
                           {.m_table = kInstanceTable,
                            .m_wait = std::chrono::milliseconds(4000),
-                           .m_least_period = std::chrono::milliseconds(250)},
+                           .m_least_period = std::chrono::milliseconds(1000)},
                           InstanceEvents()),
       m_caller_server(
           loop,
@@ -220,6 +234,11 @@
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_protocol = std::move(protocol);
+  m_peer_feed_server.Add(m_state.m_protocol.m_configuration_table,
+                         &m_configuration_follower);
+  m_peer_feed_server.Add(m_state.m_protocol.m_registration_table,
+                         &m_registration_follower);
+  m_peer_feed_server.Add(kInstanceTable, &m_instance_follower);
   m_state.m_settings = &m_settings;
   ApplySettings();
   m_settings_timer.StartRepeating(kSettingsPeriod);
@@ -336,8 +355,9 @@
   events.m_on_row = [this](const net::FeedRow& row) {
     HandleConfiguration(row);
   };
-  events.m_on_current = [this](TimePoint asked_at) {
-    m_state.m_proof.Confirm(asked_at);
+  events.m_on_current = [this](TimePoint current_at) {
+    m_state.m_proof.Confirm(current_at);
+    m_peer_feed_server.NoteCurrent(m_state.m_protocol.m_configuration_table);
   };
   events.m_on_lost = [](const std::string& reason) {
     Log(LogLevel::kWarning, "configuration_feed_lost", {{"reason", reason}});
@@ -382,8 +402,9 @@
   events.m_on_row = [this](const net::FeedRow& row) {
     m_registrations.HandleRow(row);
   };
-  events.m_on_current = [this](TimePoint /*asked_at*/) {
+  events.m_on_current = [this](TimePoint /*current_at*/) {
     m_registrations_read = true;
+    m_peer_feed_server.NoteCurrent(m_state.m_protocol.m_registration_table);
   };
   events.m_on_lost = [](const std::string& reason) {
     Log(LogLevel::kWarning, "registration_feed_lost", {{"reason", reason}});
@@ -397,10 +418,20 @@
 TableFollowerEvents Gateway::Impl::InstanceEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) { HandleInstance(row); };
+  events.m_on_current = [this](TimePoint /*current_at*/) {
+    m_fleet.NoteKeyMissing();
+    m_peer_feed_server.NoteCurrent(kInstanceTable);
+  };
   return events;
 }
 
 void Gateway::Impl::HandleInstance(const net::FeedRow& row) {
+  if (row.m_key == kFleetKeyRow) {
+    if (!row.m_removed) {
+      m_fleet.PutKey(row.m_value);
+    }
+    return;
+  }
   const InstanceId id(row.m_key);
   if (row.m_removed) {
     m_directory.Remove(id);
@@ -423,6 +454,21 @@
       std::max(1, static_cast<int>(m_directory.size())));
 }
 
+std::vector<Endpoint> Gateway::Impl::Readers() const {
+  const InstanceSettings& self = m_settings.m_instance;
+  std::vector<Endpoint> addresses;
+  for (const InstanceId& id : ChooseReaders(m_directory, self.m_data_centre)) {
+    if (id == self.m_id) {
+      break;  // Those after this one follow through it.
+    }
+    const Endpoint address = m_fleet.AddressOf(id);
+    if (!address.empty()) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
 std::string Gateway::Impl::SelfRow() const {
   const InstanceSettings& self = m_settings.m_instance;
   return json{{"caller", self.m_advertised_caller_address.str()},
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -9,6 +9,9 @@
 
 /// Doublings of the pause after which it is at its longest.
 constexpr int kMostDoublings = 4;
+/// Changes kept for instances that follow through this one: more than come
+/// while one of them misses a few answers.
+constexpr std::size_t kMostChanges = 512;
 
 }  // namespace
 
@@ -54,17 +57,19 @@
     return;
   }
   NoteAnswer();
-  std::set<std::string> gone = m_keys;
+  std::map<std::string, net::FeedRow> gone = m_rows;
   for (const net::FeedRow& row : result.m_rows) {
     gone.erase(row.m_key);
     HandleRow(row);
   }
-  for (const std::string& key : gone) {
+  for (const auto& [key, row] : gone) {
     HandleRow({key, "", result.m_version, true});
   }
   m_has_all = true;
   m_version = result.m_version;
-  NoteCurrent(asked_at);
+  m_changes.clear();
+  m_changes_after = m_version;
+  NoteCurrent(result, asked_at);
 }
 
 void TableFollower::HandleChanges(const net::FeedResult& result,
@@ -80,17 +85,22 @@
   }
   NoteAnswer();
   for (const net::FeedRow& row : result.m_rows) {
+    m_changes.push_back(row);
     HandleRow(row);
   }
+  while (m_changes.size() > kMostChanges) {
+    m_changes_after = m_changes.front().m_version;
+    m_changes.pop_front();
+  }
   m_version = std::max(m_version, result.m_version);
-  NoteCurrent(asked_at);
+  NoteCurrent(result, asked_at);
 }
 
 void TableFollower::HandleRow(const net::FeedRow& row) {
   if (row.m_removed) {
-    m_keys.erase(row.m_key);
+    m_rows.erase(row.m_key);
   } else {
-    m_keys.insert(row.m_key);
+    m_rows[row.m_key] = row;
   }
   m_events.m_on_row(row);
 }
@@ -103,9 +113,33 @@
   m_last_answer = now;
 }
 
-void TableFollower::NoteCurrent(TimePoint asked_at) {
+net::FeedResult TableFollower::AllRows() const {
+  net::FeedResult result{net::FeedStatus::kDone, {}, m_version, "", {}};
+  for (const auto& [key, row] : m_rows) {
+    result.m_rows.push_back(row);
+  }
+  return result;
+}
+
+net::FeedResult TableFollower::ChangesAfter(net::FeedVersion after) const {
+  net::FeedResult result{net::FeedStatus::kDone, {}, m_version, "", {}};
+  if (after < m_changes_after) {
+    result.m_status = net::FeedStatus::kHistoryGone;
+    return result;
+  }
+  for (const net::FeedRow& row : m_changes) {
+    if (row.m_version > after) {
+      result.m_rows.push_back(row);
+    }
+  }
+  return result;
+}
+
+void TableFollower::NoteCurrent(const net::FeedResult& result,
+                                TimePoint asked_at) {
+  m_current_at = std::max(m_current_at, result.m_current_at.value_or(asked_at));
   if (m_events.m_on_current) {
-    m_events.m_on_current(asked_at);
+    m_events.m_on_current(m_current_at);
   }
   const Duration rest = asked_at + m_options.m_least_period - net::BootTime();
   m_timer.Start(std::max(rest, Duration::zero()));
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -3,14 +3,17 @@
 ///
 /// It reads the table once, then waits for changes. When a call fails it asks
 /// again after a pause; when the history it needs is gone it reads the whole
-/// table anew and reports what is missing as removed.
+/// table anew and reports what is missing as removed. It keeps the rows and
+/// the newest changes, so that other instances can follow the table through
+/// this one.
 #pragma once
 
 #include <ev.h>
 
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "libnet/event_loop.h"
@@ -38,8 +41,9 @@
 /// Calls made by a follower.
 struct TableFollowerEvents {
   std::function<void(const net::FeedRow&)> m_on_row;
-  /// After the rows of an answer. @param asked_at when the call was sent.
-  std::function<void(TimePoint asked_at)> m_on_current;
+  /// After the rows of an answer. @param current_at when they were known to be
+  /// the newest.
+  std::function<void(TimePoint current_at)> m_on_current;
   /// The first failure after answers, with its reason.
   std::function<void(const std::string& reason)> m_on_lost;
   /// The first answer after failures, with how long there was none; before
@@ -58,8 +62,18 @@
   TableFollower(const TableFollower&) = delete;
   TableFollower& operator=(const TableFollower&) = delete;
 
-  /// Replaces the hooks, for example when the platform's address changed.
-  void SetFeed(net::RowFeed feed) { m_feed = std::move(feed); }
+  /// @return true while the last question was answered.
+  bool Current() const { return m_has_all && m_failures == 0; }
+  /// @return when the copy was last known to be the newest.
+  TimePoint CurrentAt() const { return m_current_at; }
+  /// @return the newest change that the copy includes.
+  net::FeedVersion Version() const { return m_version; }
+  /// @return the changes after a version, from the kept ones.
+  net::FeedResult ChangesAfter(net::FeedVersion after) const;
+  /// @return all rows.
+  net::FeedResult AllRows() const;
+  /// Changes the pauses, for example with the size of the fleet.
+  void SetLongestPause(Duration pause) { m_options.m_longest_pause = pause; }
 
  private:
   void Ask();
@@ -67,7 +81,7 @@
   void HandleChanges(const net::FeedResult& result, TimePoint asked_at);
   void HandleRow(const net::FeedRow& row);
   void NoteAnswer();
-  void NoteCurrent(TimePoint asked_at);
+  void NoteCurrent(const net::FeedResult& result, TimePoint asked_at);
   void NoteFailure(const std::string& reason);
 
   net::RowFeed m_feed;
@@ -76,8 +90,11 @@
   net::Timer m_timer;
   bool m_has_all = false;
   net::FeedVersion m_version;
-  std::set<std::string> m_keys;  ///< Rows that were reported and not removed.
-  int m_failures = 0;            ///< In a row.
+  std::map<std::string, net::FeedRow> m_rows;
+  std::deque<net::FeedRow> m_changes;  ///< The newest ones, in order.
+  net::FeedVersion m_changes_after;    ///< All later changes are kept.
+  TimePoint m_current_at{};
+  int m_failures = 0;  ///< In a row.
   TimePoint m_last_answer{};
   /// Ends with this object; calls that outlive it do nothing.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
