Tell peers of a new revision within 500 ms, whatever the budget holds

Cause, found with a fleet of seven in memory that gets changes as fast as they come into force: three things kept a change from a peer for up to 2.8 s. - An urgent message waited for the control budget, and one that was sent while the bucket was empty was packed without the changes. - Messages that waited were counted, not addressed: the ring of peers is shuffled meanwhile, so that one peer was told twice and another never. - An instance that still remembered who told it of the revision before took its own new one for hearsay and told nobody.

Ruled out: calls between peers for the difference (none was made in the slow cases) and lost datagrams (none in the test).

Change: the peers that wait are kept by name; a revision counts as heard only if a peer told of that one; an urgent message waits for the budget no longer than 500 ms since the last one to that peer, and is charged. A peer so gets at most two a second beyond the budget.

--- a/src/include/nutmeghollow/gossip.h
+++ b/src/include/nutmeghollow/gossip.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -142,6 +143,7 @@
   std::map<CustomerId, std::pair<int, int>> m_demands;  ///< Running, queued.
   TimePoint m_demands_at{};
   TimePoint m_pushed_at{};
+  TimePoint m_urgent_at{};  ///< Last urgent message to it.
   TimePoint m_whole_at{};
   bool m_wants_details = false;
   bool m_differs = false;  ///< Its member table differed from the own one.
@@ -157,6 +159,10 @@
   int m_relay_fanout = 3;
   /// Shortest time between two batches of urgent changes.
   Duration m_urgent_interval = std::chrono::milliseconds(50);
+  /// Time after which an urgent message to a peer waits for the budget no
+  /// longer: a quarter of the 2 s in which a change must be in force. It then
+  /// takes with it all that became urgent meanwhile.
+  Duration m_urgent_wait = std::chrono::milliseconds(500);
   /// Shortest time between two load announcements to one peer.
   Duration m_load_interval = std::chrono::milliseconds(100);
   /// Fleets up to this size tell loads to every peer, larger ones to owners.
@@ -182,9 +188,10 @@
   Revision m_told_highest;
   Revision m_told_revision;
   InstanceId m_highest_from;  ///< Peer that first told of the highest revision.
-  int m_urgent_sends = 0;     ///< Urgent messages still to be sent.
-  std::size_t m_urgent_next = 0;  ///< Position in the ring of peers.
-  std::size_t m_sync_next = 0;    ///< Position in the table of members.
+  Revision m_highest_heard;   ///< Highest revision that a peer told of.
+  std::deque<InstanceId> m_urgent_to;  ///< Peers that wait to be told.
+  std::size_t m_urgent_next = 0;       ///< Position in the ring of peers.
+  std::size_t m_sync_next = 0;         ///< Position in the table of members.
   TimePoint m_next_load{};
   TimePoint m_next_urgent{};
   TimePoint m_next_scan{};
--- a/src/libnutmeg/dissemination.cpp
+++ b/src/libnutmeg/dissemination.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <bit>
 #include <cstdlib>
+#include <deque>
+#include <utility>
 
 namespace nutmeghollow::detail {
 namespace {
@@ -10,35 +12,46 @@
 constexpr Duration kScanInterval = std::chrono::milliseconds(200);
 constexpr Duration kExpiryInterval = std::chrono::seconds(1);
 
-std::size_t PeerCount(const World& world) {
-  return world.m_membership.m_order.size();
+/// @return whether an urgent message may go to a peer now. It waits for the
+/// budget, but only for so long since the last one to that peer.
+bool UrgentMayGo(World& world, const InstanceId& to, TimePoint now) {
+  const GossipState& gossip = world.m_gossip;
+  if (AvailableControlBytes(world, ControlClass::kUrgent, now).value() > 0) {
+    return true;
+  }
+  const auto told = gossip.m_told.find(to);
+  return told == gossip.m_told.end() ||
+         now - told->second.m_urgent_at >= gossip.m_parameters.m_urgent_wait;
+}
+
+void SendUrgentTo(World& world, const InstanceRow& peer, TimePoint now) {
+  const GossipMessage message = BuildMessage(
+      world, GossipKind::kPush, peer.m_id, ControlClass::kUrgent, now);
+  SendGossip(world, message, peer.m_id, peer.m_peer_endpoint,
+             ControlClass::kUrgent, now);
+  world.m_gossip.m_told[peer.m_id].m_urgent_at = now;
 }
 
-/// Sends urgent messages to the next peers of the ring.
+/// Sends urgent messages to the peers that wait for one, as far as they may go.
 void SendUrgent(World& world, TimePoint now) {
   GossipState& gossip = world.m_gossip;
-  if (gossip.m_urgent_sends == 0 || now < gossip.m_next_urgent) {
+  if (gossip.m_urgent_to.empty() || now < gossip.m_next_urgent) {
     return;
   }
   gossip.m_next_urgent = now + gossip.m_parameters.m_urgent_interval;
-  const auto& order = world.m_membership.m_order;
-  std::size_t tried = 0;
-  while (gossip.m_urgent_sends > 0 && tried++ < order.size()) {
-    const InstanceId to = order[gossip.m_urgent_next++ % order.size()];
+  std::deque<InstanceId> left;
+  for (const InstanceId& to : std::exchange(gossip.m_urgent_to, {})) {
     const InstanceRow* row = world.m_instances.Find(to);
     if (row == nullptr || row->m_status == InstanceStatus::kDead) {
       continue;
     }
-    if (AvailableControlBytes(world, ControlClass::kUrgent, now).value() == 0) {
-      return;
+    if (UrgentMayGo(world, to, now)) {
+      SendUrgentTo(world, *row, now);
+    } else {
+      left.push_back(to);
     }
-    const GossipMessage message =
-        BuildMessage(world, GossipKind::kPush, to, ControlClass::kUrgent, now);
-    SendGossip(world, message, to, row->m_peer_endpoint, ControlClass::kUrgent,
-               now);
-    --gossip.m_urgent_sends;
   }
-  gossip.m_urgent_sends = 0;
+  gossip.m_urgent_to = std::move(left);
 }
 
 /// Notices a planned stop and changes of the configuration's revision.
@@ -50,17 +63,14 @@
       std::max(configuration.m_revision, configuration.m_highest_seen);
   if (highest > gossip.m_told_highest) {
     gossip.m_told_highest = highest;
-    RequestUrgentSends(world, gossip.m_highest_from.empty());
+    RequestUrgentSends(world, highest > gossip.m_highest_heard);
   }
   if (configuration.m_revision > gossip.m_told_revision) {
     gossip.m_told_revision = configuration.m_revision;
     self.m_revision = configuration.m_revision;
     const InstanceRow* teller = world.m_instances.Find(gossip.m_highest_from);
-    if (teller != nullptr) {
-      const GossipMessage message = BuildMessage(
-          world, GossipKind::kPush, teller->m_id, ControlClass::kUrgent, now);
-      SendGossip(world, message, teller->m_id, teller->m_peer_endpoint,
-                 ControlClass::kUrgent, now);
+    if (teller != nullptr && UrgentMayGo(world, teller->m_id, now)) {
+      SendUrgentTo(world, *teller, now);
     }
     gossip.m_highest_from = InstanceId();
   }
@@ -187,13 +197,26 @@
 void RequestUrgentSends(World& world, bool from_here) {
   GossipState& gossip = world.m_gossip;
   const GossipParameters& parameters = gossip.m_parameters;
-  const auto peers = static_cast<int>(PeerCount(world));
+  const auto& order = world.m_membership.m_order;
+  const auto peers = static_cast<int>(order.size());
   int sends = std::min(peers, parameters.m_origin_fanout);
   if (!from_here) {
     const bool origin_told_all = peers <= parameters.m_origin_fanout;
     sends = origin_told_all ? 0 : parameters.m_relay_fanout;
   }
-  gossip.m_urgent_sends = std::max(gossip.m_urgent_sends, sends);
+  // Peers, not a count: the ring is shuffled while messages wait.
+  auto& waiting = gossip.m_urgent_to;
+  for (int tried = 0; tried < peers && std::ssize(waiting) < sends; ++tried) {
+    const InstanceId& next = order[gossip.m_urgent_next++ % order.size()];
+    const InstanceRow* row = world.m_instances.Find(next);
+    const bool reachable =
+        row != nullptr && row->m_status != InstanceStatus::kDead;
+    const bool waits =
+        std::find(waiting.begin(), waiting.end(), next) != waiting.end();
+    if (reachable && !waits) {
+      waiting.push_back(next);
+    }
+  }
 }
 
 void AnnounceMember(World& world, const InstanceId& id, bool urgent) {
@@ -257,7 +280,12 @@
                "a message fits into one datagram");
   const Bytes size(static_cast<std::int64_t>(payload.size()) +
                    kDatagramOverhead);
-  if (!TakeControlBytes(world, control_class, size, now)) {
+  const bool over_budget =
+      control_class == ControlClass::kUrgent &&
+      AvailableControlBytes(world, control_class, now).value() == 0;
+  if (over_budget) {
+    NoteControlBytes(world, control_class, size, Bytes(0), now);
+  } else if (!TakeControlBytes(world, control_class, size, now)) {
     return false;
   }
   world.m_gossip.m_told[to].m_pushed_at = now;
--- a/src/libnutmeg/dissemination.h
+++ b/src/libnutmeg/dissemination.h
@@ -40,7 +40,9 @@
                            ControlClass control_class,
                            TimePoint now);
 
-/// Sends a message if the budget allows it. @return whether it was sent.
+/// Sends a message if the budget allows it. An urgent one, whose pace its
+/// caller keeps, is sent in any case and charged.
+/// @return whether it was sent.
 bool SendGossip(World& world,
                 const GossipMessage& message,
                 const InstanceId& to,
--- a/src/libnutmeg/packing.cpp
+++ b/src/libnutmeg/packing.cpp
@@ -19,6 +19,12 @@
 constexpr std::int64_t kImportantDivisor = 4;
 constexpr std::int64_t kFillerDivisor = 10;
 
+/// @return a part of one second's bytes, within what a message can hold.
+std::int64_t ShareOfRate(const World& world, std::int64_t divisor) {
+  const auto limit = static_cast<std::int64_t>(kGossipPayloadLimit);
+  return std::min(world.m_budget.m_rate.value() / divisor, limit);
+}
+
 /// @return the size up to which a message may be filled: a share of the rate,
 /// and little while the bucket is nearly empty, so that probes and answers
 /// are never held back by what rides on them.
@@ -26,9 +32,7 @@
                        ControlClass control_class,
                        std::int64_t divisor,
                        TimePoint now) {
-  const auto limit = static_cast<std::int64_t>(kGossipPayloadLimit);
-  const std::int64_t share =
-      std::min(world.m_budget.m_rate.value() / divisor, limit);
+  const std::int64_t share = ShareOfRate(world, divisor);
   const std::int64_t available =
       AvailableControlBytes(world, control_class, now).value() / 2;
   return std::max<std::int64_t>(kLeastAllowance, std::min(share, available));
@@ -43,10 +47,10 @@
          ControlClass control_class,
          TimePoint now)
       : m_world(world), m_message(message), m_to(to), m_now(now) {
-    const bool urgent = control_class == ControlClass::kUrgent;
-    m_important =
-        Allowance(world, urgent ? control_class : ControlClass::kStorePoll,
-                  kImportantDivisor, now);
+    m_important = control_class == ControlClass::kUrgent
+                      ? ShareOfRate(world, kImportantDivisor)
+                      : Allowance(world, ControlClass::kStorePoll,
+                                  kImportantDivisor, now);
     m_filler = Allowance(world, ControlClass::kVerdict, kFillerDivisor, now);
     if (control_class == ControlClass::kLoad) {
       // Sent for its loads, and the headers are paid for anyway.
--- a/src/libnutmeg/received_entries.cpp
+++ b/src/libnutmeg/received_entries.cpp
@@ -47,6 +47,7 @@
       std::max(configuration.m_highest_seen, configuration.m_revision)) {
     configuration.m_highest_seen = message.m_highest_seen;
     world.m_gossip.m_highest_from = from;
+    world.m_gossip.m_highest_heard = message.m_highest_seen;
   }
   TakeChanges(world, message);
   auto row = world.m_instances.m_rows.find(from);
