Count crashes of a request across partitions, through the table service

Cause: each side of a partition counted the crashes of a request for itself, so that a caller who sent it again at once took down two engines a side. And an engine that came back within 3 s and was taken down again by the same request did not count: the second break passed for the first one, seen twice.

Change: each crash is also added to a row of the table service. A suspect is dispatched only with a permit, a mark in that row that one instance holds at a time. Other requests cost nothing. A break counts as the same crash only if the request had been sent before the first.

Ruled out: reading a row before each request (a read for a rare event), and holding the failure back until all peers know (they cannot know in a partition).

--- a/src/include/nutmeghollow/quarantine.h
+++ b/src/include/nutmeghollow/quarantine.h
@@ -4,9 +4,10 @@
 /// When connections to an upstream break, the requests in flight there are
 /// looked at after a short time. Unless something proves that the process
 /// lives on, each of them counts one crash and is a suspect. A suspect runs
-/// only where no other suspect runs. At the second crash the request is
-/// quarantined: it is refused everywhere until the entry expires. A suspect
-/// that completes is cleared.
+/// only where no other suspect runs, and with a permit, so that one instance
+/// of the fleet runs it at a time (suspect_records.h). At the second crash the
+/// request is quarantined: it is refused everywhere until the entry expires. A
+/// suspect that completes is cleared.
 #pragma once
 
 #include <cstdint>
@@ -30,7 +31,8 @@
   /// From the verdict until the failure is told, so that other instances hear
   /// of a suspect before its caller sends it again.
   Duration m_spread_delay = std::chrono::milliseconds(350);
-  /// Breaks of one upstream within this time are one crash.
+  /// Breaks of one upstream within this time are one crash, unless the request
+  /// was sent after the first: an upstream may be back after two seconds.
   Duration m_same_crash = std::chrono::seconds(3);
   /// Suspects and quarantined requests are forgotten after this time.
   Duration m_expiry = std::chrono::minutes(10);
@@ -44,12 +46,18 @@
   std::size_t m_limit = 4096;
 };
 
+/// A request whose connection broke.
+struct BrokenRequest {
+  RequestDigest m_digest;
+  TimePoint m_dispatched_at{};
+};
+
 /// An upstream whose connections broke and whose verdict is open.
 struct PossibleCrash {
   TimePoint m_broke_at{};
   TimePoint m_verdict_at{};
   std::set<RequestId> m_in_flight;  ///< When the first connection broke.
-  std::map<RequestId, RequestDigest> m_broken;
+  std::map<RequestId, BrokenRequest> m_broken;
   bool m_lives_on = false;  ///< Something proved that it did not crash.
 };
 
@@ -74,12 +82,20 @@
 /// @return true when a request may have crashed an upstream.
 bool IsSuspect(const World& world, RequestDigest digest, TimePoint now);
 
+/// What a placed request that may be a suspect has to do.
+enum class SuspectPlace {
+  kTaken,          ///< Go on; no suspect, or the only one at its upstream.
+  kWait,           ///< Another suspect runs there, or the permit is not here.
+  kRunsElsewhere,  ///< Another instance runs it.
+};
+
 /// Takes the place of the only suspect at the upstream of a placed request.
-/// @return false when another suspect runs there: the request has to wait.
-bool TakeSuspectPlace(World& world, const RequestRow& row, TimePoint now);
+SuspectPlace TakeSuspectPlace(World& world,
+                              const RequestRow& row,
+                              TimePoint now);
 
 /// Notes that an attempt ended, in whatever way.
-void LeaveSuspectPlace(World& world, const RequestRow& row);
+void LeaveSuspectPlace(World& world, const RequestRow& row, TimePoint now);
 
 /// Notes that the connection of an attempt broke.
 /// @return time before which the failure should not be told.
--- a/src/include/nutmeghollow/requests.h
+++ b/src/include/nutmeghollow/requests.h
@@ -59,6 +59,7 @@
   kKeyUnknown,        ///< 409, the first request's outcome is unknown
   kAnswerNotKept,     ///< 409, the first request ran; its answer is not kept
   kQuarantined,       ///< 422, the request crashed upstreams
+  kRunsElsewhere,     ///< 503, a suspect that another instance may run
   kUpstreamFailed,    ///< 502
   kUpstreamTimeout,   ///< 504
   kDraining,          ///< 503
@@ -93,9 +94,10 @@
   TimePoint m_arrived_at{};
   TimePoint m_phase_since{};
   TimePoint m_deadline{};
-  UpstreamId m_upstream;  ///< Set from kPlaced on.
-  AttemptId m_attempt;    ///< The current attempt.
-  int m_attempts = 0;     ///< Attempts handed to the network.
+  UpstreamId m_upstream;        ///< Set from kPlaced on.
+  AttemptId m_attempt;          ///< The current attempt.
+  TimePoint m_dispatched_at{};  ///< When it was handed to the network.
+  int m_attempts = 0;           ///< Attempts handed to the network.
   /// True once any attempt may have reached an upstream.
   bool m_may_have_run = false;
   /// True once an attempt before the current one may have reached one.
--- a/src/include/nutmeghollow/store.h
+++ b/src/include/nutmeghollow/store.h
@@ -43,7 +43,14 @@
 };
 
 /// Which system asked for an operation, and so reads its result.
-enum class StorePurpose { kConfiguration, kClaim, kLease, kOperator, kCount };
+enum class StorePurpose {
+  kConfiguration,
+  kClaim,
+  kLease,
+  kOperator,
+  kQuarantine,
+  kCount
+};
 
 /// The end of an operation on the table service.
 struct StoreResult {
--- a/src/include/nutmeghollow/world.h
+++ b/src/include/nutmeghollow/world.h
@@ -37,6 +37,7 @@
 #include "nutmeghollow/requests.h"
 #include "nutmeghollow/routes.h"
 #include "nutmeghollow/store.h"
+#include "nutmeghollow/suspect_records.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstreams.h"
 
@@ -92,6 +93,7 @@
   ClaimTable m_claims;
   QuarantineParameters m_quarantine_parameters;
   QuarantineState m_quarantine;
+  SuspectRecordState m_suspect_records;
   DrainParameters m_drain_parameters;
   DrainState m_drain;
 
--- a/src/libnutmeg/configuration_fleet_for_test.h
+++ b/src/libnutmeg/configuration_fleet_for_test.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "libnutmeg/table_store_for_test.h"
 #include "nutmeghollow/world.h"
 
 namespace nutmeghollow {
@@ -22,67 +23,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// The table service. An answer can be lost after the commit took effect.
-class TableStoreForTest {
- public:
-  StoreResult Run(const ReadStore& read) const {
-    StoreResult result{read.m_operation, StoreStatus::kDone, {}};
-    for (const std::string& key : read.m_keys) {
-      if (m_rows.contains(key)) {
-        result.m_rows.push_back(m_rows.at(key));
-      }
-    }
-    return result;
-  }
-
-  StoreResult Run(const ScanStore& scan) const {
-    StoreResult result{scan.m_operation, StoreStatus::kDone, {}};
-    for (auto row = m_rows.upper_bound(std::max(scan.m_prefix, scan.m_after));
-         row != m_rows.end() && row->first.starts_with(scan.m_prefix) &&
-         result.m_rows.size() < static_cast<std::size_t>(scan.m_limit);
-         ++row) {
-      result.m_rows.push_back(row->second);
-    }
-    return result;
-  }
-
-  StoreResult Run(const CommitStore& commit) {
-    StoreResult result{commit.m_operation, StoreStatus::kDone, {}};
-    for (const StorePrecondition& wanted : commit.m_preconditions) {
-      auto row = m_rows.find(wanted.m_key);
-      const StoreRow found =
-          row == m_rows.end() ? StoreRow{wanted.m_key, "", {}} : row->second;
-      if (found.m_version != wanted.m_version) {
-        result.m_rows.push_back(found);
-        result.m_status = StoreStatus::kConflict;
-      }
-    }
-    if (result.m_status == StoreStatus::kDone) {
-      ++m_commits;
-      for (const StoreWrite& write : commit.m_writes) {
-        Write(write);
-      }
-    }
-    return result;
-  }
-
-  std::map<std::string, StoreRow> m_rows;
-  int m_commits = 0;
-
- private:
-  void Write(const StoreWrite& write) {
-    ++m_last_version;
-    if (write.m_value) {
-      m_rows[write.m_key] = {write.m_key, *write.m_value,
-                             RowVersion(m_last_version)};
-    } else {
-      m_rows.erase(write.m_key);
-    }
-  }
-
-  std::uint64_t m_last_version = 0;
-};
-
 /// Instances that gossip and serve each other, over one table service.
 class ConfigurationFleetForTest {
  public:
--- /dev/null
+++ b/src/libnutmeg/crash_suspects_test.cpp
@@ -0,0 +1,152 @@
+#include "nutmeghollow/crash_suspects.h"
+
+#include <gtest/gtest.h>
+
+namespace nutmeghollow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr RequestDigest kDigest{77};
+
+TimePoint At(int ms) {
+  return TimePoint(seconds(1000)) + milliseconds(ms);
+}
+
+CrashOfUpstream Crash(std::uint32_t upstream, int sent_ms, int crashed_ms) {
+  return {UpstreamHash(upstream), At(sent_ms), At(crashed_ms)};
+}
+
+struct SequenceCase {
+  const char* m_name;
+  std::vector<CrashOfUpstream> m_crashes;
+  bool m_suspect;
+  bool m_refused;
+};
+
+class CrashSequence : public ::testing::TestWithParam<SequenceCase> {};
+
+TEST_P(CrashSequence, CountsOnlyWhatWasSentAfterTheLastCrash) {
+  CrashSuspects suspects;
+  for (const CrashOfUpstream& crash : GetParam().m_crashes) {
+    suspects.NoteCrash(kDigest, crash, crash.m_crashed_at);
+  }
+  EXPECT_EQ(suspects.IsSuspect(kDigest, At(5000)), GetParam().m_suspect);
+  EXPECT_EQ(suspects.RefusedFor(kDigest, At(5000)) > Duration::zero(),
+            GetParam().m_refused);
+  EXPECT_FALSE(suspects.IsSuspect(RequestDigest(1), At(5000)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    CrashSequence,
+    ::testing::Values(SequenceCase{"None", {}, false, false},
+                      SequenceCase{"One", {Crash(1, 0, 10)}, true, false},
+                      SequenceCase{"TwoInSequence",
+                                   {Crash(1, 0, 10), Crash(2, 12, 30)},
+                                   true,
+                                   true},
+                      SequenceCase{"SeveralUpstreamsLostTogether",
+                                   {Crash(1, 0, 100), Crash(2, 5, 101),
+                                    Crash(3, 9, 103)},
+                                   true,
+                                   false},
+                      SequenceCase{"OneCrashSeenByTwo",
+                                   {Crash(1, 0, 10), Crash(1, 11, 200)},
+                                   true,
+                                   false},
+                      SequenceCase{"TheSameUpstreamAgain",
+                                   {Crash(1, 0, 10), Crash(1, 3000, 3010)},
+                                   true,
+                                   true}),
+    [](const auto& info) { return info.param.m_name; });
+
+TEST(CrashSuspects, RefuseForAWhileAndThenLetOneThrough) {
+  CrashSuspects suspects;
+  EXPECT_FALSE(suspects.NoteCrash(kDigest, Crash(1, 0, 10), At(10)));
+  EXPECT_TRUE(suspects.NoteCrash(kDigest, Crash(2, 20, 30), At(30)));
+  EXPECT_EQ(suspects.RefusedFor(kDigest, At(1030)), seconds(59));
+  EXPECT_EQ(suspects.RefusedFor(kDigest, At(60'030)), Duration::zero());
+  EXPECT_TRUE(
+      suspects.NoteCrash(kDigest, Crash(3, 60'040, 60'050), At(60'050)));
+  EXPECT_GT(suspects.RefusedFor(kDigest, At(60'060)), Duration::zero());
+}
+
+TEST(CrashSuspects, AreClearedWhenServed) {
+  CrashSuspects suspects;
+  suspects.NoteCrash(kDigest, Crash(1, 0, 10), At(10));
+  suspects.NoteServed(kDigest, At(20));
+  EXPECT_FALSE(suspects.IsSuspect(kDigest, At(30)));
+  // A crash seen late, from before it was served.
+  suspects.NoteCrash(kDigest, Crash(2, 12, 15), At(30));
+  EXPECT_FALSE(suspects.IsSuspect(kDigest, At(30)));
+}
+
+TEST(CrashSuspects, AreForgotten) {
+  CrashSuspects suspects({.m_limit = 2});
+  for (std::uint64_t digest = 1; digest <= 4; ++digest) {
+    suspects.NoteCrash(RequestDigest(digest), Crash(1, 0, 10),
+                       At(static_cast<int>(digest)));
+  }
+  EXPECT_EQ(suspects.size(), 2U);
+  EXPECT_TRUE(suspects.IsSuspect(RequestDigest(4), At(20)));
+  EXPECT_FALSE(suspects.IsSuspect(RequestDigest(4), At(20) + minutes(10)));
+}
+
+/// Two instances that tell each other.
+class CrashReports : public ::testing::Test {
+ protected:
+  void Tell(const CrashSuspects& from, CrashSuspects& to, int at_ms) {
+    for (const CrashReport& report : from.Reports(8, At(at_ms))) {
+      to.NoteReport(report, At(at_ms));
+    }
+  }
+
+  CrashSuspects m_first;
+  CrashSuspects m_second;
+};
+
+TEST_F(CrashReports, AddUpAcrossInstances) {
+  m_first.NoteCrash(kDigest, Crash(1, 0, 10), At(10));
+  Tell(m_first, m_second, 100);
+  EXPECT_TRUE(m_second.IsSuspect(kDigest, At(100)));
+  m_second.NoteCrash(kDigest, Crash(2, 150, 160), At(160));
+  EXPECT_GT(m_second.RefusedFor(kDigest, At(170)), Duration::zero());
+  Tell(m_second, m_first, 200);
+  EXPECT_GT(m_first.RefusedFor(kDigest, At(200)), Duration::zero());
+}
+
+TEST_F(CrashReports, OfLossesAtOnceAccuseNobody) {
+  m_first.NoteCrash(kDigest, Crash(1, 0, 10), At(10));
+  m_second.NoteCrash(kDigest, Crash(2, 5, 12), At(12));
+  Tell(m_first, m_second, 100);
+  Tell(m_second, m_first, 100);
+  EXPECT_EQ(m_first.RefusedFor(kDigest, At(100)), Duration::zero());
+  EXPECT_EQ(m_second.RefusedFor(kDigest, At(100)), Duration::zero());
+}
+
+TEST_F(CrashReports, ClearEverywhere) {
+  m_first.NoteCrash(kDigest, Crash(1, 0, 10), At(10));
+  Tell(m_first, m_second, 100);
+  m_second.NoteServed(kDigest, At(150));
+  Tell(m_second, m_first, 200);
+  EXPECT_FALSE(m_first.IsSuspect(kDigest, At(200)));
+  Tell(m_first, m_second, 300);
+  EXPECT_FALSE(m_second.IsSuspect(kDigest, At(300)));
+}
+
+TEST_F(CrashReports, AreRepeatedForAWhileOnly) {
+  m_first.NoteCrash(kDigest, Crash(1, 0, 10), At(10));
+  EXPECT_EQ(m_first.Reports(8, At(2000)).size(), 1U);
+  EXPECT_EQ(m_first.Reports(0, At(2000)).size(), 0U);
+  EXPECT_EQ(m_first.Reports(8, At(3100)).size(), 0U);
+  Tell(m_first, m_second, 2000);
+  // Hearing it again is not news to be passed on for longer.
+  Tell(m_first, m_second, 2900);
+  EXPECT_EQ(m_second.Reports(8, At(5100)).size(), 0U);
+}
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/libnutmeg/flow_world.h
+++ b/src/libnutmeg/flow_world.h
@@ -2,6 +2,7 @@
 /// A world with one route, one service and a clock, for tests.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "nutmeghollow/world.h"
+#include "table_store_for_test.h"
 
 namespace nutmeghollow {
 
@@ -80,7 +82,9 @@
     do {
       m_world.m_tick_again = false;
       for (Action& action : Tick(m_world, m_now)) {
-        m_actions.push_back(std::move(action));
+        if (!AnswerForQuarantine(action)) {
+          m_actions.push_back(std::move(action));
+        }
       }
     } while (m_world.m_tick_again);
   }
@@ -128,8 +132,35 @@
   World m_world;
   TimePoint m_now{std::chrono::hours(1)};
   std::vector<Action> m_actions;
+  /// Answers reads and writes of quarantine at once; others are for tests.
+  std::shared_ptr<TableStoreForTest> m_store =
+      std::make_shared<TableStoreForTest>();
+  /// What the table service says instead of answering, if set.
+  std::optional<StoreStatus> m_store_failure;
+  bool m_store_silent = false;
 
  private:
+  /// @return whether the action was one on rows of quarantine.
+  bool AnswerForQuarantine(const Action& action) {
+    const auto* read = std::get_if<ReadStore>(&action);
+    const auto* commit = std::get_if<CommitStore>(&action);
+    constexpr StorePurpose kPurpose = StorePurpose::kQuarantine;
+    const bool reads = read != nullptr && read->m_purpose == kPurpose;
+    const bool commits = commit != nullptr && commit->m_purpose == kPurpose;
+    if (!reads && !commits) {
+      return false;
+    }
+    StoreResult result = reads ? m_store->Run(*read) : m_store->Run(*commit);
+    if (m_store_failure) {
+      result = {result.m_operation, *m_store_failure, {}};
+    }
+    if (!m_store_silent) {
+      m_world.m_store_results[static_cast<int>(kPurpose)].push_back(result);
+      m_world.m_tick_again = true;
+    }
+    return true;
+  }
+
   void AddUpstream(const char* id, UpstreamKind kind) {
     UpstreamRow& row = m_world.m_upstreams.m_rows[UpstreamId(id)];
     row.m_id = UpstreamId(id);
--- a/src/libnutmeg/quarantine.cpp
+++ b/src/libnutmeg/quarantine.cpp
@@ -15,15 +15,17 @@
 /// Counts a crash of an upstream against a request. A crash that another
 /// instance announced already is not counted twice.
 void CountCrash(World& world,
-                RequestDigest digest,
+                const BrokenRequest& broken,
                 const UpstreamId& upstream,
                 TimePoint now) {
+  const RequestDigest digest = broken.m_digest;
   const QuarantineParameters& parameters = world.m_quarantine_parameters;
   SuspectRow& row = world.m_suspects[digest];
   row.m_digest = digest;
   const bool known = row.m_crashed_upstreams.contains(upstream);
   const TimePoint counted_at = row.m_expires_at - parameters.m_expiry;
-  if (known && now - counted_at < parameters.m_same_crash) {
+  if (known && now - counted_at < parameters.m_same_crash &&
+      broken.m_dispatched_at <= counted_at) {
     return;
   }
   row.m_crashed_upstreams.insert(upstream);
@@ -63,15 +65,21 @@
     return;
   }
   ++world.m_quarantine.m_crashes;
-  for (const auto& [id, digest] : crash.m_broken) {
-    CountCrash(world, digest, upstream, now);
+  for (const auto& [id, broken] : crash.m_broken) {
+    CountCrash(world, broken, upstream, now);
+    RecordCrash(world, broken.m_digest, upstream, now - broken.m_dispatched_at,
+                now);
   }
 }
 
 void Expire(World& world, TimePoint now) {
   SuspectTable& suspects = world.m_suspects;
-  std::erase_if(suspects, [now](const auto& entry) {
-    return entry.second.m_expires_at <= now;
+  std::erase_if(suspects, [&world, now](const auto& entry) {
+    const bool expired = entry.second.m_expires_at <= now;
+    if (expired) {
+      NoteSuspectExpired(world, entry.first);
+    }
+    return expired;
   });
   while (suspects.size() > world.m_quarantine_parameters.m_limit) {
     suspects.erase(std::min_element(
@@ -100,7 +108,7 @@
   return std::any_of(crashes.begin(), crashes.end(), [&](const auto& entry) {
     const auto& broken = entry.second.m_broken;
     return std::any_of(broken.begin(), broken.end(), [&](const auto& request) {
-      return request.second == digest;
+      return request.second.m_digest == digest;
     });
   });
 }
@@ -124,6 +132,7 @@
 }  // namespace
 
 void RunQuarantine(World& world, TimePoint now) {
+  HandleSuspectResults(world, now);
   auto& crashes = world.m_quarantine.m_possible_crashes;
   for (auto crash = crashes.begin(); crash != crashes.end();) {
     if (crash->second.m_verdict_at > now) {
@@ -142,6 +151,7 @@
     world.m_quarantine.m_next_expiry = now + kExpiryPeriod;
     Expire(world, now);
   }
+  FlushSuspectRecords(world, now);
 }
 
 bool IsQuarantined(const World& world, RequestDigest digest, TimePoint now) {
@@ -163,35 +173,46 @@
   return listed || BreaksNow(world, digest);
 }
 
-bool TakeSuspectPlace(World& world, const RequestRow& row, TimePoint now) {
+SuspectPlace TakeSuspectPlace(World& world,
+                              const RequestRow& row,
+                              TimePoint now) {
   const RequestDigest digest = row.m_request.m_digest;
   if (world.m_suspects.empty() &&
       world.m_quarantine.m_possible_crashes.empty()) {
-    return true;
+    return SuspectPlace::kTaken;
   }
   if (BreaksNow(world, digest)) {
-    return false;  // The verdict on the same request comes first.
+    return SuspectPlace::kWait;  // The verdict on the same request comes first.
   }
   if (!IsSuspect(world, digest, now)) {
-    return true;
+    return SuspectPlace::kTaken;
   }
   for (const auto& [upstream, id] : world.m_quarantine.m_running_suspects) {
     const RequestRow* other = world.m_requests.Find(id);
     const bool same = other != nullptr && other->m_request.m_digest == digest;
     if (upstream == row.m_upstream || same) {
-      return false;
+      return SuspectPlace::kWait;
     }
   }
+  switch (AskSuspectPermit(world, row, now)) {
+    case SuspectPermit::kWaiting:
+      return SuspectPlace::kWait;
+    case SuspectPermit::kRunsElsewhere:
+      return SuspectPlace::kRunsElsewhere;
+    case SuspectPermit::kGranted:
+      break;
+  }
   world.m_quarantine.m_running_suspects[row.m_upstream] = row.m_request.m_id;
-  return true;
+  return SuspectPlace::kTaken;
 }
 
-void LeaveSuspectPlace(World& world, const RequestRow& row) {
+void LeaveSuspectPlace(World& world, const RequestRow& row, TimePoint now) {
   auto& running = world.m_quarantine.m_running_suspects;
   const auto found = running.find(row.m_upstream);
   if (found != running.end() && found->second == row.m_request.m_id) {
     running.erase(found);
   }
+  ReturnSuspectPermit(world, row, now);
 }
 
 TimePoint NoteBreak(World& world, const RequestRow& row, TimePoint now) {
@@ -204,7 +225,8 @@
     crash.m_verdict_at = now + parameters.m_verdict_delay;
     crash.m_in_flight = InFlightAt(world, row.m_upstream);
   }
-  crash.m_broken[row.m_request.m_id] = row.m_request.m_digest;
+  crash.m_broken[row.m_request.m_id] = {row.m_request.m_digest,
+                                        row.m_dispatched_at};
   return crash.m_verdict_at + parameters.m_spread_delay;
 }
 
@@ -227,6 +249,7 @@
   const auto found = world.m_suspects.find(row.m_request.m_digest);
   if (found != world.m_suspects.end() && !found->second.m_quarantined) {
     world.m_suspects.erase(found);
+    ClearSuspectRecord(world, row.m_request.m_digest);
     ++world.m_quarantine.m_cleared;
   }
 }
--- a/src/libnutmeg/request_endings.cpp
+++ b/src/libnutmeg/request_endings.cpp
@@ -36,6 +36,10 @@
      "large to be kept.",
      false},
     {422, "Quarantined", "This request crashed upstreams repeatedly.", false},
+    {503, "Runs elsewhere",
+     "The same request may have crashed an upstream, and may be running at "
+     "another instance.",
+     true},
     {502, "Upstream failed", "The upstream failed before its answer was whole.",
      true},
     {504, "Upstream timeout", "The upstream did not answer in time.", true},
@@ -93,7 +97,7 @@
         in_flight.erase(found);
       }
     }
-    LeaveSuspectPlace(world, row);
+    LeaveSuspectPlace(world, row, now);
   }
   if (row.m_holds_placement) {
     ReleasePlacement(world, row, now);
--- a/src/libnutmeg/request_flow.cpp
+++ b/src/libnutmeg/request_flow.cpp
@@ -85,12 +85,19 @@
     EndRefused(world, row, Refusal::kStoreUnavailable, Duration::zero(), now);
     return;
   }
-  if (!TakeSuspectPlace(world, row, now)) {
-    return;
+  switch (TakeSuspectPlace(world, row, now)) {
+    case SuspectPlace::kWait:
+      return;
+    case SuspectPlace::kRunsElsewhere:
+      EndRefused(world, row, Refusal::kRunsElsewhere, Duration::zero(), now);
+      return;
+    case SuspectPlace::kTaken:
+      break;
   }
   NUTMEG_CHECK(!row.m_at_most_once || !row.m_may_have_run,
                "a non-idempotent request is dispatched once");
   row.m_attempt = world.NewAttempt();
+  row.m_dispatched_at = now;
   ++row.m_attempts;
   ++world.m_request_flow.m_counters.m_attempts;
   row.m_resumes = 0;
--- /dev/null
+++ b/src/libnutmeg/suspect_records.cpp
@@ -0,0 +1,450 @@
+#include "nutmeghollow/suspect_records.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "nutmeghollow/world.h"
+
+namespace nutmeghollow {
+namespace {
+
+using Stage = SuspectWork::Stage;
+
+/// After an attempt ended, the permit is kept until the verdict on the break
+/// is in, and a little longer, so that the crash is written in its place.
+constexpr Duration kVerdictMargin = std::chrono::milliseconds(100);
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+WallTime Later(WallTime time, Duration duration) {
+  return WallTime(time.value() + Milliseconds(duration));
+}
+
+/// @return whether the request still waits to be dispatched.
+bool StillPlaced(const World& world, RequestId id) {
+  const RequestRow* row = world.m_requests.Find(id);
+  return row != nullptr && row->m_phase == RequestPhase::kPlaced;
+}
+
+/// Drops what was asked for by a request that went another way.
+void DropAbandoned(const World& world, SuspectWork& work, TimePoint now) {
+  const bool before_run =
+      work.m_stage != Stage::kNone && work.m_stage != Stage::kRunning;
+  if (!before_run || StillPlaced(world, work.m_request)) {
+    return;
+  }
+  if (work.m_stage == Stage::kGranted) {
+    work.m_release_at = now;
+  }
+  work.m_stage = Stage::kNone;
+}
+
+bool ReleaseDue(const SuspectWork& work, TimePoint now) {
+  return work.m_release_at && *work.m_release_at <= now;
+}
+
+bool HasWork(const SuspectWork& work, TimePoint now) {
+  return !work.m_new_crashes.empty() || work.m_stage == Stage::kWanted ||
+         ReleaseDue(work, now) || work.m_clear || work.m_look;
+}
+
+bool Idle(const SuspectWork& work) {
+  return work.m_new_crashes.empty() && work.m_stage == Stage::kNone &&
+         !work.m_release_at && !work.m_clear && !work.m_look &&
+         !work.m_in_flight;
+}
+
+/// @return whether a crash is in a record already: another instance saw it, or
+/// an earlier write took effect. A request that was sent afterwards made
+/// another one.
+bool Counted(const World& world,
+             const SuspectRecord& record,
+             const CrashRecord& crash) {
+  const std::int64_t same =
+      Milliseconds(world.m_quarantine_parameters.m_same_crash);
+  return std::any_of(
+      record.m_crashes.begin(), record.m_crashes.end(),
+      [&](const CrashRecord& known) {
+        const std::int64_t apart = known.m_at.value() - crash.m_at.value();
+        return known.m_upstream == crash.m_upstream && std::abs(apart) < same &&
+               known.m_at >= crash.m_sent;
+      });
+}
+
+/// Takes over what the table service knows of a suspect.
+void ApplyRecord(World& world,
+                 RequestDigest digest,
+                 const SuspectRecord& record,
+                 WallTime wall,
+                 TimePoint now) {
+  if (record.m_crashes.empty()) {
+    return;
+  }
+  SuspectRow& row = world.m_suspects[digest];
+  row.m_digest = digest;
+  for (const CrashRecord& crash : record.m_crashes) {
+    row.m_crashed_upstreams.insert(crash.m_upstream);
+  }
+  row.m_crashes =
+      std::max(row.m_crashes, static_cast<int>(record.m_crashes.size()));
+  const Duration left =
+      std::chrono::milliseconds(record.m_expires.value() - wall.value());
+  row.m_expires_at = std::max(row.m_expires_at, now + left);
+  if (row.m_crashes >= world.m_quarantine_parameters.m_crash_limit &&
+      !row.m_quarantined) {
+    row.m_quarantined = true;
+    ++world.m_quarantine.m_quarantined;
+  }
+}
+
+/// One row as read, and what is to become of it.
+struct RowChange {
+  SuspectRecord m_record;
+  SuspectWrite m_write;
+  bool m_changed = false;
+};
+
+/// Decides on the permit of the request that wants it.
+void DecidePermit(World& world,
+                  SuspectWork& work,
+                  WallTime wall,
+                  TimePoint now,
+                  RowChange& change) {
+  SuspectRecord& record = change.m_record;
+  const InstanceId& self = world.m_instances.m_self;
+  const bool held = !record.m_holder.empty() && record.m_holder != self &&
+                    record.m_held_until > wall;
+  if (held || IsQuarantined(world, change.m_write.m_digest, now)) {
+    work.m_stage = Stage::kHeldElsewhere;
+    return;
+  }
+  SuspectRecordState& state = world.m_suspect_records;
+  record.m_holder = self;
+  record.m_held_until = Later(wall, state.m_parameters.m_permit_life);
+  change.m_write.m_marked = true;
+  change.m_changed = true;
+}
+
+/// Works out the new value of a row that was read.
+/// @param found the row; its version is zero when it is absent.
+RowChange ChangeRow(World& world,
+                    RequestDigest digest,
+                    const StoreRow& found,
+                    TimePoint now) {
+  SuspectWork& work = world.m_suspect_records.m_work[digest];
+  const WallTime wall = world.m_hooks.m_wall_time();
+  RowChange change{.m_write = {.m_digest = digest}};
+  const bool present = found.m_version != RowVersion();
+  if (present) {
+    const std::optional<SuspectRecord> record = ParseSuspect(found.m_value);
+    world.m_suspect_records.m_malformed += record ? 0 : 1;
+    change.m_record = record.value_or(SuspectRecord());
+  }
+  if (change.m_record.m_expires <= wall) {
+    change.m_record = {};
+    change.m_write.m_deleted = present;
+  }
+  work.m_look = false;
+  if (work.m_clear && work.m_new_crashes.empty()) {
+    change.m_write.m_deleted = true;
+    change.m_changed = present;
+    change.m_record = {};
+    return change;
+  }
+  SuspectRecord& record = change.m_record;
+  for (const CrashRecord& crash : work.m_new_crashes) {
+    ++change.m_write.m_crashes_added;
+    if (!Counted(world, record, crash)) {
+      record.m_crashes.push_back(crash);
+    }
+  }
+  ApplyRecord(world, digest, record, wall, now);
+  if (ReleaseDue(work, now)) {
+    change.m_write.m_released = true;
+    if (record.m_holder == world.m_instances.m_self) {
+      record.m_holder = InstanceId();
+      change.m_changed = true;
+    }
+  }
+  if (work.m_stage == Stage::kWanted) {
+    DecidePermit(world, work, wall, now, change);
+  }
+  if (change.m_write.m_crashes_added > 0 || change.m_write.m_marked) {
+    record.m_expires = Later(wall, world.m_quarantine_parameters.m_expiry);
+    change.m_write.m_deleted = false;
+  }
+  change.m_changed = change.m_changed || change.m_write.m_crashes_added > 0 ||
+                     change.m_write.m_deleted;
+  return change;
+}
+
+/// Carries out in memory what a write did to the row.
+void FinishWrite(World& world, const SuspectWrite& write) {
+  SuspectRecordState& state = world.m_suspect_records;
+  SuspectWork& work = state.m_work[write.m_digest];
+  work.m_in_flight = false;
+  const auto added = static_cast<std::ptrdiff_t>(write.m_crashes_added);
+  work.m_new_crashes.erase(work.m_new_crashes.begin(),
+                           work.m_new_crashes.begin() + added);
+  if (write.m_released) {
+    work.m_release_at.reset();
+  }
+  if (write.m_marked && work.m_stage == Stage::kWanted) {
+    work.m_stage = Stage::kGranted;
+    work.m_release_at.reset();  // Of an earlier attempt.
+  } else if (write.m_marked && work.m_stage == Stage::kNone) {
+    work.m_release_at = TimePoint();  // The request went another way.
+  }
+  if (write.m_deleted) {
+    work.m_clear = false;
+    state.m_written.erase(write.m_digest);
+  } else if (write.m_marked || write.m_crashes_added > 0) {
+    state.m_written.insert(write.m_digest);
+  }
+  world.m_tick_again = true;
+}
+
+/// Makes a row wait for another read, after an operation that failed.
+void TryAgain(World& world,
+              RequestDigest digest,
+              Duration delay,
+              TimePoint now) {
+  SuspectWork& work = world.m_suspect_records.m_work[digest];
+  work.m_in_flight = false;
+  work.m_not_before = now + delay;
+}
+
+/// Sends the changes of rows that were read as one transaction.
+void Commit(World& world,
+            const std::vector<std::pair<StoreRow, RowChange>>& changes) {
+  if (changes.empty()) {
+    return;
+  }
+  SuspectRecordState& state = world.m_suspect_records;
+  CommitStore commit;
+  commit.m_purpose = StorePurpose::kQuarantine;
+  commit.m_operation = world.NewStoreOperation();
+  std::vector<SuspectWrite>& writes = state.m_commits[commit.m_operation];
+  for (const auto& [row, change] : changes) {
+    commit.m_preconditions.push_back({row.m_key, row.m_version});
+    StoreWrite write{row.m_key, std::nullopt};
+    if (!change.m_write.m_deleted) {
+      write.m_value = FormatSuspect(change.m_record);
+    }
+    commit.m_writes.push_back(std::move(write));
+    writes.push_back(change.m_write);
+  }
+  ++state.m_operations;
+  world.m_actions.emplace_back(std::move(commit));
+}
+
+void HandleRead(World& world,
+                const std::vector<RequestDigest>& digests,
+                const StoreResult& result,
+                TimePoint now) {
+  const Duration delay = world.m_suspect_records.m_parameters.m_retry_delay;
+  std::vector<std::pair<StoreRow, RowChange>> changes;
+  for (RequestDigest digest : digests) {
+    if (result.m_status != StoreStatus::kDone) {
+      TryAgain(world, digest, delay, now);
+      continue;
+    }
+    StoreRow row{SuspectRowKey(digest), "", RowVersion()};
+    for (const StoreRow& found : result.m_rows) {
+      row = found.m_key == row.m_key ? found : row;
+    }
+    RowChange change = ChangeRow(world, digest, row, now);
+    if (change.m_changed) {
+      changes.emplace_back(std::move(row), std::move(change));
+    } else {
+      FinishWrite(world, change.m_write);
+    }
+  }
+  Commit(world, changes);
+}
+
+void HandleCommit(World& world,
+                  const std::vector<SuspectWrite>& writes,
+                  StoreStatus status,
+                  TimePoint now) {
+  for (const SuspectWrite& write : writes) {
+    if (status == StoreStatus::kDone) {
+      FinishWrite(world, write);
+    } else if (status == StoreStatus::kConflict) {
+      TryAgain(world, write.m_digest, Duration::zero(), now);
+    } else {
+      // A read tells whether it took effect; adding a crash twice is harmless.
+      TryAgain(world, write.m_digest,
+               world.m_suspect_records.m_parameters.m_retry_delay, now);
+    }
+  }
+}
+
+/// @return whether each instance that is known is heard of, so that gossip
+/// reaches all.
+bool HearsAll(const World& world) {
+  return std::all_of(world.m_instances.m_rows.begin(),
+                     world.m_instances.m_rows.end(), [](const auto& entry) {
+                       const InstanceStatus status = entry.second.m_status;
+                       return status == InstanceStatus::kAlive ||
+                              status == InstanceStatus::kLeaving;
+                     });
+}
+
+}  // namespace
+
+std::string SuspectRowKey(RequestDigest digest) {
+  return fmt::format("suspect/{:016x}", digest.value());
+}
+
+std::string FormatSuspect(const SuspectRecord& record) {
+  nlohmann::json crashes = nlohmann::json::array();
+  for (const CrashRecord& crash : record.m_crashes) {
+    crashes.push_back(
+        {{"upstream", crash.m_upstream.str()}, {"at", crash.m_at.value()}});
+  }
+  const nlohmann::json row{{"crashes", std::move(crashes)},
+                           {"holder", record.m_holder.str()},
+                           {"held_until", record.m_held_until.value()},
+                           {"expires", record.m_expires.value()}};
+  return row.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<SuspectRecord> ParseSuspect(const std::string& text) {
+  const auto row = nlohmann::json::parse(text, nullptr, false);
+  if (!row.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    SuspectRecord record;
+    for (const auto& crash : row.at("crashes")) {
+      record.m_crashes.push_back(
+          {UpstreamId(crash.at("upstream").get<std::string>()),
+           WallTime(crash.at("at").get<std::int64_t>())});
+    }
+    record.m_holder = InstanceId(row.at("holder").get<std::string>());
+    record.m_held_until = WallTime(row.at("held_until").get<std::int64_t>());
+    record.m_expires = WallTime(row.at("expires").get<std::int64_t>());
+    return record;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;  // The caller counts it as malformed.
+  }
+}
+
+void RecordCrash(World& world,
+                 RequestDigest digest,
+                 const UpstreamId& upstream,
+                 Duration ran,
+                 TimePoint now) {
+  SuspectWork& work = world.m_suspect_records.m_work[digest];
+  const WallTime wall = world.m_hooks.m_wall_time();
+  work.m_new_crashes.push_back({upstream, wall, Later(wall, -ran)});
+  work.m_clear = false;
+  if (work.m_release_at) {
+    work.m_release_at = now;
+  }
+}
+
+SuspectPermit AskSuspectPermit(World& world,
+                               const RequestRow& row,
+                               TimePoint now) {
+  SuspectRecordState& state = world.m_suspect_records;
+  SuspectWork& work = state.m_work[row.m_request.m_digest];
+  DropAbandoned(world, work, now);
+  if (work.m_stage == Stage::kNone) {
+    work.m_stage = Stage::kWanted;
+    work.m_request = row.m_request.m_id;
+    work.m_wanted_since = now;
+    world.m_tick_again = true;
+  }
+  if (work.m_request != row.m_request.m_id) {
+    return SuspectPermit::kWaiting;
+  }
+  const bool store_away =
+      work.m_stage == Stage::kWanted &&
+      now - work.m_wanted_since >= state.m_parameters.m_store_wait;
+  if (work.m_stage == Stage::kGranted || (store_away && HearsAll(world))) {
+    work.m_stage = Stage::kRunning;
+    return SuspectPermit::kGranted;
+  }
+  if (work.m_stage == Stage::kHeldElsewhere || store_away) {
+    work.m_stage = Stage::kNone;
+    ++state.m_refused;
+    return SuspectPermit::kRunsElsewhere;
+  }
+  return SuspectPermit::kWaiting;
+}
+
+void ReturnSuspectPermit(World& world, const RequestRow& row, TimePoint now) {
+  auto& all = world.m_suspect_records.m_work;
+  const auto found = all.find(row.m_request.m_digest);
+  if (found == all.end() || found->second.m_stage != Stage::kRunning ||
+      found->second.m_request != row.m_request.m_id) {
+    return;
+  }
+  found->second.m_stage = Stage::kNone;
+  found->second.m_release_at =
+      now + world.m_quarantine_parameters.m_verdict_delay + kVerdictMargin;
+}
+
+void ClearSuspectRecord(World& world, RequestDigest digest) {
+  world.m_suspect_records.m_work[digest].m_clear = true;
+}
+
+void NoteSuspectExpired(World& world, RequestDigest digest) {
+  SuspectRecordState& state = world.m_suspect_records;
+  if (state.m_written.erase(digest) > 0) {
+    state.m_work[digest].m_look = true;
+  }
+}
+
+void HandleSuspectResults(World& world, TimePoint now) {
+  SuspectRecordState& state = world.m_suspect_records;
+  auto& inbox =
+      world
+          .m_store_results[static_cast<std::size_t>(StorePurpose::kQuarantine)];
+  for (const StoreResult& result : std::exchange(inbox, {})) {
+    if (const auto read = state.m_reads.extract(result.m_operation)) {
+      HandleRead(world, read.mapped(), result, now);
+    } else if (const auto commit =
+                   state.m_commits.extract(result.m_operation)) {
+      HandleCommit(world, commit.mapped(), result.m_status, now);
+    }
+  }
+}
+
+void FlushSuspectRecords(World& world, TimePoint now) {
+  SuspectRecordState& state = world.m_suspect_records;
+  std::vector<RequestDigest> due;
+  for (auto& [digest, work] : state.m_work) {
+    DropAbandoned(world, work, now);
+    const bool free = !work.m_in_flight && now >= work.m_not_before;
+    if (free && HasWork(work, now) &&
+        due.size() < state.m_parameters.m_batch_limit) {
+      work.m_in_flight = true;
+      due.push_back(digest);
+    }
+  }
+  std::erase_if(state.m_work,
+                [](const auto& entry) { return Idle(entry.second); });
+  if (due.empty()) {
+    return;
+  }
+  ReadStore read;
+  read.m_purpose = StorePurpose::kQuarantine;
+  read.m_operation = world.NewStoreOperation();
+  for (RequestDigest digest : due) {
+    read.m_keys.push_back(SuspectRowKey(digest));
+  }
+  ++state.m_operations;
+  state.m_reads[read.m_operation] = std::move(due);
+  world.m_actions.emplace_back(std::move(read));
+}
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/libnutmeg/suspect_records_test.cpp
@@ -0,0 +1,211 @@
+#include "nutmeghollow/suspect_records.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+#include "flow_world.h"
+
+namespace nutmeghollow {
+namespace {
+
+using Kind = AttemptEventKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kCrashing = 13;
+constexpr RequestDigest kDigest{kCrashing};
+
+/// Instances that share the table service and hear nothing of each other.
+class SuspectRecordsTest : public ::testing::Test {
+ protected:
+  SuspectRecordsTest() {
+    for (FlowWorld& flow : m_sides) {
+      flow.m_store = m_store;
+    }
+  }
+
+  /// Sends the crashing request to one side until it is told something.
+  /// @return crashes that this took.
+  int Send(FlowWorld& flow) {
+    const RequestId id = flow.Submit(flow.Chat(kCrashing, false));
+    int crashes = 0;
+    for (int step = 0; step < 1000; ++step) {
+      flow.Settle();
+      if (flow.PhaseOf(id) == RequestPhase::kDone) {
+        break;
+      }
+      if (flow.PhaseOf(id) == RequestPhase::kDispatched) {
+        flow.Report(id, Kind::kBytesSent);
+        flow.Report(id, Kind::kBroken);
+        ++crashes;
+      }
+      AdvanceAll(milliseconds(10));
+    }
+    return crashes;
+  }
+
+  /// Starts the crashing request and leaves it running.
+  RequestId StartRunning(FlowWorld& flow) {
+    const RequestId id = flow.Submit(flow.Chat(kCrashing, false));
+    flow.Settle();
+    EXPECT_EQ(flow.PhaseOf(id), RequestPhase::kDispatched);
+    flow.Report(id, Kind::kBytesSent);
+    return id;
+  }
+
+  void AdvanceAll(Duration time) {
+    for (FlowWorld& flow : m_sides) {
+      flow.Advance(time);
+    }
+  }
+
+  /// Makes the request a suspect on one side, as if it had crashed once.
+  void Suspect(FlowWorld& flow) {
+    SuspectRow& row = flow.m_world.m_suspects[kDigest];
+    row.m_digest = kDigest;
+    row.m_crashed_upstreams = {UpstreamId("e9")};
+    row.m_crashes = 1;
+    row.m_expires_at = flow.m_now + std::chrono::minutes(5);
+  }
+
+  std::optional<SuspectRecord> Stored() {
+    const auto row = m_store->m_rows.find(SuspectRowKey(kDigest));
+    return row == m_store->m_rows.end() ? std::nullopt
+                                        : ParseSuspect(row->second.m_value);
+  }
+
+  std::shared_ptr<TableStoreForTest> m_store =
+      std::make_shared<TableStoreForTest>();
+  std::array<FlowWorld, 2> m_sides{FlowWorld("i1", 1), FlowWorld("i2", 2)};
+};
+
+TEST_F(SuspectRecordsTest, TwoSidesOfAPartitionCountTogether) {
+  for (FlowWorld& flow : m_sides) {
+    flow.m_world.m_request_flow_parameters.m_attempt_limit = 1;
+  }
+  int crashes = 0;
+  for (int time = 0; time < 6; ++time) {
+    crashes += Send(m_sides[time % 2]);
+  }
+  EXPECT_EQ(crashes, 2);
+  for (FlowWorld& flow : m_sides) {
+    const auto refusals = flow.Take<RefuseRequest>();
+    ASSERT_FALSE(refusals.empty());
+    EXPECT_EQ(refusals.back().m_status, 422);
+  }
+}
+
+TEST_F(SuspectRecordsTest, RetriesOfOneSideCountOnTheOther) {
+  EXPECT_EQ(Send(m_sides[0]), 2);
+  Suspect(m_sides[1]);
+  EXPECT_EQ(Send(m_sides[1]), 0);
+}
+
+TEST_F(SuspectRecordsTest, ASuspectRunsAtOneInstanceAtATime) {
+  for (FlowWorld& flow : m_sides) {
+    Suspect(flow);
+  }
+  const RequestId first = StartRunning(m_sides[0]);
+  EXPECT_EQ(Stored()->m_holder, InstanceId("i1"));
+  const RequestId second = m_sides[1].Submit(m_sides[1].Chat(kCrashing, false));
+  m_sides[1].Settle();
+  EXPECT_EQ(m_sides[1].PhaseOf(second), RequestPhase::kDone);
+  const auto refusals = m_sides[1].Take<RefuseRequest>();
+  ASSERT_EQ(refusals.size(), 1U);
+  EXPECT_EQ(refusals[0].m_refusal, Refusal::kRunsElsewhere);
+  EXPECT_EQ(refusals[0].m_outcome, Outcome::kNotRun);
+  EXPECT_GT(refusals[0].m_retry_after, Duration());
+  m_sides[0].Report(first, Kind::kComplete);
+  AdvanceAll(seconds(1));
+  EXPECT_FALSE(Stored());
+  StartRunning(m_sides[1]);
+}
+
+TEST_F(SuspectRecordsTest, APermitIsGivenBackWhenTheAttemptFailsOtherwise) {
+  for (FlowWorld& flow : m_sides) {
+    Suspect(flow);
+    flow.m_world.m_request_flow_parameters.m_attempt_limit = 1;
+  }
+  const RequestId id = StartRunning(m_sides[0]);
+  m_sides[0].Report(id, Kind::kRefused);
+  AdvanceAll(seconds(1));
+  EXPECT_EQ(Stored()->m_holder, InstanceId());
+  StartRunning(m_sides[1]);
+}
+
+TEST_F(SuspectRecordsTest, APermitOfADeadHolderEnds) {
+  for (FlowWorld& flow : m_sides) {
+    Suspect(flow);
+  }
+  StartRunning(m_sides[0]);
+  const Duration life =
+      m_sides[0].m_world.m_suspect_records.m_parameters.m_permit_life;
+  m_sides[1].Advance(life);
+  StartRunning(m_sides[1]);
+}
+
+TEST_F(SuspectRecordsTest, ARowIsDeletedOnceItExpired) {
+  EXPECT_EQ(Send(m_sides[0]), 2);
+  ASSERT_TRUE(Stored());
+  AdvanceAll(m_sides[0].m_world.m_quarantine_parameters.m_expiry + seconds(2));
+  AdvanceAll(seconds(2));
+  EXPECT_TRUE(m_store->m_rows.empty());
+  EXPECT_TRUE(m_sides[0].m_world.m_suspect_records.m_work.empty());
+}
+
+TEST_F(SuspectRecordsTest, AMalformedRowIsCountedAndReplaced) {
+  m_store->m_rows[SuspectRowKey(kDigest)] = {SuspectRowKey(kDigest), "{",
+                                             RowVersion(7)};
+  Suspect(m_sides[0]);
+  StartRunning(m_sides[0]);
+  EXPECT_EQ(m_sides[0].m_world.m_suspect_records.m_malformed, 1U);
+  EXPECT_EQ(Stored()->m_holder, InstanceId("i1"));
+}
+
+struct StoreTrouble {
+  const char* m_name;
+  std::optional<StoreStatus> m_failure;
+  bool m_silent;
+  bool m_peer_lost;
+  bool m_runs;
+};
+
+class SuspectWithoutStore : public SuspectRecordsTest,
+                            public ::testing::WithParamInterface<StoreTrouble> {
+};
+
+TEST_P(SuspectWithoutStore, RunsOnlyWhileGossipReachesAll) {
+  FlowWorld& flow = m_sides[0];
+  flow.m_store_failure = GetParam().m_failure;
+  flow.m_store_silent = GetParam().m_silent;
+  Suspect(flow);
+  if (GetParam().m_peer_lost) {
+    InstanceRow& peer = flow.m_world.m_instances.m_rows[InstanceId("i2")];
+    peer.m_status = InstanceStatus::kDead;
+    peer.m_status_since = flow.m_now;
+  }
+  const RequestId id = flow.Submit(flow.Chat(kCrashing, false));
+  flow.Settle();
+  EXPECT_EQ(flow.PhaseOf(id), RequestPhase::kPlaced);
+  const Duration wait =
+      flow.m_world.m_suspect_records.m_parameters.m_store_wait;
+  flow.Advance(wait);
+  EXPECT_EQ(flow.PhaseOf(id), GetParam().m_runs ? RequestPhase::kDispatched
+                                                : RequestPhase::kDone);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    SuspectWithoutStore,
+    ::testing::Values(
+        StoreTrouble{"Refuses", StoreStatus::kUnavailable, false, false, true},
+        StoreTrouble{"RefusesInAPartition", StoreStatus::kUnavailable, false,
+                     true, false},
+        StoreTrouble{"LosesAnswers", StoreStatus::kUnknown, false, false, true},
+        StoreTrouble{"Silent", std::nullopt, true, false, true},
+        StoreTrouble{"SilentInAPartition", std::nullopt, true, true, false}),
+    [](const auto& info) { return info.param.m_name; });
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -95,6 +95,8 @@
       return "answer-not-kept";
     case Refusal::kQuarantined:
       return "quarantined";
+    case Refusal::kRunsElsewhere:
+      return "runs-elsewhere";
     case Refusal::kUpstreamTimeout:
       return "upstream-timeout";
     case Refusal::kDraining:
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -109,8 +109,9 @@
   void CarryOut(const std::vector<Action>& actions);
   net::TableStore MakeStore(PlatformUse* use);
   net::TableStore& StoreFor(StorePurpose purpose) {
-    const bool work =
-        purpose == StorePurpose::kClaim || purpose == StorePurpose::kOperator;
+    const bool work = purpose == StorePurpose::kClaim ||
+                      purpose == StorePurpose::kOperator ||
+                      purpose == StorePurpose::kQuarantine;
     return work ? m_work_store : m_control_store;
   }
   void NoteControlTraffic();
