Stop requests on routes that crash upstreams, across the fleet

Cause: each instance judged each request by itself, so that one that takes down whatever runs it was sent on with every repeat of its caller.

Change: when the connection of an attempt breaks, a connect to the same address tells whether anybody still listens. If not, the request is a suspect; at the second crash in sequence it is refused for a minute (503, not run, Retry-After with the time left). Crashes count only when the request was sent after the last one, so that copies in progress at upstreams that are lost together are not accused; an answer clears. Instances tell each other in the fleet's digests, with ages instead of times.

Ruled out: taking each broken connection for a crash (resets and cut links would get innocent requests refused), and a health request (it waits for a slot and is work for the upstream).

--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -1,6 +1,7 @@
 /// @file
 /// What instances of the gateway tell one another: whether they take callers,
-/// what they have in progress, and where they sent which part of a prompt.
+/// what they have in progress, where they sent which part of a prompt, and
+/// which requests crashed upstreams.
 ///
 /// Digests may be lost or late. Nothing depends on one for correctness.
 #pragma once
@@ -11,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
 
@@ -22,16 +24,21 @@
   Revision m_revision;
   std::vector<ActiveRequests> m_active;
   std::vector<PartPlacement> m_placements;
+  std::vector<CrashReport> m_crashes;
+  bool m_crashes_only = false;  ///< Nothing is told of the lists above it.
 };
 
 /// Most entries of each list, so that a digest fits into one datagram.
 inline constexpr std::size_t kMostActive = 64;
 inline constexpr std::size_t kMostPlacements = 32;
+inline constexpr std::size_t kMostCrashReports = 16;
+inline constexpr std::size_t kMostCrashesTold = 3;  ///< The last of a request.
 
-/// @return the digest as the payload of a datagram.
-std::string EncodeDigest(const FleetDigest& digest);
+/// @return the digest as the payload of a datagram. Times travel as ages.
+std::string EncodeDigest(const FleetDigest& digest, TimePoint now);
 
 /// @return the digest, or nothing when the payload is not one.
-std::optional<FleetDigest> DecodeDigest(std::string_view payload);
+std::optional<FleetDigest> DecodeDigest(std::string_view payload,
+                                        TimePoint now);
 
 }  // namespace nutmeghollow
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -26,6 +26,9 @@
 /// its id.
 using UpstreamHash = Number<struct UpstreamHashTag, std::uint32_t>;
 
+/// @return the short name of an upstream.
+UpstreamHash HashOf(const UpstreamId& id);
+
 /// Requests that an instance has in progress at an upstream.
 struct ActiveRequests {
   UpstreamHash m_upstream;
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -16,10 +16,27 @@
   upstream @1 :UInt32;
 }
 
+struct CrashOfUpstream {
+  upstream @0 :UInt32;
+  sentAgeMs @1 :UInt32;
+  crashedAgeMs @2 :UInt32;
+}
+
+# Upstreams that went away while they ran a request.
+struct CrashReport {
+  request @0 :UInt64;
+  crashes @1 :List(CrashOfUpstream);
+  cleared @2 :Bool;
+  clearedAgeMs @3 :UInt32;
+}
+
 struct Digest {
   ready @0 :Bool;
   revision @1 :UInt64;
   active @2 :List(ActiveRequests);
   # Since the digest before.
   placements @3 :List(PartPlacement);
+  crashes @4 :List(CrashReport);
+  # Tells of crashes only; the loads are as told before.
+  crashesOnly @5 :Bool;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -18,6 +18,8 @@
 
 CAPNP_DECLARE_SCHEMA(ac02745f8514baf5);
 CAPNP_DECLARE_SCHEMA(bbcfc078b78678ea);
+CAPNP_DECLARE_SCHEMA(89855efddab90073);
+CAPNP_DECLARE_SCHEMA(d3f3adfd6bde9552);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
 
 }  // namespace schemas
@@ -56,6 +58,36 @@
   };
 };
 
+struct CrashOfUpstream {
+  CrashOfUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(89855efddab90073, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3f3adfd6bde9552, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -64,7 +96,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -235,6 +267,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashOfUpstream::Reader {
+public:
+  typedef CrashOfUpstream Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::uint32_t getSentAgeMs() const;
+
+  inline  ::uint32_t getCrashedAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashOfUpstream::Builder {
+public:
+  typedef CrashOfUpstream Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::uint32_t getSentAgeMs();
+  inline void setSentAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getCrashedAgeMs();
+  inline void setCrashedAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashOfUpstream::Pipeline {
+public:
+  typedef CrashOfUpstream Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool getCleared() const;
+
+  inline  ::uint32_t getClearedAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+  inline  ::uint32_t getClearedAgeMs();
+  inline void setClearedAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
@@ -262,6 +476,11 @@
   inline bool hasPlacements() const;
   inline  ::capnp::List< ::nutmeghollow::wire::PartPlacement,  ::capnp::Kind::STRUCT>::Reader getPlacements() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool getCrashesOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -310,6 +529,16 @@
   inline void adoptPlacements(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::PartPlacement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::PartPlacement,  ::capnp::Kind::STRUCT>> disownPlacements();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool getCrashesOnly();
+  inline void setCrashesOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -394,6 +623,124 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CrashOfUpstream::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashOfUpstream::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashOfUpstream::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashOfUpstream::Reader::getSentAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashOfUpstream::Builder::getSentAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashOfUpstream::Builder::setSentAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashOfUpstream::Reader::getCrashedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashOfUpstream::Builder::getCrashedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashOfUpstream::Builder::setCrashedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setCrashes( ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashOfUpstream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getClearedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getClearedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setClearedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Digest::Reader::getReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -490,6 +837,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Digest::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setCrashes( ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>> Digest::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::getCrashesOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getCrashesOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setCrashesOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -17,9 +17,51 @@
 /// than any digest holds.
 constexpr std::uint64_t kReadLimitWords = 4096;
 
+std::uint32_t AgeOf(TimePoint time, TimePoint now) {
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+TimePoint TimeOf(std::uint32_t age_ms, TimePoint now) {
+  return now - std::chrono::milliseconds(age_ms);
+}
+
+void WriteReport(wire::CrashReport::Builder out,
+                 const CrashReport& report,
+                 TimePoint now) {
+  out.setRequest(report.m_digest.value());
+  out.setCleared(report.m_cleared_at != TimePoint());
+  out.setClearedAgeMs(AgeOf(report.m_cleared_at, now));
+  const auto& crashes = report.m_crashes;
+  const std::size_t count = std::min(crashes.size(), kMostCrashesTold);
+  auto list = out.initCrashes(static_cast<unsigned>(count));
+  for (unsigned index = 0; index < count; ++index) {
+    const CrashOfUpstream& crash = crashes[crashes.size() - count + index];
+    list[index].setUpstream(crash.m_upstream.value());
+    list[index].setSentAgeMs(AgeOf(crash.m_sent_at, now));
+    list[index].setCrashedAgeMs(AgeOf(crash.m_crashed_at, now));
+  }
+}
+
+CrashReport ReadReport(wire::CrashReport::Reader in, TimePoint now) {
+  CrashReport report;
+  report.m_digest = RequestDigest(in.getRequest());
+  if (in.getCleared()) {
+    report.m_cleared_at = TimeOf(in.getClearedAgeMs(), now);
+  }
+  for (const auto& crash : in.getCrashes()) {
+    report.m_crashes.push_back({UpstreamHash(crash.getUpstream()),
+                                TimeOf(crash.getSentAgeMs(), now),
+                                TimeOf(crash.getCrashedAgeMs(), now)});
+  }
+  return report;
+}
+
 }  // namespace
 
-std::string EncodeDigest(const FleetDigest& digest) {
+std::string EncodeDigest(const FleetDigest& digest, TimePoint now) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::Digest>();
   root.setReady(digest.m_ready);
@@ -40,13 +82,21 @@
     placements[index].setPart(entry.m_part.value());
     placements[index].setUpstream(entry.m_upstream.value());
   }
+  const auto report_count =
+      std::min(digest.m_crashes.size(), kMostCrashReports);
+  auto reports = root.initCrashes(static_cast<unsigned>(report_count));
+  for (unsigned index = 0; index < report_count; ++index) {
+    WriteReport(reports[index], digest.m_crashes[index], now);
+  }
+  root.setCrashesOnly(digest.m_crashes_only);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
   const auto bytes = stream.getArray();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
-std::optional<FleetDigest> DecodeDigest(std::string_view payload) {
+std::optional<FleetDigest> DecodeDigest(std::string_view payload,
+                                        TimePoint now) {
   FleetDigest digest;
   try {
     kj::ArrayInputStream stream(kj::arrayPtr(
@@ -65,6 +115,10 @@
       digest.m_placements.push_back(
           {PartId(entry.getPart()), UpstreamHash(entry.getUpstream())});
     }
+    for (const auto& report : root.getCrashes()) {
+      digest.m_crashes.push_back(ReadReport(report, now));
+    }
+    digest.m_crashes_only = root.getCrashesOnly();
   } catch (const kj::Exception&) {
     return std::nullopt;
   }
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -5,13 +5,15 @@
 namespace nutmeghollow {
 namespace {
 
+constexpr TimePoint kNow{std::chrono::hours(1)};
+
 TEST(FleetDigest, SurvivesTheTrip) {
   FleetDigest digest;
   digest.m_ready = true;
   digest.m_revision = Revision(17);
   digest.m_active = {{UpstreamHash(1), 3}, {UpstreamHash(2), 70000}};
   digest.m_placements = {{PartId(99), UpstreamHash(2)}};
-  const auto read = DecodeDigest(EncodeDigest(digest));
+  const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
   ASSERT_TRUE(read);
   EXPECT_TRUE(read->m_ready);
   EXPECT_EQ(read->m_revision, Revision(17));
@@ -29,13 +31,50 @@
     digest.m_placements.push_back({PartId(0x9000000000000001U + index * 104729),
                                    UpstreamHash(0x80000001U + index * 7919)});
   }
-  EXPECT_LE(EncodeDigest(digest).size(), 1100U);
+  EXPECT_LE(EncodeDigest(digest, kNow).size(), 1100U);
+}
+
+TEST(FleetDigest, TellsOfCrashesByTheirAge) {
+  using std::chrono::milliseconds;
+  FleetDigest digest;
+  digest.m_crashes_only = true;
+  digest.m_crashes = {
+      {RequestDigest(7),
+       {{UpstreamHash(1), kNow - milliseconds(900), kNow - milliseconds(800)},
+        {UpstreamHash(2), kNow - milliseconds(70), kNow - milliseconds(50)}},
+       TimePoint()},
+      {RequestDigest(8), {}, kNow - milliseconds(20)}};
+  // The clocks of two machines differ.
+  const TimePoint there = kNow + std::chrono::hours(5);
+  const auto read = DecodeDigest(EncodeDigest(digest, kNow), there);
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->m_crashes_only);
+  ASSERT_EQ(read->m_crashes.size(), 2U);
+  ASSERT_EQ(read->m_crashes[0].m_crashes.size(), 2U);
+  EXPECT_EQ(read->m_crashes[0].m_crashes[1].m_sent_at,
+            there - milliseconds(70));
+  EXPECT_EQ(read->m_crashes[0].m_crashes[1].m_crashed_at,
+            there - milliseconds(50));
+  EXPECT_EQ(read->m_crashes[0].m_cleared_at, TimePoint());
+  EXPECT_EQ(read->m_crashes[1].m_cleared_at, there - milliseconds(20));
+}
+
+TEST(FleetDigest, OfManyCrashesFitsIntoADatagram) {
+  FleetDigest digest;
+  digest.m_crashes_only = true;
+  const std::vector<CrashOfUpstream> crashes(
+      9, {UpstreamHash(0x90000001U), TimePoint(), TimePoint()});
+  for (std::uint64_t index = 0; index < 200; ++index) {
+    digest.m_crashes.push_back(
+        {RequestDigest(0x9000000000000001U * (index + 1)), crashes, kNow});
+  }
+  EXPECT_LE(EncodeDigest(digest, kNow).size(), 1080U);
 }
 
 class BadDigest : public testing::TestWithParam<std::string> {};
 
 TEST_P(BadDigest, IsNotRead) {
-  EXPECT_FALSE(DecodeDigest(GetParam()));
+  EXPECT_FALSE(DecodeDigest(GetParam(), kNow));
 }
 
 INSTANTIATE_TEST_SUITE_P(Table,
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -20,12 +20,12 @@
   return static_cast<double>(duration.count()) / 1000.0;
 }
 
+}  // namespace
+
 UpstreamHash HashOf(const UpstreamId& id) {
   return UpstreamHash(static_cast<std::uint32_t>(HashText(id.str())));
 }
 
-}  // namespace
-
 PartId ChatPart(const std::vector<PromptPart>& prompt) {
   return prompt[prompt.size() >= 2 ? prompt.size() - 2 : 0].m_id;
 }
--- /dev/null
+++ b/src/nutmegd/crash_watch.cpp
@@ -0,0 +1,53 @@
+#include "nutmegd/crash_watch.h"
+
+#include <utility>
+
+#include "libnet/event_loop.h"
+#include "libnet/log.h"
+
+namespace nutmeghollow {
+namespace {
+
+using net::BootTime;
+using net::Log;
+using net::LogLevel;
+
+/// An upstream whose host is reached refuses within a round trip; one that is
+/// cut off from here must not hold a repeat back.
+constexpr Duration kCheckTimeout = std::chrono::milliseconds(100);
+
+}  // namespace
+
+CrashWatch::CrashWatch(struct ev_loop* loop,
+                       MetricsRegistry* metrics,
+                       std::function<void()> on_crash)
+    : m_metrics(metrics), m_on_crash(std::move(on_crash)), m_checker(loop) {}
+
+void CrashWatch::Investigate(const BrokenAttempt& attempt,
+                             std::function<void()> done) {
+  const TimePoint broke_at = BootTime();
+  m_checker.Check(attempt.m_endpoint, kCheckTimeout,
+                  [this, attempt, broke_at,
+                   done = std::move(done)](net::ConnectOutcome outcome) {
+                    if (outcome == net::ConnectOutcome::kRefused) {
+                      NoteCrash(attempt, broke_at);
+                    }
+                    done();
+                  });
+}
+
+void CrashWatch::NoteCrash(const BrokenAttempt& attempt, TimePoint crashed_at) {
+  const TimePoint now = BootTime();
+  const bool refused = m_suspects.NoteCrash(
+      attempt.m_digest,
+      {HashOf(attempt.m_upstream), attempt.m_sent_at, crashed_at}, now);
+  m_metrics->Count("nutmeg_route_crashes", "");
+  Log(refused ? LogLevel::kWarning : LogLevel::kInfo,
+      refused ? "request_refused_for_crashes" : "upstream_crashed",
+      {{"request", attempt.m_request.str()},
+       {"upstream", attempt.m_upstream.str()},
+       {"digest", static_cast<std::int64_t>(attempt.m_digest.value())}});
+  m_on_crash();
+}
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -46,6 +46,7 @@
                      std::string table,
                      EntryDirectory* directory,
                      UpstreamPool* pool,
+                     CrashSuspects* suspects,
                      FleetLinkHooks hooks)
     : m_loop(loop),
       m_self(std::move(self)),
@@ -54,6 +55,7 @@
       m_table(std::move(table)),
       m_directory(directory),
       m_pool(pool),
+      m_suspects(suspects),
       m_hooks(std::move(hooks)),
       m_timer(loop, [this] { Tell(); }),
       m_key_timer(loop, [this] { OfferKey(); }) {
@@ -133,30 +135,56 @@
                   kPeriodPerPeer * static_cast<int>(m_peers.size()));
 }
 
-void FleetLink::Tell() {
+FleetDigest FleetLink::OwnState() const {
   FleetDigest digest;
   digest.m_ready = m_hooks.m_ready();
   digest.m_revision = m_hooks.m_revision();
+  return digest;
+}
+
+void FleetLink::SendToPeers(const FleetDigest& digest) {
+  if (m_transport == nullptr) {
+    return;
+  }
+  const std::string payload = EncodeDigest(digest, BootTime());
+  for (const auto& [id, peer] : m_peers) {
+    m_transport->Send(id, peer.m_endpoint, payload);
+  }
+}
+
+void FleetLink::TellOfCrashes() {
+  FleetDigest digest = OwnState();
+  digest.m_crashes = m_suspects->Reports(kMostCrashReports, BootTime());
+  digest.m_crashes_only = true;
+  if (!digest.m_crashes.empty()) {
+    SendToPeers(digest);
+  }
+}
+
+void FleetLink::Tell() {
+  FleetDigest digest = OwnState();
   digest.m_active = m_pool->ActiveByUpstream();
   digest.m_placements = m_pool->TakePlacements();
-  const std::string payload = EncodeDigest(digest);
-  if (m_transport != nullptr) {
-    for (const auto& [id, peer] : m_peers) {
-      m_transport->Send(id, peer.m_endpoint, payload);
-    }
-  }
+  SendToPeers(digest);
+  TellOfCrashes();
   NoteAlive();
   m_timer.Start(Period());
 }
 
 void FleetLink::Handle(const ReceivedDatagram& datagram) {
-  const auto digest = DecodeDigest(datagram.m_payload);
+  const TimePoint now = BootTime();
+  const auto digest = DecodeDigest(datagram.m_payload, now);
   const auto peer = m_peers.find(datagram.m_from);
   if (!digest || peer == m_peers.end()) {
     return;
   }
-  const TimePoint now = BootTime();
   peer->second.m_heard = now;
+  for (const CrashReport& report : digest->m_crashes) {
+    m_suspects->NoteReport(report, now);
+  }
+  if (digest->m_crashes_only) {
+    return;
+  }
   m_pool->SetPeerActive(datagram.m_from, digest->m_active);
   for (const PartPlacement& placement : digest->m_placements) {
     m_pool->NotePeerPlacement(placement, now);
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -14,6 +14,7 @@
 #include "libnet/event_loop.h"
 #include "libnet/peer_transport.h"
 #include "libnet/row_feed.h"
+#include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/entry_directory.h"
 #include "nutmeghollow/fleet_digest.h"
 #include "nutmeghollow/membership.h"
@@ -36,7 +37,8 @@
 /// Sends and receives digests, and notes who is alive.
 class FleetLink {
  public:
-  /// @param directory and @param pool must outlive this object.
+  /// @param directory, @param pool and @param suspects must outlive this
+  /// object.
   FleetLink(struct ev_loop* loop,
             InstanceId self,
             Endpoint endpoint,
@@ -44,6 +46,7 @@
             std::string table,
             EntryDirectory* directory,
             UpstreamPool* pool,
+            CrashSuspects* suspects,
             FleetLinkHooks hooks);
   ~FleetLink();
   FleetLink(const FleetLink&) = delete;
@@ -63,6 +66,8 @@
   Endpoint AddressOf(const InstanceId& id) const;
   /// Tells the others now, for example that this instance is leaving.
   void TellNow() { Tell(); }
+  /// Tells the others of requests that crash upstreams, if there is news.
+  void TellOfCrashes();
   /// @return instances that were not heard for a long time and may be
   /// forgotten by all; empty unless it is this instance's part to do so.
   std::vector<InstanceId> LostPeers() const;
@@ -76,6 +81,8 @@
 
   void OfferKey();
   void Tell();
+  void SendToPeers(const FleetDigest& digest);
+  FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
   void NoteAlive();
   Duration Period() const;
@@ -88,6 +95,7 @@
   std::string m_table;
   EntryDirectory* m_directory;
   UpstreamPool* m_pool;
+  CrashSuspects* m_suspects;
   FleetLinkHooks m_hooks;
   net::Timer m_timer;
   net::Timer m_key_timer;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -131,6 +131,7 @@
   net::RowFeed m_peer_feed;
   Registrations m_registrations;
   EntryDirectory m_directory;
+  CrashWatch m_crashes;
   FleetLink m_fleet;
   std::map<std::uint64_t, std::shared_ptr<RouteRelay>> m_relays;
   std::uint64_t m_last_relay = 0;
@@ -171,6 +172,7 @@
                                {.m_keys = [this] { return m_fleet.Keys(); },
                                 .m_readers = [this] { return Readers(); }})),
       m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
+      m_crashes(loop, &m_state.m_metrics, [this] { m_fleet.TellOfCrashes(); }),
       m_fleet(loop,
               settings.m_instance.m_id,
               settings.m_instance.m_peer_address,
@@ -178,6 +180,7 @@
               kInstanceTable,
               &m_directory,
               &m_state.m_pool,
+              &m_crashes.Suspects(),
               {.m_ready = [this] { return Ready(); },
                .m_revision =
                    [this] {
@@ -235,6 +238,7 @@
       m_clean_timer(loop, [this] { RemoveLostInstances(); }) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
+  m_state.m_crashes = &m_crashes;
   m_state.m_protocol = std::move(protocol);
   m_peer_feed_server.Add(m_state.m_protocol.m_configuration_table,
                          &m_configuration_follower);
@@ -278,6 +282,9 @@
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
   });
+  metrics.SetGauge("nutmeg_gateway_crash_suspects", "", [this] {
+    return static_cast<double>(m_crashes.Suspects().size());
+  });
   metrics.SetGauge("nutmeg_gateway_instances", "",
                    [this] { return static_cast<double>(m_directory.size()); });
 }
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -9,6 +9,7 @@
 
 #include "libnet/http_client.h"
 #include "libnet/route_protocol.h"
+#include "nutmegd/crash_watch.h"
 #include "nutmegd/settings.h"
 #include "nutmeghollow/attempt_policy.h"
 #include "nutmeghollow/configuration_proof.h"
@@ -27,6 +28,7 @@
 struct GatewayState {
   struct ev_loop* m_loop = nullptr;
   net::HttpClient* m_client = nullptr;
+  CrashWatch* m_crashes = nullptr;
   net::RouteProtocol m_protocol;
   const Settings* m_settings = nullptr;
   AttemptPolicyParameters m_attempt_parameters;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -192,8 +192,22 @@
   return m_request.m_prompt.empty() ? nullptr : &m_request.m_prompt;
 }
 
+RequestDigest RouteRelay::Digest() {
+  if (!m_digest) {
+    const net::HttpRequest& request = m_exchange->Request();
+    std::uint64_t hash = HashText(request.m_method);
+    for (const std::string_view part :
+         {std::string_view(request.m_target), std::string_view(m_request.m_key),
+          m_body == nullptr ? std::string_view() : std::string_view(*m_body)}) {
+      hash = HashPair(hash, HashText(part));
+    }
+    m_digest = RequestDigest(hash);
+  }
+  return *m_digest;
+}
+
 void RouteRelay::Dispatch(TimePoint now) {
-  if (!AdoptConfiguration(now)) {
+  if (!AdoptConfiguration(now) || EndIfCrashing(now)) {
     return;
   }
   UpstreamWish wish;
@@ -284,6 +298,7 @@
   const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
   Attempt attempt;
   attempt.m_upstream = upstream;
+  attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
   attempt.m_call =
       m_state->m_client->Start(MakeCall(*registration, now), MakeEvents());
@@ -400,8 +415,13 @@
     failure = AttemptFailure::kSilent;
     health = AttemptHealth::kSilent;
   }
+  const Attempt attempt = *m_attempt;
   EndAttempt(health, now);
-  HandleFailure(failure);
+  if (failure == AttemptFailure::kBroken) {
+    HandleBreak(attempt);
+  } else {
+    HandleFailure(failure);
+  }
 }
 
 void RouteRelay::EndWhole() {
@@ -438,6 +458,11 @@
   m_state->m_pool.NoteEnd(attempt.m_upstream, health,
                           timed ? now - attempt.m_sent_at : Duration::zero(),
                           Prompt(), attempt.m_answered, now);
+  const bool answered =
+      health == AttemptHealth::kServed || health == AttemptHealth::kFailed;
+  if (answered && m_state->m_crashes->Suspects().size() > 0) {
+    m_state->m_crashes->Suspects().NoteServed(Digest(), now);
+  }
   if (health != AttemptHealth::kServed) {
     Log(LogLevel::kInfo, "attempt_ended",
         {{"request", m_request.m_id.str()},
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -48,6 +48,7 @@
   struct Attempt {
     net::HttpCallId m_call;
     UpstreamId m_upstream;
+    Endpoint m_endpoint;
     TimePoint m_sent_at{};
     int m_status = 0;
     net::HeaderMap m_headers;
@@ -69,6 +70,9 @@
   bool HandleData(std::string_view data);
   void HandleEnd(const net::HttpEnd& end);
   void HandleFailure(AttemptFailure failure);
+  /// Finds out whether the upstream crashed, then goes on. A request that is
+  /// no suspect goes on at once.
+  void HandleBreak(const Attempt& attempt);
   void HandleDeadline();
   void HandleGone();
 
@@ -80,6 +84,9 @@
   void CancelAttempt(AttemptHealth health);
 
   void Refuse(const char* reason);
+  void RefuseFor(const char* reason, Duration wait);
+  /// Ends a request that crashes upstreams. @return whether it is one.
+  bool EndIfCrashing(TimePoint now);
   void Fail(int status, const char* reason);
   void Answer(int status, const char* reason, Duration retry_after);
   void GiveHeldAnswer();
@@ -89,6 +96,8 @@
   bool IsEngine() const;
   bool IsStreamAnswer() const;
   const std::vector<PromptPart>* Prompt() const;
+  /// @return the same for each copy of the request that a caller sends.
+  RequestDigest Digest();
   Duration TimeLeft(TimePoint now) const { return m_deadline - now; }
 
   GatewayState* m_state;
@@ -106,6 +115,7 @@
   TimePoint m_arrived{};
   TimePoint m_deadline{};
 
+  std::optional<RequestDigest> m_digest;
   RequestProgress m_progress;
   std::vector<UpstreamId> m_tried;
   std::optional<Attempt> m_attempt;
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -74,6 +74,41 @@
   }
 }
 
+void RouteRelay::HandleBreak(const Attempt& attempt) {
+  CrashWatch& crashes = *m_state->m_crashes;
+  const bool suspect = crashes.Suspects().IsSuspect(Digest(), BootTime());
+  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+  crashes.Investigate({Digest(), m_request.m_id, attempt.m_upstream,
+                       attempt.m_endpoint, attempt.m_sent_at},
+                      [weak, suspect] {
+                        const auto self = weak.lock();
+                        if (suspect && self != nullptr && !self->m_done) {
+                          self->HandleFailure(AttemptFailure::kBroken);
+                        }
+                      });
+  if (!suspect) {
+    HandleFailure(AttemptFailure::kBroken);
+  }
+}
+
+bool RouteRelay::EndIfCrashing(TimePoint now) {
+  const CrashSuspects& suspects = m_state->m_crashes->Suspects();
+  const Duration refused_for = suspects.size() == 0
+                                   ? Duration::zero()
+                                   : suspects.RefusedFor(Digest(), now);
+  if (refused_for <= Duration::zero()) {
+    return false;
+  }
+  if (m_progress.m_answer_begun) {
+    Abort("crashes upstreams");
+  } else if (m_progress.m_may_have_run) {
+    Fail(kStatusBadGateway, "crashes upstreams");
+  } else {
+    RefuseFor("crashes upstreams", refused_for);
+  }
+  return true;
+}
+
 void RouteRelay::HandleDeadline() {
   if (m_done) {
     return;
@@ -118,8 +153,11 @@
       std::max(TimeLeft(BootTime()), Duration::zero()).count());
   const Duration wish(static_cast<std::int64_t>(
       left * m_state->Draw(kLeastReturn, kMostReturn)));
-  Answer(kStatusUnavailable, reason,
-         std::clamp(wish, kShortestReturn, kLongestReturn));
+  RefuseFor(reason, std::clamp(wish, kShortestReturn, kLongestReturn));
+}
+
+void RouteRelay::RefuseFor(const char* reason, Duration wait) {
+  Answer(kStatusUnavailable, reason, wait);
 }
 
 void RouteRelay::Fail(int status, const char* reason) {
