Run a suspect again only when no instance can be unaware of it

Change: a suspect waits until each peer has answered a probe that carried it (1 s, then it is refused; 5 s after the crash it may run in any case, so that a peer that is gone does not keep innocent requests out). For a minute after an instance lost a peer it looks each request up in the table service before it runs, for 100 ms at most.

Ruled out: looking up each request at all times (a read a request), and holding all requests while a peer is lost.

--- a/src/libnutmeg/flow_world.h
+++ b/src/libnutmeg/flow_world.h
@@ -82,7 +82,7 @@
     do {
       m_world.m_tick_again = false;
       for (Action& action : Tick(m_world, m_now)) {
-        if (!AnswerForQuarantine(action)) {
+        if (!AnswerForQuarantine(action) && !AnswerPing(action)) {
           m_actions.push_back(std::move(action));
         }
       }
@@ -138,8 +138,27 @@
   /// What the table service says instead of answering, if set.
   std::optional<StoreStatus> m_store_failure;
   bool m_store_silent = false;
+  bool m_peers_silent = false;  ///< No peer answers pings.
 
  private:
+  /// Answers a ping as its peer would. @return whether the action was one.
+  bool AnswerPing(const Action& action) {
+    const auto* datagram = std::get_if<SendDatagram>(&action);
+    const auto ping =
+        datagram == nullptr ? std::nullopt : DecodeGossip(datagram->m_payload);
+    if (!ping || ping->m_kind != GossipKind::kPing) {
+      return false;
+    }
+    if (!m_peers_silent) {
+      const GossipMessage ack{.m_kind = GossipKind::kAck,
+                              .m_probe = ping->m_probe};
+      m_world.m_membership_inbox.m_datagrams.push_back(
+          {datagram->m_to, EncodeGossip(ack), datagram->m_endpoint});
+      m_world.m_tick_again = true;
+    }
+    return true;
+  }
+
   /// @return whether the action was one on rows of quarantine.
   bool AnswerForQuarantine(const Action& action) {
     const auto* read = std::get_if<ReadStore>(&action);
--- a/src/libnutmeg/quarantine.cpp
+++ b/src/libnutmeg/quarantine.cpp
@@ -177,15 +177,12 @@
                               const RequestRow& row,
                               TimePoint now) {
   const RequestDigest digest = row.m_request.m_digest;
-  if (world.m_suspects.empty() &&
-      world.m_quarantine.m_possible_crashes.empty()) {
-    return SuspectPlace::kTaken;
-  }
   if (BreaksNow(world, digest)) {
     return SuspectPlace::kWait;  // The verdict on the same request comes first.
   }
   if (!IsSuspect(world, digest, now)) {
-    return SuspectPlace::kTaken;
+    return LookedUp(world, row, now) ? SuspectPlace::kTaken
+                                     : SuspectPlace::kWait;
   }
   for (const auto& [upstream, id] : world.m_quarantine.m_running_suspects) {
     const RequestRow* other = world.m_requests.Find(id);
--- a/src/libnutmeg/suspect_records_test.cpp
+++ b/src/libnutmeg/suspect_records_test.cpp
@@ -66,7 +66,8 @@
     row.m_digest = kDigest;
     row.m_crashed_upstreams = {UpstreamId("e9")};
     row.m_crashes = 1;
-    row.m_expires_at = flow.m_now + std::chrono::minutes(5);
+    row.m_expires_at =
+        flow.m_now + flow.m_world.m_quarantine_parameters.m_expiry;
   }
 
   std::optional<SuspectRecord> Stored() {
@@ -77,7 +78,8 @@
 
   std::shared_ptr<TableStoreForTest> m_store =
       std::make_shared<TableStoreForTest>();
-  std::array<FlowWorld, 2> m_sides{FlowWorld("i1", 1), FlowWorld("i2", 2)};
+  std::array<FlowWorld, 3> m_sides{FlowWorld("i1", 1), FlowWorld("i2", 2),
+                                   FlowWorld("i3", 3)};
 };
 
 TEST_F(SuspectRecordsTest, TwoSidesOfAPartitionCountTogether) {
@@ -89,13 +91,81 @@
     crashes += Send(m_sides[time % 2]);
   }
   EXPECT_EQ(crashes, 2);
-  for (FlowWorld& flow : m_sides) {
-    const auto refusals = flow.Take<RefuseRequest>();
+  for (int side = 0; side < 2; ++side) {
+    const auto refusals = m_sides[side].Take<RefuseRequest>();
     ASSERT_FALSE(refusals.empty());
     EXPECT_EQ(refusals.back().m_status, 422);
   }
 }
 
+/// Each of three sides has lost the others.
+TEST_F(SuspectRecordsTest, ARequestIsLookedUpWhilePeersAreLost) {
+  for (FlowWorld& flow : m_sides) {
+    flow.m_peers_silent = true;
+    for (auto& [id, row] : flow.m_world.m_instances.m_rows) {
+      if (id != flow.m_world.m_instances.m_self) {
+        row.m_status = InstanceStatus::kDead;
+        row.m_status_since = flow.m_now;
+      }
+    }
+  }
+  int crashes = 0;
+  for (int time = 0; time < 9; ++time) {
+    crashes += Send(m_sides[time % 3]);
+  }
+  EXPECT_GE(crashes, 1);
+  EXPECT_LE(crashes, 2);
+  EXPECT_EQ(m_sides[2].Take<RefuseRequest>().back().m_outcome,
+            Outcome::kNotRun);
+}
+
+TEST_F(SuspectRecordsTest, LookUpsHoldRequestsBackForAShortTimeOnly) {
+  FlowWorld& flow = m_sides[0];
+  flow.m_store_silent = true;
+  InstanceRow& peer = flow.m_world.m_instances.m_rows[InstanceId("i2")];
+  peer.m_status = InstanceStatus::kDead;
+  peer.m_status_since = flow.m_now;
+  const RequestId id = flow.Submit(flow.Chat(5, false));
+  flow.Settle();
+  EXPECT_EQ(flow.PhaseOf(id), RequestPhase::kPlaced);
+  flow.Advance(milliseconds(100));
+  EXPECT_EQ(flow.PhaseOf(id), RequestPhase::kDispatched);
+  // Long after the loss nothing is looked up.
+  flow.Advance(seconds(60));
+  const RequestId later = flow.Submit(flow.Chat(6, false));
+  flow.Settle();
+  EXPECT_EQ(flow.PhaseOf(later), RequestPhase::kDispatched);
+}
+
+/// A side that knows nothing runs the request once, so the other one must not
+/// run it twice before.
+TEST_F(SuspectRecordsTest, ARetryWaitsUntilAllPeersKnow) {
+  for (FlowWorld& flow : m_sides) {
+    flow.m_peers_silent = true;
+  }
+  int crashes = 0;
+  for (int time = 0; time < 6; ++time) {
+    crashes += Send(m_sides[time / 2 % 2]);
+  }
+  EXPECT_EQ(crashes, 2);
+  EXPECT_EQ(m_sides[1].Take<RefuseRequest>().back().m_status, 422);
+}
+
+TEST_F(SuspectRecordsTest, ASilentPeerDoesNotKeepTheInnocentOutForLong) {
+  FlowWorld& flow = m_sides[0];
+  flow.m_peers_silent = true;
+  Suspect(flow);
+  const RequestId id = flow.Submit(flow.Chat(kCrashing, false));
+  flow.Settle();
+  flow.Advance(seconds(1));
+  EXPECT_EQ(flow.PhaseOf(id), RequestPhase::kDone);
+  EXPECT_EQ(flow.Take<RefuseRequest>().back().m_refusal,
+            Refusal::kRunsElsewhere);
+  flow.Advance(seconds(5));
+  EXPECT_EQ(Stored()->m_holder, InstanceId());
+  StartRunning(flow);
+}
+
 TEST_F(SuspectRecordsTest, RetriesOfOneSideCountOnTheOther) {
   EXPECT_EQ(Send(m_sides[0]), 2);
   Suspect(m_sides[1]);
