Probe upstreams on time though the control budget is spent

Cause, by a trace of probes, findings and messages of testsuite.leaving_engine (new work up to 3,391 ms after the notice): the owner of an engine is asked by its peers for each request, and is one of the two probers of that engine. What it receives keeps its budget in debt, down to a second of its rate, and the probe that is due waited: 1.4 s and more in the trace, on both probers.

Ruled out: probers that disagree about their slots, urgent messages that wait (0.5 s at most since they are paced by peer), and the load of the machine (the probes were refused by the budget, one each 100 ms, with -480 to -1,675 bytes left).

Change: a probe that is due waits for the budget for 300 ms at most, then goes and is charged. Probes are few, and set by the clock.

--- a/src/include/nutmeghollow/probing.h
+++ b/src/include/nutmeghollow/probing.h
@@ -42,6 +42,10 @@
   /// Time to the next probe while the outcome is in doubt.
   Duration m_retry_period = std::chrono::milliseconds(500);
   Duration m_timeout = std::chrono::milliseconds(800);
+  /// How long a probe that is due waits for the control budget at most. Within
+  /// the 3 s in which a leaving upstream is known, up to 1.4 s pass until a
+  /// probe is due and 0.5 s until its finding is told.
+  Duration m_budget_wait = std::chrono::milliseconds(300);
   /// Time after the start without probes. A new instance learns of the others
   /// first; until then it takes itself for the only prober of every upstream.
   Duration m_start_delay = std::chrono::seconds(4);
@@ -75,6 +79,7 @@
   std::array<std::optional<HeldVerdict>, 2> m_verdicts;  ///< By prober.
   int m_slot = -1;  ///< Which prober this instance is; -1 for none.
   TimePoint m_next_probe{};
+  std::optional<TimePoint> m_waits_since;  ///< For the control budget.
   bool m_in_flight = false;
   TimePoint m_sent_at{};
   int m_failures = 0;      ///< Failed probes in a row.
--- a/src/libnutmeg/probing.cpp
+++ b/src/libnutmeg/probing.cpp
@@ -173,6 +173,24 @@
   probing.m_merge_needed = true;
 }
 
+/// Takes the bytes of a probe from the budget. One that waited for long goes
+/// in any case and is charged: probes are few, and set by the clock.
+/// @return whether it may be sent.
+bool TakeProbeBytes(World& world, UpstreamHealth& health, TimePoint now) {
+  const ProbingParameters& parameters = world.m_probing.m_parameters;
+  const Bytes size = parameters.m_expected_bytes;
+  const bool waited = health.m_waits_since &&
+                      now - *health.m_waits_since >= parameters.m_budget_wait;
+  if (waited) {
+    NoteControlBytes(world, ControlClass::kProbe, size, Bytes(0), now);
+  } else if (!TakeControlBytes(world, ControlClass::kProbe, size, now)) {
+    health.m_waits_since = health.m_waits_since.value_or(now);
+    return false;
+  }
+  health.m_waits_since.reset();
+  return true;
+}
+
 /// Probes an upstream if its time has come. @return when to look again.
 TimePoint ProbeIfDue(World& world, const UpstreamId& id, TimePoint now) {
   ProbingState& probing = world.m_probing;
@@ -192,8 +210,7 @@
   if (now < health.m_next_probe) {
     return health.m_next_probe;
   }
-  if (!TakeControlBytes(world, ControlClass::kProbe,
-                        probing.m_parameters.m_expected_bytes, now)) {
+  if (!TakeProbeBytes(world, health, now)) {
     health.m_next_probe = now + kBudgetRetry;
     return health.m_next_probe;
   }
--- a/src/libnutmeg/probing_test.cpp
+++ b/src/libnutmeg/probing_test.cpp
@@ -142,6 +142,21 @@
   }
 }
 
+/// Owners of engines are asked by their peers for each request, and are
+/// probers too: what they receive keeps their budget in debt.
+TEST_P(Probing, ALeavingUpstreamIsKnownInTimeThoughTheBudgetIsSpent) {
+  m_upstreams[Engine(3)].m_leaving = true;
+  const TimePoint start = m_fleet.Now();
+  while (!AllSee(3, kLeaving) && m_fleet.Now() - start < seconds(10)) {
+    for (auto& [id, world] : m_fleet.Worlds()) {
+      NoteControlBytes(*world, ControlClass::kReservation, Bytes(0), Bytes(400),
+                       m_fleet.Now());
+    }
+    m_fleet.Run(milliseconds(100));
+  }
+  EXPECT_LT(m_fleet.Now() - start, seconds(3));
+}
+
 TEST_P(Probing, EjectsAFailedUpstreamAndLetsItRecoverSlowly) {
   m_upstreams[Engine(5)].m_up = false;
   EXPECT_LT(TimeUntil(5, kEjected), seconds(8));
