Prove lost tables as soon as the platform answers; split the gateway by job

The question sent into the silence ran into its time-out first, and the next one asked the store to wait 0.8 s for a change.

Change: the first answer about any table makes the followers of lost ones ask again at once, and a question after a loss does not ask for a wait.

--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -13,12 +13,12 @@
 #include "libnet/log.h"
 #include "nutmegd/fleet_link.h"
 #include "nutmegd/gateway_state.h"
+#include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
-#include "nutmeghollow/feed_readers.h"
 
 namespace nutmeghollow {
 namespace {
@@ -28,20 +28,12 @@
 using net::LogLevel;
 using nlohmann::json;
 
-/// Table of the instances; one row each, written once.
-constexpr const char* kInstanceTable = "nutmeg_instances";
-/// Longest time for an answer to a write: several times a slow one.
-constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
-/// Pause before a failed write is repeated.
-constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
 /// Proofs are at most twice as old, so that a route or key that is not known is
 /// denied for certain, and a configuration is in force within two seconds also
 /// after a question whose answer was lost.
 constexpr Duration kLongestConfigurationWait = std::chrono::milliseconds(800);
 /// How often the settings file is compared with what was read.
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
-/// How often rows of lost instances are looked for.
-constexpr Duration kCleanPeriod = std::chrono::seconds(3);
 /// How often the end of a planned stop is looked for.
 constexpr Duration kDrainPeriod = std::chrono::milliseconds(50);
 /// A planned stop ends this long before it would be ended by force.
@@ -107,16 +99,12 @@
   void HandleOperator(const Exchange& exchange);
   bool Ready() const;
 
+  /// The platform answers again: asks for what was lost meanwhile.
+  void AskForLostTables();
   TableFollowerEvents ConfigurationEvents();
   TableFollowerEvents RegistrationEvents();
   TableFollowerEvents InstanceEvents();
   void HandleConfiguration(const net::FeedRow& row);
-  void HandleInstance(const net::FeedRow& row);
-  std::string SelfRow() const;
-  /// @return who to follow the platform's tables through; empty for itself.
-  std::vector<Endpoint> Readers() const;
-  void WriteSelf();
-  void RemoveLostInstances();
 
   void StartDrain(const char* cause);
   void CheckDrain();
@@ -133,6 +121,7 @@
   EntryDirectory m_directory;
   CrashWatch m_crashes;
   FleetLink m_fleet;
+  InstanceRows m_instance_rows;
   std::map<std::uint64_t, std::shared_ptr<RouteRelay>> m_relays;
   std::uint64_t m_last_relay = 0;
   bool m_registrations_read = false;
@@ -150,9 +139,7 @@
   net::SignalWatcher m_interrupt;
   net::SignalWatcher m_hang_up;
   net::Timer m_settings_timer;
-  net::Timer m_write_timer;
   net::Timer m_drain_timer;
-  net::Timer m_clean_timer;
 };
 
 Gateway::Impl::Impl(struct ev_loop* loop,
@@ -167,10 +154,11 @@
       m_client(loop),
       m_feed(make_feed(m_client,
                        [this] { return m_settings.m_platform.m_address; })),
-      m_peer_feed(MakePeerFeed(m_client,
-                               m_feed,
-                               {.m_keys = [this] { return m_fleet.Keys(); },
-                                .m_readers = [this] { return Readers(); }})),
+      m_peer_feed(MakePeerFeed(
+          m_client,
+          m_feed,
+          {.m_keys = [this] { return m_fleet.Keys(); },
+           .m_readers = [this] { return m_instance_rows.Readers(); }})),
       m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
       m_crashes(loop, &m_state.m_metrics, [this] { m_fleet.TellOfCrashes(); }),
       m_fleet(loop,
@@ -188,6 +176,14 @@
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
                    }}),
+      m_instance_rows(loop,
+                      &m_settings,
+                      m_feed,
+                      &m_directory,
+                      &m_fleet,
+                      [this](int instances) {
+                        m_state.m_allowance.SetInstances(instances);
+                      }),
       m_peer_feed_server(loop,
                          settings.m_instance.m_peer_address,
                          [this] { return m_fleet.Keys(); }),
@@ -233,9 +229,7 @@
                            ReloadSettings("file changed");
                          }
                        }),
-      m_write_timer(loop, [this] { WriteSelf(); }),
-      m_drain_timer(loop, [this] { CheckDrain(); }),
-      m_clean_timer(loop, [this] { RemoveLostInstances(); }) {
+      m_drain_timer(loop, [this] { CheckDrain(); }) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_crashes = &m_crashes;
@@ -250,8 +244,7 @@
   ApplySettings();
   RegisterGauges();
   m_settings_timer.StartRepeating(kSettingsPeriod);
-  m_clean_timer.StartRepeating(kCleanPeriod);
-  WriteSelf();
+  m_instance_rows.WriteOwn();
 }
 
 int Gateway::Impl::Run() {
@@ -385,6 +378,14 @@
   }
 }
 
+void Gateway::Impl::AskForLostTables() {
+  for (TableFollower* follower :
+       {&m_configuration_follower, &m_registration_follower,
+        &m_instance_follower}) {
+    follower->AskAgainIfLost();
+  }
+}
+
 TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
@@ -397,9 +398,10 @@
   events.m_on_lost = [](const std::string& reason) {
     Log(LogLevel::kWarning, "configuration_feed_lost", {{"reason", reason}});
   };
-  events.m_on_regained = [](Duration outage) {
+  events.m_on_regained = [this](Duration outage) {
     Log(LogLevel::kInfo, "configuration_feed_regained",
         {{"outage_ms", outage.count() / 1000}});
+    AskForLostTables();
   };
   return events;
 }
@@ -446,104 +448,24 @@
   };
   events.m_on_regained = [this](Duration outage) {
     m_registrations.HandleRegained(outage);
+    AskForLostTables();
   };
   return events;
 }
 
 TableFollowerEvents Gateway::Impl::InstanceEvents() {
   TableFollowerEvents events;
-  events.m_on_row = [this](const net::FeedRow& row) { HandleInstance(row); };
+  events.m_on_row = [this](const net::FeedRow& row) {
+    m_instance_rows.HandleRow(row);
+  };
   events.m_on_current = [this](TimePoint /*current_at*/) {
     m_fleet.NoteKeyMissing();
     m_peer_feed_server.NoteCurrent(kInstanceTable);
   };
+  events.m_on_regained = [this](Duration /*outage*/) { AskForLostTables(); };
   return events;
 }
 
-void Gateway::Impl::HandleInstance(const net::FeedRow& row) {
-  if (row.m_key == kFleetKeyRow) {
-    if (!row.m_removed) {
-      m_fleet.PutKey(row.m_value);
-    }
-    return;
-  }
-  const InstanceId id(row.m_key);
-  if (row.m_removed) {
-    m_directory.Remove(id);
-    m_fleet.RemovePeer(id);
-    if (id == m_settings.m_instance.m_id && !m_drain_started) {
-      WriteSelf();  // Another instance took this one for lost.
-    }
-  } else {
-    const json value = json::parse(row.m_value, nullptr, false);
-    if (!value.is_object() || !value.contains("caller")) {
-      Log(LogLevel::kWarning, "instance_row_not_used", {{"key", row.m_key}});
-      return;
-    }
-    m_directory.Put({id, Endpoint(value.value("caller", "")),
-                     DataCentreId(value.value("data_centre", "")),
-                     RegionId(value.value("region", "")), true, true});
-    m_fleet.PutPeer(id, Endpoint(value.value("peer", "")));
-  }
-  m_state.m_allowance.SetInstances(
-      std::max(1, static_cast<int>(m_directory.size())));
-}
-
-std::vector<Endpoint> Gateway::Impl::Readers() const {
-  const InstanceSettings& self = m_settings.m_instance;
-  std::vector<Endpoint> addresses;
-  for (const InstanceId& id : ChooseReaders(m_directory, self.m_data_centre)) {
-    if (id == self.m_id) {
-      break;  // Those after this one follow through it.
-    }
-    const Endpoint address = m_fleet.AddressOf(id);
-    if (!address.empty()) {
-      addresses.push_back(address);
-    }
-  }
-  return addresses;
-}
-
-std::string Gateway::Impl::SelfRow() const {
-  const InstanceSettings& self = m_settings.m_instance;
-  return json{{"caller", self.m_advertised_caller_address.str()},
-              {"peer", self.m_advertised_peer_address.str()},
-              {"data_centre", self.m_data_centre.str()},
-              {"region", self.m_region.str()}}
-      .dump();
-}
-
-void Gateway::Impl::WriteSelf() {
-  net::FeedWrite write;
-  write.m_table = kInstanceTable;
-  write.m_key = m_settings.m_instance.m_id.str();
-  if (!m_drain_started) {
-    write.m_value = SelfRow();
-  }
-  m_feed.m_write(write, kWriteTimeout, [this](const net::FeedResult& result) {
-    if (result.m_status != net::FeedStatus::kDone) {
-      Log(LogLevel::kWarning, "instance_row_not_written",
-          {{"reason", result.m_detail}});
-      m_write_timer.Start(kWriteRetry);
-    }
-  });
-}
-
-void Gateway::Impl::RemoveLostInstances() {
-  for (const InstanceId& id : m_fleet.LostPeers()) {
-    Log(LogLevel::kInfo, "instance_row_removed", {{"instance", id.str()}});
-    net::FeedWrite write;
-    write.m_table = kInstanceTable;
-    write.m_key = id.str();
-    m_feed.m_write(write, kWriteTimeout, [](const net::FeedResult& result) {
-      if (result.m_status != net::FeedStatus::kDone) {
-        Log(LogLevel::kWarning, "instance_row_not_removed",
-            {{"reason", result.m_detail}});
-      }
-    });
-  }
-}
-
 void Gateway::Impl::StartDrain(const char* cause) {
   if (m_drain_started) {
     return;
@@ -554,7 +476,7 @@
        {"requests", static_cast<std::int64_t>(m_relays.size())}});
   m_caller_server.CloseAfterAnswers();
   m_fleet.TellNow();
-  WriteSelf();
+  m_instance_rows.RemoveOwn();
   m_drain_timer.StartRepeating(kDrainPeriod);
 }
 
--- /dev/null
+++ b/src/nutmegd/instance_rows.cpp
@@ -0,0 +1,144 @@
+#include "nutmegd/instance_rows.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "libnet/log.h"
+#include "nutmeghollow/feed_readers.h"
+
+namespace nutmeghollow {
+namespace {
+
+using net::Log;
+using net::LogLevel;
+using nlohmann::json;
+
+/// Longest time for an answer to a write: several times a slow one.
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
+/// Pause before a failed write is repeated.
+constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
+/// How often rows of lost instances are looked for.
+constexpr Duration kCleanPeriod = std::chrono::seconds(3);
+
+std::string RowOf(const InstanceSettings& self) {
+  return json{{"caller", self.m_advertised_caller_address.str()},
+              {"peer", self.m_advertised_peer_address.str()},
+              {"data_centre", self.m_data_centre.str()},
+              {"region", self.m_region.str()}}
+      .dump();
+}
+
+}  // namespace
+
+InstanceRows::InstanceRows(struct ev_loop* loop,
+                           const Settings* settings,
+                           net::RowFeed feed,
+                           EntryDirectory* directory,
+                           FleetLink* fleet,
+                           std::function<void(int)> on_count)
+    : m_settings(settings),
+      m_feed(std::move(feed)),
+      m_directory(directory),
+      m_fleet(fleet),
+      m_on_count(std::move(on_count)),
+      m_write_timer(loop, [this] { WriteWanted(); }),
+      m_clean_timer(loop, [this] { RemoveLost(); }) {
+  m_clean_timer.StartRepeating(kCleanPeriod);
+}
+
+void InstanceRows::HandleRow(const net::FeedRow& row) {
+  if (row.m_key == kFleetKeyRow) {
+    if (!row.m_removed) {
+      m_fleet->PutKey(row.m_value);
+    }
+    return;
+  }
+  const InstanceId id(row.m_key);
+  if (row.m_removed) {
+    HandleRemoved(id);
+  } else {
+    HandleInstance(id, row.m_value);
+  }
+  m_on_count(std::max(1, static_cast<int>(m_directory->size())));
+}
+
+void InstanceRows::HandleInstance(const InstanceId& id,
+                                  const std::string& value) {
+  const json row = json::parse(value, nullptr, false);
+  if (!row.is_object() || !row.contains("caller")) {
+    Log(LogLevel::kWarning, "instance_row_not_used", {{"key", id.str()}});
+    return;
+  }
+  m_directory->Put({id, Endpoint(row.value("caller", "")),
+                    DataCentreId(row.value("data_centre", "")),
+                    RegionId(row.value("region", "")), true, true});
+  m_fleet->PutPeer(id, Endpoint(row.value("peer", "")));
+}
+
+void InstanceRows::HandleRemoved(const InstanceId& id) {
+  m_directory->Remove(id);
+  m_fleet->RemovePeer(id);
+  if (id == m_settings->m_instance.m_id && !m_leaving) {
+    WriteOwn();  // Another instance took this one for lost.
+  }
+}
+
+std::vector<Endpoint> InstanceRows::Readers() const {
+  const InstanceSettings& self = m_settings->m_instance;
+  std::vector<Endpoint> addresses;
+  for (const InstanceId& id : ChooseReaders(*m_directory, self.m_data_centre)) {
+    if (id == self.m_id) {
+      break;  // Those after this one follow through it.
+    }
+    const Endpoint address = m_fleet->AddressOf(id);
+    if (!address.empty()) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+void InstanceRows::WriteOwn() {
+  m_leaving = false;
+  WriteWanted();
+}
+
+void InstanceRows::RemoveOwn() {
+  m_leaving = true;
+  WriteWanted();
+}
+
+void InstanceRows::WriteWanted() {
+  net::FeedWrite write;
+  write.m_table = kInstanceTable;
+  write.m_key = m_settings->m_instance.m_id.str();
+  if (!m_leaving) {
+    write.m_value = RowOf(m_settings->m_instance);
+  }
+  m_feed.m_write(write, kWriteTimeout, [this](const net::FeedResult& result) {
+    if (result.m_status != net::FeedStatus::kDone) {
+      Log(LogLevel::kWarning, "instance_row_not_written",
+          {{"reason", result.m_detail}});
+      m_write_timer.Start(kWriteRetry);
+    }
+  });
+}
+
+void InstanceRows::RemoveLost() {
+  for (const InstanceId& id : m_fleet->LostPeers()) {
+    Log(LogLevel::kInfo, "instance_row_removed", {{"instance", id.str()}});
+    net::FeedWrite write;
+    write.m_table = kInstanceTable;
+    write.m_key = id.str();
+    m_feed.m_write(write, kWriteTimeout, [](const net::FeedResult& result) {
+      if (result.m_status != net::FeedStatus::kDone) {
+        Log(LogLevel::kWarning, "instance_row_not_removed",
+            {{"reason", result.m_detail}});
+      }
+    });
+  }
+}
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -41,8 +41,10 @@
                       });
     return;
   }
-  m_feed.m_wait_changes(m_options.m_table, m_version, m_options.m_wait,
-                        m_options.m_wait + m_options.m_answer_margin,
+  // After a loss the copy has to be proven current without a wait.
+  const Duration wait = m_failures > 0 ? Duration::zero() : m_options.m_wait;
+  m_feed.m_wait_changes(m_options.m_table, m_version, wait,
+                        wait + m_options.m_answer_margin,
                         [this, alive, asked_at](const net::FeedResult& result) {
                           if (!alive.expired()) {
                             HandleChanges(result, asked_at);
@@ -50,6 +52,13 @@
                         });
 }
 
+void TableFollower::AskAgainIfLost() {
+  if (m_failures > 0) {
+    m_alive = std::make_shared<bool>(true);
+    m_timer.Start(Duration::zero());
+  }
+}
+
 void TableFollower::HandleAll(const net::FeedResult& result,
                               TimePoint asked_at) {
   if (result.m_status != net::FeedStatus::kDone) {
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -72,6 +72,9 @@
   net::FeedResult ChangesAfter(net::FeedVersion after) const;
   /// @return all rows.
   net::FeedResult AllRows() const;
+  /// The platform is known to answer again: an instance that lost it asks at
+  /// once, and no longer waits for the answer to an earlier question.
+  void AskAgainIfLost();
   /// Changes the pauses, for example with the size of the fleet.
   void SetLongestPause(Duration pause) { m_options.m_longest_pause = pause; }
 
@@ -96,7 +99,8 @@
   TimePoint m_current_at{};
   int m_failures = 0;  ///< In a row.
   TimePoint m_last_answer{};
-  /// Ends with this object; calls that outlive it do nothing.
+  /// Ends with this object, or with a question that is given up; answers that
+  /// come later do nothing.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -29,9 +29,10 @@
       m_open.push_back(callback);
     };
     feed.m_wait_changes = [this](const std::string&, FeedVersion after,
-                                 Duration, Duration,
+                                 Duration wait, Duration,
                                  const net::FeedCallback& callback) {
       ++m_waits;
+      m_wait = wait;
       m_after = after;
       m_open.push_back(callback);
     };
@@ -50,6 +51,7 @@
   int m_reads = 0;
   int m_waits = 0;
   FeedVersion m_after;
+  Duration m_wait{};
   std::deque<net::FeedCallback> m_open;
 };
 
@@ -107,6 +109,28 @@
   int m_current = 0;
 };
 
+TEST_F(Following, GivesUpAQuestionWhenThePlatformAnswersOthers) {
+  m_feed.Answer(FeedStatus::kDone, 3, {Row("a", 3)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_follower->AskAgainIfLost();
+  RunFor(milliseconds(20));
+  EXPECT_EQ(m_feed.m_waits, 1) << "nothing was lost";
+  EXPECT_GT(m_feed.m_wait, Duration::zero());
+  m_feed.Answer(FeedStatus::kUnknown);
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  // The question waits for a store that is silent.
+  m_follower->AskAgainIfLost();
+  RunUntil([this] { return m_feed.m_waits == 3; });
+  EXPECT_EQ(m_feed.m_waits, 3);
+  EXPECT_EQ(m_feed.m_wait, Duration::zero());
+  ASSERT_EQ(m_feed.m_open.size(), 2U);
+  m_feed.Answer(FeedStatus::kUnknown);  // To the one that was given up.
+  EXPECT_FALSE(m_follower->Current());
+  m_feed.Answer(FeedStatus::kDone, 4, {Row("b", 4)});
+  EXPECT_TRUE(m_follower->Current());
+  EXPECT_EQ(m_seen, "+a lost back +b ");
+}
+
 TEST_F(Following, ReadsAllOnceAndThenWaitsForChanges) {
   m_feed.Answer(FeedStatus::kDone, 5, {Row("a", 3), Row("b", 5)});
   RunFor(milliseconds(5));
