Show errors to chat clients, and explanations as tables

The chat completions API's clients show only the member `error` of an error's body, so that a 401 or 404 read "no body". Problem documents now carry it beside their own members. `nutmegctl explain` printed the order of engines as one line of JSON in text mode; lists of objects are tables now.

--- a/src/nutmegctl/view.cpp
+++ b/src/nutmegctl/view.cpp
@@ -158,12 +158,28 @@
                      answer.value("object", Json()).dump(2));
 }
 
-/// Shows the fields of an answer, nested ones with dots.
+bool IsListOfObjects(const Json& value) {
+  return value.is_array() && !value.empty() && value.front().is_object();
+}
+
+/// Shows a list of objects as a table, with the fields of the first as header.
+std::string ShowNestedList(const std::string& name, const Json& list) {
+  std::vector<const char*> fields;
+  for (const auto& [field, value] : list.front().items()) {
+    fields.push_back(field.c_str());
+  }
+  return name + ":\n" + ShowList(list, fields);
+}
+
+/// Shows the fields of an answer, nested ones with dots, lists of objects as
+/// tables.
 std::string ShowFields(const Json& object, const std::string& prefix) {
   std::string text;
   for (const auto& [name, value] : object.items()) {
     if (value.is_object()) {
       text += ShowFields(value, prefix + name + ".");
+    } else if (IsListOfObjects(value)) {
+      text += ShowNestedList(prefix + name, value);
     } else if (prefix.empty() && name == "result") {
       continue;
     } else {
--- a/src/nutmegd/problem.cpp
+++ b/src/nutmegd/problem.cpp
@@ -17,6 +17,15 @@
   return "unknown";
 }
 
+namespace {
+
+std::string MessageOf(const Problem& problem) {
+  return problem.m_detail.empty() ? problem.m_title
+                                  : problem.m_title + ": " + problem.m_detail;
+}
+
+}  // namespace
+
 net::HeaderList ProblemHeaders(const Problem& problem) {
   net::HeaderList headers{{"Content-Type", "application/problem+json"},
                           {"Nutmeg-Outcome", OutcomeWord(problem.m_outcome)}};
@@ -37,7 +46,12 @@
       {"status", problem.m_status},
       {"detail", problem.m_detail},
       {"outcome", OutcomeWord(problem.m_outcome)},
-      {"request_id", request.str()}};
+      {"request_id", request.str()},
+      // Clients of the chat completions API show this member only.
+      {"error",
+       {{"message", MessageOf(problem)},
+        {"type", problem.m_type},
+        {"code", problem.m_type}}}};
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
          "\n";
 }
--- a/src/nutmegd/problem.h
+++ b/src/nutmegd/problem.h
@@ -1,5 +1,6 @@
 /// @file
-/// Errors towards callers: RFC 9457 problem details, with the outcome.
+/// Errors towards callers: RFC 9457 problem details, with the outcome, and
+/// the error object of the chat completions API beside them.
 #pragma once
 
 #include <string>
--- a/testsuite/chat_path/run.py
+++ b/testsuite/chat_path/run.py
@@ -62,6 +62,9 @@
         status, answer, text = http_call(address, method, path, body, headers)
         check(status == wanted, f"{name}: {status} in place of {wanted}: "
               f"{text[:200]}")
+        error = json.loads(text)["error"]
+        check(error["message"] and error["type"],
+              f"{name}: no error that chat clients show: {text}")
         check(answer.get("Content-Type") == "application/problem+json",
               f"{name}: {answer}")
         check(answer.get("Nutmeg-Outcome") == "not-run", f"{name}: {answer}")
