--- /dev/null
+++ b/src/libnet/http_fetch.cpp
@@ -0,0 +1,50 @@
+// Collects the whole answer of a call.
+#include <utility>
+
+#include "libnet/http_client.h"
+
+namespace nutmeghollow::net {
+namespace {
+
+/// Collects the answer of one call for Fetch.
+struct Collector {
+  HttpAnswer m_answer;
+  HttpCallId m_id;
+  std::function<void(HttpAnswer)> m_callback;
+};
+
+}  // namespace
+
+HttpCallId Fetch(HttpClient& client,
+                 HttpCall call,
+                 Bytes body_limit,
+                 std::function<void(HttpAnswer)> callback) {
+  auto collector = std::make_shared<Collector>();
+  collector->m_callback = std::move(callback);
+  HttpCallEvents events;
+  events.m_on_headers = [collector](int status, const HeaderMap& headers) {
+    collector->m_answer.m_status = status;
+    collector->m_answer.m_headers = headers;
+  };
+  events.m_on_data = [collector, body_limit, &client](std::string_view data) {
+    std::string& body = collector->m_answer.m_body;
+    if (body.size() + data.size() <=
+        static_cast<std::size_t>(body_limit.value())) {
+      body.append(data);
+      return true;
+    }
+    client.Cancel(collector->m_id);
+    collector->m_answer.m_end = {HttpEndKind::kBroken, true,
+                                 "the answer is larger than the limit"};
+    collector->m_callback(std::move(collector->m_answer));
+    return false;
+  };
+  events.m_on_end = [collector](const HttpEnd& end) {
+    collector->m_answer.m_end = end;
+    collector->m_callback(std::move(collector->m_answer));
+  };
+  collector->m_id = client.Start(std::move(call), std::move(events));
+  return collector->m_id;
+}
+
+}  // namespace nutmeghollow::net
--- /dev/null
+++ b/src/libnet/http_transfer.cpp
@@ -0,0 +1,239 @@
+// What libcurl is told of a call, and what it tells while the call runs.
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "libnet/http_client_impl.h"
+#include "libnet/text.h"
+
+namespace nutmeghollow::net {
+namespace {
+
+/// Bytes read at once from a connection. Smaller than libcurl's 16 KiB, since
+/// each call in progress holds one such buffer and most reads are one event.
+constexpr long kReceiveBufferBytes = 4 << 10;
+/// Bytes of a request body copied at once; the least that libcurl takes.
+constexpr long kSendBufferBytes = 16 << 10;
+constexpr long kKeepaliveIdleSeconds = 10;
+constexpr long kKeepaliveIntervalSeconds = 5;
+constexpr unsigned kTcpUserTimeoutMs = 15000;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
+
+long Milliseconds(Duration duration) {
+  using std::chrono::ceil;
+  using std::chrono::milliseconds;
+  return std::max<long>(1, ceil<milliseconds>(duration).count());
+}
+
+bool HasLineBreak(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+/// @return the status of a line such as "HTTP/1.1 200 OK", or nothing.
+std::optional<int> ParseStatusLine(std::string_view line) {
+  if (!line.starts_with("HTTP/")) {
+    return std::nullopt;
+  }
+  const auto space = line.find(' ');
+  if (space == std::string_view::npos || line.size() < space + 4) {
+    return std::nullopt;
+  }
+  int status = 0;
+  for (char digit : line.substr(space + 1, 3)) {
+    if (digit < '0' || digit > '9') {
+      return std::nullopt;
+    }
+    status = status * 10 + (digit - '0');
+  }
+  return status;
+}
+
+/// Sets what only lives on the socket. Failures leave the system's defaults.
+int OnSocketCreated(void* /*context*/,
+                    curl_socket_t descriptor,
+                    curlsocktype /*purpose*/) {
+  const unsigned timeout = kTcpUserTimeoutMs;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+             sizeof(timeout));
+  return CURL_SOCKOPT_OK;
+}
+
+}  // namespace
+
+void HttpClient::Impl::Configure(Call& call) {
+  CURL* easy = call.m_easy;
+  const HttpCall& wanted = call.m_call;
+  const std::string url = "http://" + wanted.m_endpoint.str() + wanted.m_path;
+  if (HasLineBreak(url) || HasLineBreak(wanted.m_method)) {
+    call.m_failure = "the method or path has a line break";
+  }
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepaliveIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(wanted.m_reuse_max_idle.count()));
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   Milliseconds(wanted.m_connect_timeout));
+  const long own = wanted.m_own_connection ? 1L : 0L;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, own);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, own);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &call);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &call);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
+  AddBody(call);
+  AddHeaders(call);
+}
+
+void HttpClient::Impl::AddBody(Call& call) {
+  static const std::string kNoBody;
+  CURL* easy = call.m_easy;
+  const std::string& method = call.m_call.m_method;
+  const bool expects_body =
+      method == "POST" || method == "PUT" || method == "PATCH";
+  if (call.m_call.m_body || expects_body) {
+    const std::string& body =
+        call.m_call.m_body ? *call.m_call.m_body : kNoBody;
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
+  } else if (method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else {
+    curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+  }
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+void HttpClient::Impl::AddHeaders(Call& call) {
+  bool has_content_type = false;
+  bool has_accept = false;
+  for (const auto& [name, value] : call.m_call.m_headers) {
+    if (HasLineBreak(name) || HasLineBreak(value)) {
+      call.m_failure = "a header has a line break";
+      continue;
+    }
+    has_content_type |= LowerCase(name) == "content-type";
+    has_accept |= LowerCase(name) == "accept";
+    // libcurl drops "Name:"; a semicolon asks for an empty value.
+    std::string line = name;
+    line.append(value.empty() ? ";" : ": ").append(value);
+    call.m_headers = curl_slist_append(call.m_headers, line.c_str());
+  }
+  call.m_headers = curl_slist_append(call.m_headers, "Expect:");
+  if (!has_content_type) {
+    call.m_headers = curl_slist_append(call.m_headers, "Content-Type:");
+  }
+  if (!has_accept) {
+    call.m_headers = curl_slist_append(call.m_headers, "Accept:");
+  }
+  curl_easy_setopt(call.m_easy, CURLOPT_HTTPHEADER, call.m_headers);
+}
+
+int HttpClient::Impl::OnBeforeSend(void* context,
+                                   char* /*primary_ip*/,
+                                   char* /*local_ip*/,
+                                   int /*primary_port*/,
+                                   int /*local_port*/) {
+  Call& call = *static_cast<Call*>(context);
+  if (call.m_cancelled) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  if (call.m_sent) {
+    // libcurl wants to repeat the call on a new connection.
+    call.m_second_send = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  call.m_sent = true;
+  if (call.m_events.m_on_send) {
+    call.m_events.m_on_send();
+  }
+  return call.m_cancelled ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+std::size_t HttpClient::Impl::OnHeader(char* data,
+                                       std::size_t size,
+                                       std::size_t count,
+                                       void* context) {
+  Call& call = *static_cast<Call*>(context);
+  const std::size_t length = size * count;
+  call.m_last_activity = BootTime();
+  call.m_any_answer = true;
+  if (!call.m_headers_done) {
+    call.m_client->HandleHeaderLine(call, {data, length});
+  }
+  return call.m_cancelled ? 0 : length;
+}
+
+void HttpClient::Impl::HandleHeaderLine(Call& call, std::string_view line) {
+  if (const auto status = ParseStatusLine(line)) {
+    call.m_status = *status;
+    call.m_answer_headers.clear();
+    return;
+  }
+  const std::string_view text = Trim(line);
+  const auto colon = text.find(':');
+  if (!text.empty()) {
+    if (colon != std::string_view::npos) {
+      call.m_answer_headers.emplace(LowerCase(Trim(text.substr(0, colon))),
+                                    Trim(text.substr(colon + 1)));
+    }
+    return;
+  }
+  if (call.m_status < 200) {
+    return;  // An interim answer; the real one follows.
+  }
+  call.m_headers_done = true;
+  call.m_framed = call.m_call.m_accept_close_delimited ||
+                  call.m_call.m_method == "HEAD" ||
+                  call.m_status == kStatusNoContent ||
+                  call.m_status == kStatusNotModified ||
+                  call.m_answer_headers.contains("content-length") ||
+                  call.m_answer_headers.contains("transfer-encoding");
+  if (call.m_events.m_on_headers) {
+    call.m_events.m_on_headers(call.m_status, call.m_answer_headers);
+  }
+}
+
+std::size_t HttpClient::Impl::OnBody(char* data,
+                                     std::size_t size,
+                                     std::size_t count,
+                                     void* context) {
+  Call& call = *static_cast<Call*>(context);
+  const std::size_t length = size * count;
+  if (call.m_cancelled) {
+    return 0;
+  }
+  call.m_last_activity = BootTime();
+  if (call.m_events.m_on_data && length > 0 &&
+      !call.m_events.m_on_data({data, length})) {
+    if (call.m_cancelled) {
+      return 0;
+    }
+    call.m_paused = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  return call.m_cancelled ? 0 : length;
+}
+
+}  // namespace nutmeghollow::net
