--- a/src/libnutmeg/claim_internals.h
+++ b/src/libnutmeg/claim_internals.h
@@ -26,14 +26,13 @@
 void HandleClaimWritten(World& world,
                         const std::string& row_key,
                         TimePoint now);
-/// The write of an own claim met another version of the row.
-void HandleClaimConflict(World& world, const StoreRow& found, TimePoint now);
+/// The row of an own claim was read, or found in place of the expected version;
+/// version zero when absent.
+void HandleClaimRow(World& world, const StoreRow& found, TimePoint now);
 /// The write of an own claim was refused by the table service.
 void HandleClaimUnavailable(World& world,
                             const std::string& row_key,
                             TimePoint now);
-/// A row of an own claim was read; version zero when absent.
-void HandleClaimRead(World& world, const StoreRow& found, TimePoint now);
 /// A row of an own claim could not be read.
 void HandleClaimReadFailed(World& world,
                            const std::string& row_key,
--- a/src/libnutmeg/claim_store.cpp
+++ b/src/libnutmeg/claim_store.cpp
@@ -59,7 +59,7 @@
         result.m_rows.begin(), result.m_rows.end(),
         [&write](const StoreRow& row) { return row.m_key == write.m_row_key; });
     if (differs) {
-      HandleClaimConflict(world, RowOf(result.m_rows, write.m_row_key), now);
+      HandleClaimRow(world, RowOf(result.m_rows, write.m_row_key), now);
     } else {
       // Another row of the transaction was the cause.
       QueueClaimWrite(world, write);
@@ -97,7 +97,7 @@
                 TimePoint now) {
   for (const std::string& key : operation.m_keys) {
     if (result.m_status == StoreStatus::kDone) {
-      HandleClaimRead(world, RowOf(result.m_rows, key), now);
+      HandleClaimRow(world, RowOf(result.m_rows, key), now);
     } else {
       HandleClaimReadFailed(world, key, now);
     }
--- a/src/libnutmeg/operator_commands.cpp
+++ b/src/libnutmeg/operator_commands.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "libnutmeg/configuration_rows.h"
+#include "libnutmeg/operator_queries.h"
 #include "nutmeghollow/configuration_schema.h"
 #include "nutmeghollow/world.h"
 
@@ -379,74 +380,6 @@
   }
 }
 
-// Questions.
-
-void EndQuery(World& world, const PendingQuery& pending, OperatorReply reply) {
-  reply.m_ticket = pending.m_query.m_ticket;
-  reply.m_command = pending.m_query.m_command;
-  world.m_operators.m_replies.push_back(std::move(reply));
-  const OperatorTicket ticket = pending.m_query.m_ticket;
-  world.m_operators.m_queries.erase(ticket);
-}
-
-void StartQuery(World& world, const OperatorQuery& query) {
-  const StoreOperationId operation = world.NewStoreOperation();
-  world.m_operators.m_queries[query.m_ticket] = {query, operation};
-  if (query.m_kind == QueryKind::kCommand) {
-    world.m_actions.push_back(
-        ReadStore{.m_purpose = StorePurpose::kOperator,
-                  .m_operation = operation,
-                  .m_keys = {detail::CommandRowKey(query.m_command)}});
-    return;
-  }
-  world.m_actions.push_back(
-      ScanStore{.m_purpose = StorePurpose::kOperator,
-                .m_operation = operation,
-                .m_prefix = detail::kAuditPrefix,
-                .m_after = detail::AuditRowKey(query.m_after),
-                .m_limit = query.m_limit});
-}
-
-/// Reads the audit row of a command that was found.
-void ContinueQuery(World& world, PendingQuery& pending, Revision revision) {
-  pending.m_operation = world.NewStoreOperation();
-  world.m_actions.push_back(
-      ReadStore{.m_purpose = StorePurpose::kOperator,
-                .m_operation = pending.m_operation,
-                .m_keys = {detail::AuditRowKey(revision)}});
-}
-
-void OnQueryResult(World& world,
-                   PendingQuery& pending,
-                   const StoreResult& result) {
-  OperatorReply reply;
-  if (result.m_status != StoreStatus::kDone) {
-    reply.m_findings = {
-        {kTableServicePlace, "it was not reached; ask again later"}};
-    EndQuery(world, pending, std::move(reply));
-    return;
-  }
-  for (const StoreRow& row : result.m_rows) {
-    const auto command = row.m_key.starts_with(detail::kCommandPrefix)
-                             ? detail::DecodeCommand(row.m_value)
-                             : std::nullopt;
-    if (command) {
-      ContinueQuery(world, pending, command->m_revision);
-      return;
-    }
-    if (std::optional<AuditRow> audit = detail::DecodeAudit(row.m_value)) {
-      reply.m_audit.push_back(std::move(*audit));
-    }
-  }
-  const bool found =
-      pending.m_query.m_kind == QueryKind::kAudit || !reply.m_audit.empty();
-  reply.m_result =
-      found ? OperatorResult::kAccepted : OperatorResult::kNotFound;
-  reply.m_revision = reply.m_audit.empty() ? world.m_configuration.m_revision
-                                           : reply.m_audit.back().m_revision;
-  EndQuery(world, pending, std::move(reply));
-}
-
 // Steps of a tick.
 
 void TakeInbox(World& world, TimePoint now) {
@@ -459,7 +392,7 @@
     StartHeadRead(world, pending);
   }
   for (const OperatorQuery& query : inbox.m_queries) {
-    StartQuery(world, query);
+    detail::StartQuery(world, query);
   }
 }
 
@@ -481,7 +414,7 @@
           return entry.second.m_operation == result.m_operation;
         });
     if (query != state.m_queries.end()) {
-      OnQueryResult(world, query->second, result);
+      detail::HandleQueryResult(world, query->second, result);
     }
   }
 }
--- a/src/libnutmeg/own_claims.cpp
+++ b/src/libnutmeg/own_claims.cpp
@@ -1,4 +1,6 @@
 // Claims of this process, from the insert until their end is stored.
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "claim_internals.h"
@@ -14,20 +16,11 @@
 /// Row values above this size are refused by the table service.
 constexpr std::size_t kRowLimit = 60 << 10;
 
-std::string Hex(std::uint64_t value) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text(16, '0');
-  for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
-    *digit = kDigits[value & 15];
-    value >>= 4;
-  }
-  return text;
-}
-
 const std::string& ProcessName(World& world) {
   std::string& name = world.m_claims.m_process;
   if (name.empty()) {
-    name = world.m_instances.m_self.str() + "/" + Hex(world.m_hooks.m_random());
+    name = fmt::format("{}/{:016x}", world.m_instances.m_self.str(),
+                       world.m_hooks.m_random());
   }
   return name;
 }
@@ -232,30 +225,6 @@
   }
 }
 
-void HandleRow(World& world, const StoreRow& found, TimePoint now) {
-  OwnClaim* claim = FindOwn(world, found.m_key);
-  if (claim == nullptr) {
-    return;
-  }
-  claim->m_busy = false;
-  const std::optional<ClaimRecord> record = found.m_version == RowVersion()
-                                                ? std::nullopt
-                                                : ParseClaim(found.m_value);
-  switch (claim->m_phase) {
-    case OwnClaimPhase::kInserting:
-      FindOnInsert(world, found, record, *claim, now);
-      break;
-    case OwnClaimPhase::kHeld:
-      FindOnHeld(found, record, *claim);
-      break;
-    case OwnClaimPhase::kSettling:
-      FindOnSettling(world, found, record, *claim, now);
-      break;
-    case OwnClaimPhase::kSettled:
-      break;
-  }
-}
-
 /// Decides about a repeat of a request that this process claimed.
 void HandleOwnRepeat(World& world,
                      RequestRow& row,
@@ -323,7 +292,7 @@
   claim.m_record.m_digest = row.m_request.m_digest;
   claim.m_record.m_claimer = world.m_instances.m_self;
   claim.m_record.m_token =
-      ProcessName(world) + "/" + Hex(world.m_hooks.m_random());
+      fmt::format("{}/{:016x}", ProcessName(world), world.m_hooks.m_random());
   claim.m_record.m_created = wall;
   claim.m_record.m_dispatch_until = WallTime(wall.value() + window);
   WriteInsert(world, row_key, claim);
@@ -344,12 +313,28 @@
   }
 }
 
-void HandleClaimConflict(World& world, const StoreRow& found, TimePoint now) {
-  HandleRow(world, found, now);
-}
-
-void HandleClaimRead(World& world, const StoreRow& found, TimePoint now) {
-  HandleRow(world, found, now);
+void HandleClaimRow(World& world, const StoreRow& found, TimePoint now) {
+  OwnClaim* claim = FindOwn(world, found.m_key);
+  if (claim == nullptr) {
+    return;
+  }
+  claim->m_busy = false;
+  const std::optional<ClaimRecord> record = found.m_version == RowVersion()
+                                                ? std::nullopt
+                                                : ParseClaim(found.m_value);
+  switch (claim->m_phase) {
+    case OwnClaimPhase::kInserting:
+      FindOnInsert(world, found, record, *claim, now);
+      break;
+    case OwnClaimPhase::kHeld:
+      FindOnHeld(found, record, *claim);
+      break;
+    case OwnClaimPhase::kSettling:
+      FindOnSettling(world, found, record, *claim, now);
+      break;
+    case OwnClaimPhase::kSettled:
+      break;
+  }
 }
 
 void HandleClaimUnavailable(World& world,
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -16,6 +16,7 @@
 #include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
 #include "nutmegd/registrations.h"
+#include "nutmegd/route_configuration.h"
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
@@ -104,7 +105,6 @@
   TableFollowerEvents ConfigurationEvents();
   TableFollowerEvents RegistrationEvents();
   TableFollowerEvents InstanceEvents();
-  void HandleConfiguration(const net::FeedRow& row);
 
   void StartDrain(const char* cause);
   void CheckDrain();
@@ -389,7 +389,7 @@
 TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
-    HandleConfiguration(row);
+    AdoptConfigurationRow(m_state, row);
   };
   events.m_on_current = [this](TimePoint current_at) {
     m_state.m_proof.Confirm(current_at);
@@ -406,34 +406,6 @@
   return events;
 }
 
-void Gateway::Impl::HandleConfiguration(const net::FeedRow& row) {
-  if (row.m_key != m_state.m_protocol.m_configuration_key || row.m_removed) {
-    return;
-  }
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(read,
-                        m_state.m_protocol.m_read_configuration(row.m_value));
-        if (m_state.m_configuration != nullptr &&
-            read.m_revision <= m_state.m_configuration->m_revision) {
-          return {};
-        }
-        Log(LogLevel::kInfo, "configuration_adopted",
-            {{"revision", static_cast<std::int64_t>(read.m_revision.value())},
-             {"routes", static_cast<std::int64_t>(read.RouteCount())}});
-        m_state.m_configuration =
-            std::make_shared<const RoutingConfiguration>(std::move(read));
-        return {};
-      },
-      [&](const net::BadDocument& error) {
-        for (const Finding& finding : error.m_findings) {
-          Log(LogLevel::kError, "configuration_not_used",
-              {{"place", finding.m_place}, {"fault", finding.m_message}});
-        }
-      },
-      [] { Log(LogLevel::kError, "configuration_not_used", {}); });
-}
-
 TableFollowerEvents Gateway::Impl::RegistrationEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
