--- a/src/libnutmeg/suspect_records.cpp
+++ b/src/libnutmeg/suspect_records.cpp
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "libnutmeg/dissemination.h"
+#include "libnutmeg/suspect_permits.h"
 #include "nutmeghollow/world.h"
 
 namespace nutmeghollow {
@@ -14,10 +14,6 @@
 
 using Stage = SuspectWork::Stage;
 
-/// After an attempt ended, the permit is kept until the verdict on the break
-/// is in, and a little longer, so that the crash is written in its place.
-constexpr Duration kVerdictMargin = std::chrono::milliseconds(100);
-
 std::int64_t Milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -27,25 +23,6 @@
   return WallTime(time.value() + Milliseconds(duration));
 }
 
-/// @return whether the request still waits to be dispatched.
-bool StillPlaced(const World& world, RequestId id) {
-  const RequestRow* row = world.m_requests.Find(id);
-  return row != nullptr && row->m_phase == RequestPhase::kPlaced;
-}
-
-/// Drops what was asked for by a request that went another way.
-void DropAbandoned(const World& world, SuspectWork& work, TimePoint now) {
-  const bool before_run =
-      work.m_stage != Stage::kNone && work.m_stage != Stage::kRunning;
-  if (!before_run || StillPlaced(world, work.m_request)) {
-    return;
-  }
-  if (work.m_stage == Stage::kGranted) {
-    work.m_release_at = now;
-  }
-  work.m_stage = Stage::kNone;
-}
-
 bool ReleaseDue(const SuspectWork& work, TimePoint now) {
   return work.m_release_at && *work.m_release_at <= now;
 }
@@ -289,86 +266,6 @@
   }
 }
 
-/// Tells all peers of a suspect, and asks them to confirm.
-void AskPeers(World& world, RequestDigest digest, TimePoint now) {
-  SuspectRecordState& state = world.m_suspect_records;
-  if (now - state.m_asked_at < state.m_parameters.m_ask_period) {
-    return;
-  }
-  state.m_asked_at = now;
-  std::erase_if(state.m_questions, [&](const auto& question) {
-    return now - question.second.m_asked_at > state.m_parameters.m_store_wait;
-  });
-  const auto peers = static_cast<int>(world.m_instances.m_rows.size());
-  int& transmissions = world.m_gossip.m_suspects[digest];
-  transmissions = std::max(transmissions, peers);
-  for (const auto& [id, row] : world.m_instances.m_rows) {
-    if (id == world.m_instances.m_self ||
-        row.m_status == InstanceStatus::kDead) {
-      continue;
-    }
-    GossipMessage message = detail::BuildMessage(world, GossipKind::kPing, id,
-                                                 ControlClass::kUrgent, now);
-    message.m_probe = ++world.m_membership.m_last_probe;
-    state.m_questions[message.m_probe] = {id, now};
-    detail::SendGossip(world, message, id, row.m_peer_endpoint,
-                       ControlClass::kUrgent, now);
-  }
-}
-
-/// @return whether no instance can run the suspect without knowing of it.
-/// @param since when the request was about to be dispatched here.
-bool KnownToAll(const World& world,
-                RequestDigest digest,
-                TimePoint since,
-                TimePoint now) {
-  const SuspectRecordState& state = world.m_suspect_records;
-  const auto found = world.m_suspects.find(digest);
-  if (found == world.m_suspects.end()) {
-    return true;  // Cleared meanwhile.
-  }
-  const TimePoint crashed_at =
-      found->second.m_expires_at - world.m_quarantine_parameters.m_expiry;
-  const auto limit =
-      static_cast<std::size_t>(world.m_gossip.m_parameters.m_load_to_all_limit);
-  if (now - crashed_at >= state.m_parameters.m_unheard_grace ||
-      world.m_instances.m_rows.size() > limit) {
-    return true;
-  }
-  return std::all_of(world.m_instances.m_rows.begin(),
-                     world.m_instances.m_rows.end(), [&](const auto& entry) {
-                       const auto confirmed =
-                           state.m_confirmed.find(entry.first);
-                       return entry.first == world.m_instances.m_self ||
-                              (confirmed != state.m_confirmed.end() &&
-                               confirmed->second >= since);
-                     });
-}
-
-/// @return whether a peer was lost lately, so that gossip may not reach all.
-bool LostPeer(const World& world, TimePoint now) {
-  const Duration recent = world.m_suspect_records.m_parameters.m_look_up_for;
-  return std::any_of(world.m_instances.m_rows.begin(),
-                     world.m_instances.m_rows.end(), [&](const auto& entry) {
-                       const InstanceRow& row = entry.second;
-                       const bool lost =
-                           row.m_status == InstanceStatus::kSuspect ||
-                           row.m_status == InstanceStatus::kDead;
-                       return lost && now - row.m_status_since < recent;
-                     });
-}
-
-/// @return whether each instance that is known is heard of, so that gossip
-/// reaches all.
-bool HearsAll(const World& world) {
-  return std::all_of(world.m_instances.m_rows.begin(),
-                     world.m_instances.m_rows.end(), [](const auto& entry) {
-                       const InstanceStatus status = entry.second.m_status;
-                       return status == InstanceStatus::kAlive ||
-                              status == InstanceStatus::kLeaving;
-                     });
-}
-
 }  // namespace
 
 std::string SuspectRowKey(RequestDigest digest) {
@@ -423,88 +320,6 @@
   }
 }
 
-SuspectPermit AskSuspectPermit(World& world,
-                               const RequestRow& row,
-                               TimePoint now) {
-  SuspectRecordState& state = world.m_suspect_records;
-  SuspectWork& work = state.m_work[row.m_request.m_digest];
-  DropAbandoned(world, work, now);
-  if (work.m_stage == Stage::kNone) {
-    work.m_stage = Stage::kWanted;
-    work.m_request = row.m_request.m_id;
-    work.m_wanted_since = now;
-    world.m_tick_again = true;
-  }
-  if (work.m_request != row.m_request.m_id) {
-    return SuspectPermit::kWaiting;
-  }
-  const RequestDigest digest = row.m_request.m_digest;
-  const bool known_to_all = KnownToAll(world, digest, work.m_wanted_since, now);
-  const bool waited =
-      now - work.m_wanted_since >= state.m_parameters.m_store_wait;
-  const bool store_away = work.m_stage == Stage::kWanted && waited;
-  const bool allowed =
-      work.m_stage == Stage::kGranted || (store_away && HearsAll(world));
-  if (allowed && known_to_all) {
-    work.m_stage = Stage::kRunning;
-    return SuspectPermit::kGranted;
-  }
-  if (work.m_stage == Stage::kHeldElsewhere || waited) {
-    if (work.m_stage == Stage::kGranted) {
-      work.m_release_at = now;
-    }
-    work.m_stage = Stage::kNone;
-    ++state.m_refused;
-    return SuspectPermit::kRunsElsewhere;
-  }
-  if (!known_to_all) {
-    AskPeers(world, digest, now);
-  }
-  return SuspectPermit::kWaiting;
-}
-
-void NoteProbeAnswer(World& world, std::uint32_t probe) {
-  SuspectRecordState& state = world.m_suspect_records;
-  const auto question = state.m_questions.extract(probe);
-  if (!question.empty()) {
-    TimePoint& confirmed = state.m_confirmed[question.mapped().m_peer];
-    confirmed = std::max(confirmed, question.mapped().m_asked_at);
-    world.m_tick_again = true;
-  }
-}
-
-bool LookedUp(World& world, const RequestRow& row, TimePoint now) {
-  SuspectRecordState& state = world.m_suspect_records;
-  if (!LostPeer(world, now)) {
-    return true;
-  }
-  const RequestDigest digest = row.m_request.m_digest;
-  const auto found = state.m_looked_up.find(digest);
-  const bool read =
-      found != state.m_looked_up.end() && found->second >= row.m_phase_since;
-  if (read || now - row.m_phase_since >= state.m_parameters.m_look_up_wait) {
-    return true;
-  }
-  SuspectWork& work = state.m_work[digest];
-  if (!work.m_look && !work.m_in_flight) {
-    work.m_look = true;
-    world.m_tick_again = true;
-  }
-  return false;
-}
-
-void ReturnSuspectPermit(World& world, const RequestRow& row, TimePoint now) {
-  auto& all = world.m_suspect_records.m_work;
-  const auto found = all.find(row.m_request.m_digest);
-  if (found == all.end() || found->second.m_stage != Stage::kRunning ||
-      found->second.m_request != row.m_request.m_id) {
-    return;
-  }
-  found->second.m_stage = Stage::kNone;
-  found->second.m_release_at =
-      now + world.m_quarantine_parameters.m_verdict_delay + kVerdictMargin;
-}
-
 void ClearSuspectRecord(World& world, RequestDigest digest) {
   world.m_suspect_records.m_work[digest].m_clear = true;
 }
@@ -535,7 +350,7 @@
   SuspectRecordState& state = world.m_suspect_records;
   std::vector<RequestDigest> due;
   for (auto& [digest, work] : state.m_work) {
-    DropAbandoned(world, work, now);
+    detail::DropAbandoned(world, work, now);
     const bool free = !work.m_in_flight && now >= work.m_not_before;
     if (free && HasWork(work, now) &&
         due.size() < state.m_parameters.m_batch_limit) {
