--- a/src/libnet/log_bench.cpp
+++ b/src/libnet/log_bench.cpp
@@ -48,8 +48,10 @@
 
 void WriteLine(benchmark::State& state) {
   // Each event has its own rate; many of them are never above it.
+  constexpr int kEvents = 4096;
   std::vector<std::string> events;
-  for (int index = 0; index < 4096; ++index) {
+  events.reserve(kEvents);
+  for (int index = 0; index < kEvents; ++index) {
     events.push_back(fmt::format("event_{}", index));
   }
   const SilencedOutput silenced;
