Bound an event without an end and tell silence by whole events

Cause: EventSplitter kept an event that never ended, and searched all of it again for each piece; a byte now and then, or a comment, kept a stalled stream until the route's time-out although another server could have gone on. Change: an event has at most 128 KiB, its searched bytes are not searched again, and the limit of silence counts whole events that carry data.

--- a/src/include/nutmeghollow/event_stream.h
+++ b/src/include/nutmeghollow/event_stream.h
@@ -5,30 +5,40 @@
 /// go on at another upstream without a torn event.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace nutmeghollow {
 
+/// Most bytes of an event that has not ended. An event of a model engine has a
+/// few KiB; a hundred servers that never end one must fit into an instance.
+inline constexpr std::size_t kMostEventBytes = 128 << 10;
+
 /// Cuts the bytes of one stream into whole events.
 class EventSplitter {
  public:
   /// Takes bytes in. @return the bytes of the events that are whole now.
   std::string Take(std::string_view data);
+  /// @return true when an event has more bytes than any that ends. The stream
+  /// is no answer then, and its next bytes must not be taken.
+  bool Overlong() const { return m_rest.size() > kMostEventBytes; }
   /// @return bytes of an event that is not whole.
   const std::string& Rest() const { return m_rest; }
   /// Forgets an event that is not whole: the stream goes on elsewhere.
-  void DropRest() { m_rest.clear(); }
+  void DropRest();
   /// @return the id of the last whole event that had one.
   const std::optional<std::string>& LastId() const { return m_last_id; }
-  /// @return whole events seen.
+  /// @return whole events that carried data. Comments, by which a stalled
+  /// server may keep its connection, do not count.
   int Events() const { return m_events; }
 
  private:
   void ReadEvent(std::string_view event);
 
   std::string m_rest;
+  std::size_t m_searched = 0;  ///< Bytes of the rest without an event's end.
   std::optional<std::string> m_last_id;
   int m_events = 0;
 };
--- a/src/libnutmeg/gateway_parts_test.cpp
+++ b/src/libnutmeg/gateway_parts_test.cpp
@@ -2,6 +2,9 @@
 // configuration, entry directory.
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <string>
+
 #include "nutmeghollow/configuration_proof.h"
 #include "nutmeghollow/entry_directory.h"
 #include "nutmeghollow/event_stream.h"
@@ -90,6 +93,10 @@
                     SplitCase{"id: 7\r\ndata: a\r\n\r", "\n",
                               "id: 7\r\ndata: a\r\n\r\n", "7", 1},
                     SplitCase{"data: a\n\n", "", "data: a\n\n", "", 1},
+                    SplitCase{": x\n\n", "data: a\n\n", ": x\n\ndata: a\n\n",
+                              "", 1},
+                    SplitCase{"data: a\r\n\r\ndata: b\n", "\n",
+                              "data: a\r\n\r\ndata: b\n\n", "", 2},
                     SplitCase{"", "", "", "", 0}));
 
 TEST(EventSplitter, DropsATornEventBeforeAStreamGoesOn) {
@@ -99,6 +106,21 @@
   EXPECT_EQ(splitter.Take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
 }
 
+TEST(EventSplitter, TellsAnEventWithoutAnEndAndDoesNotSearchItAgain) {
+  EventSplitter splitter;
+  const std::string piece(1000, 'x');
+  const auto started = std::chrono::steady_clock::now();
+  // Searched again for each piece, these would be 20 GB.
+  std::size_t taken = 0;
+  for (; taken < (std::size_t{6} << 20); taken += piece.size()) {
+    EXPECT_EQ(splitter.Overlong(), taken > kMostEventBytes);
+    EXPECT_TRUE(splitter.Take(piece).empty());
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - started, seconds(2));
+  EXPECT_EQ(splitter.Take("\n\n").size(), taken + 2);
+  EXPECT_FALSE(splitter.Overlong());
+}
+
 TEST(ConfigurationProof, AgesFromWhenItWasAskedFor) {
   ConfigurationProof proof;
   EXPECT_FALSE(proof.Within(seconds(5), At({})));
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -62,9 +62,14 @@
     : m_state(state),
       m_exchange(std::move(exchange)),
       m_on_done(std::move(on_done)),
-      m_timer(state->m_loop, [this] {
+      m_timer(state->m_loop,
+              [this] {
+                const auto self = shared_from_this();
+                HandleDeadline();
+              }),
+      m_silence_timer(state->m_loop, [this] {
         const auto self = shared_from_this();
-        HandleDeadline();
+        CheckSilence();
       }) {}
 
 RouteRelay::~RouteRelay() = default;
@@ -92,6 +97,8 @@
   m_exchange->OnDrained([weak] {
     const auto self = weak.lock();
     if (self != nullptr && self->m_attempt) {
+      self->m_attempt->m_paused = false;
+      self->m_attempt->m_last_event_at = BootTime();
       self->m_state->m_client->Resume(self->m_attempt->m_call);
     }
   });
@@ -300,8 +307,9 @@
   attempt.m_upstream = upstream;
   attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
-  attempt.m_call =
-      m_state->m_client->Start(MakeCall(*registration, now), MakeEvents());
+  net::HttpCall call = MakeCall(*registration, now);
+  attempt.m_silence_limit = call.m_idle_timeout;
+  attempt.m_call = m_state->m_client->Start(std::move(call), MakeEvents());
   m_attempt = std::move(attempt);
   ++m_progress.m_attempts;
   m_tried.push_back(upstream);
@@ -327,11 +335,12 @@
     attempt.m_failure = AttemptFailure::kRefused;
   } else if (!fields.m_signed || fields.m_echoed_id != m_request.m_id) {
     // Bytes that belong to no request, or to another one.
-    m_progress.m_may_have_run = true;
-    CancelAttempt(AttemptHealth::kBroken);
-    HandleFailure(AttemptFailure::kBroken);
+    EndByFailure(AttemptFailure::kBroken, AttemptHealth::kBroken);
   } else if (status >= kStatusServerError) {
     attempt.m_failure = AttemptFailure::kFailed;
+  } else if (IsStreamAnswer()) {
+    attempt.m_last_event_at = BootTime();
+    m_silence_timer.Start(attempt.m_silence_limit);
   }
 }
 
@@ -346,6 +355,7 @@
   }
   if (!attempt.m_failure && IsStreamAnswer()) {
     if (m_exchange->Buffered() > kStreamBacklog) {
+      attempt.m_paused = true;
       return false;
     }
     RelayEvents(data);
@@ -362,12 +372,32 @@
 }
 
 void RouteRelay::RelayEvents(std::string_view data) {
+  const int events_before = m_events.Events();
   const std::string events = m_events.Take(data);
-  if (events.empty()) {
+  if (m_events.Events() > events_before) {
+    m_attempt->m_last_event_at = BootTime();
+  }
+  if (!events.empty()) {
+    BeginStream();
+    m_exchange->Write(events);
+  }
+  if (m_events.Overlong()) {
+    EndByFailure(AttemptFailure::kBroken, AttemptHealth::kBroken);
+  }
+}
+
+void RouteRelay::CheckSilence() {
+  if (m_done || !m_attempt || !IsStreamAnswer()) {
     return;
   }
-  BeginStream();
-  m_exchange->Write(events);
+  const Duration silent = m_attempt->m_paused
+                              ? Duration::zero()
+                              : BootTime() - m_attempt->m_last_event_at;
+  if (silent < m_attempt->m_silence_limit) {
+    m_silence_timer.Start(m_attempt->m_silence_limit - silent);
+    return;
+  }
+  EndByFailure(AttemptFailure::kSilent, AttemptHealth::kSilent);
 }
 
 void RouteRelay::BeginStream() {
@@ -473,6 +503,12 @@
   }
 }
 
+void RouteRelay::EndByFailure(AttemptFailure failure, AttemptHealth health) {
+  m_progress.m_may_have_run = true;
+  CancelAttempt(health);
+  HandleFailure(failure);
+}
+
 void RouteRelay::CancelAttempt(AttemptHealth health) {
   if (m_attempt) {
     m_state->m_client->Cancel(m_attempt->m_call);
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -55,6 +55,9 @@
     std::optional<AttemptFailure> m_failure;  ///< Told by the header.
     bool m_answered = false;
     std::string m_body;
+    Duration m_silence_limit{};  ///< Between two whole events.
+    TimePoint m_last_event_at{};
+    bool m_paused = false;  ///< The caller reads slowly.
   };
 
   Rejection CheckRequest(TimePoint now);
@@ -76,12 +79,16 @@
   void HandleDeadline();
   void HandleGone();
 
+  /// Ends an attempt whose stream brings no whole events any more.
+  void CheckSilence();
   void BeginStream();
   void RelayEvents(std::string_view data);
   void EndWhole();
   void EndStream();
   void EndAttempt(AttemptHealth health, TimePoint now);
   void CancelAttempt(AttemptHealth health);
+  /// Closes the connection of an attempt that may have run, and goes on.
+  void EndByFailure(AttemptFailure failure, AttemptHealth health);
 
   void Refuse(const char* reason);
   void RefuseFor(const char* reason, Duration wait);
@@ -104,6 +111,7 @@
   std::shared_ptr<net::HttpExchange> m_exchange;
   std::function<void()> m_on_done;
   net::Timer m_timer;
+  net::Timer m_silence_timer;
 
   net::RouteRequest m_request;
   std::shared_ptr<const std::string> m_body;
