Bound the memory of held answers; give up bodies that rest

Cause: each answer that is held until it is whole might take 8 MB, so a hundred servers without an end took 800 MB of an instance's 160; such an answer ended the request with 502 although it may be repeated; a body that rests, or comes byte by byte, was waited for until the route's time-out. The check that a repeatable request waits inside its answer without limit was wrong for that aim; three stricter ones replace it.

--- a/src/include/nutmeghollow/attempt_policy.h
+++ b/src/include/nutmeghollow/attempt_policy.h
@@ -66,7 +66,8 @@
                         int attempts_left,
                         Duration time_left);
 
-/// Longest silence inside a stream that has begun.
+/// Longest time without progress of an answer that has begun: of a stream
+/// without a whole event, of another answer without a part of its body.
 Duration SilenceLimit(const HttpRoute& route,
                       int attempts_left,
                       Duration time_left);
--- a/src/libnutmeg/attempt_policy.cpp
+++ b/src/libnutmeg/attempt_policy.cpp
@@ -5,8 +5,9 @@
 namespace nutmeghollow {
 namespace {
 
-/// A first answer later than this many latency targets is taken for a silent
-/// upstream, as long as another one may be asked.
+/// A first answer later than this many latency targets, or a whole answer that
+/// rests for as long, is taken for a silent upstream, as long as another one
+/// may be asked.
 constexpr int kFirstByteTargets = 2;
 /// Least wait for a first byte, so that a short target is not taken for
 /// silence on a slow instance.
@@ -69,13 +70,13 @@
 Duration SilenceLimit(const HttpRoute& route,
                       int attempts_left,
                       Duration time_left) {
-  if (route.m_repeatability != Repeatability::kResumable ||
-      attempts_left <= 0) {
+  if (!route.MayRepeat() || attempts_left <= 0) {
     return time_left;
   }
-  const Duration patient =
-      std::max(route.m_gap_target * kSilenceGaps, kLeastSilence);
-  return std::min(patient, time_left);
+  const Duration patient = route.m_streamed
+                               ? route.m_gap_target * kSilenceGaps
+                               : route.m_latency_target * kFirstByteTargets;
+  return std::min(std::max(patient, kLeastSilence), time_left);
 }
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/attempt_policy_test.cpp
+++ b/src/libnutmeg/attempt_policy_test.cpp
@@ -141,7 +141,9 @@
   EXPECT_EQ(FirstByteLimit(RouteOf(kOnce, 3), 2, left), left);
   EXPECT_EQ(FirstByteLimit(RouteOf(kResume, 2), 0, left), left);
   EXPECT_LT(FirstByteLimit(RouteOf(kResume, 2), 1, left), left);
-  EXPECT_EQ(SilenceLimit(RouteOf(kAgain, 2), 1, left), left);
+  EXPECT_LT(SilenceLimit(RouteOf(kAgain, 2), 1, left), left);
+  EXPECT_EQ(SilenceLimit(RouteOf(kAgain, 2), 0, left), left);
+  EXPECT_EQ(SilenceLimit(RouteOf(kOnce, 3), 1, left), left);
   EXPECT_LT(SilenceLimit(RouteOf(kResume, 2), 1, left), left);
 }
 
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -11,6 +11,7 @@
 #include "libnet/route_protocol.h"
 #include "nutmegd/crash_watch.h"
 #include "nutmegd/settings.h"
+#include "nutmeghollow/answer_memory.h"
 #include "nutmeghollow/attempt_policy.h"
 #include "nutmeghollow/configuration_proof.h"
 #include "nutmeghollow/metrics.h"
@@ -38,6 +39,7 @@
   ConfigurationProof m_proof;
   UpstreamPool m_pool;
   RetryAllowance m_allowance;
+  AnswerMemory m_answer_memory;
   MetricsRegistry m_metrics;
   std::mt19937_64 m_random{std::random_device()()};
 
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -28,8 +28,9 @@
 /// Idle connections are reused for this long. Upstreams close theirs after
 /// some seconds, and a connection lost without notice costs an attempt.
 constexpr std::chrono::seconds kReuseMaxIdle{2};
-/// Answers that are not streams are held whole up to this size.
-constexpr std::size_t kHoldLimit = 8 << 20;
+/// Bytes of a held answer that count as progress: a server that sends less in
+/// the time of a silence is stalled.
+constexpr std::size_t kProgressBytes = 1 << 10;
 /// Unsent bytes of a slow caller's stream at which reading stops.
 constexpr std::size_t kStreamBacklog = 64 << 10;
 /// An unknown route or key is final only if the configuration was the newest
@@ -98,7 +99,7 @@
     const auto self = weak.lock();
     if (self != nullptr && self->m_attempt) {
       self->m_attempt->m_paused = false;
-      self->m_attempt->m_last_event_at = BootTime();
+      self->m_attempt->m_progress_at = BootTime();
       self->m_state->m_client->Resume(self->m_attempt->m_call);
     }
   });
@@ -303,7 +304,7 @@
 
 void RouteRelay::Send(const UpstreamId& upstream, TimePoint now) {
   const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
-  Attempt attempt;
+  Attempt attempt(&m_state->m_answer_memory);
   attempt.m_upstream = upstream;
   attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
@@ -338,9 +339,10 @@
     EndByFailure(AttemptFailure::kBroken, AttemptHealth::kBroken);
   } else if (status >= kStatusServerError) {
     attempt.m_failure = AttemptFailure::kFailed;
-  } else if (IsStreamAnswer()) {
-    attempt.m_last_event_at = BootTime();
-    m_silence_timer.Start(attempt.m_silence_limit);
+  }
+  if (m_attempt) {
+    m_attempt->m_progress_at = BootTime();
+    m_silence_timer.Start(m_attempt->m_silence_limit);
   }
 }
 
@@ -361,13 +363,20 @@
     RelayEvents(data);
     return true;
   }
-  if (attempt.m_body.size() + data.size() > kHoldLimit) {
-    m_progress.m_may_have_run = true;
-    CancelAttempt(AttemptHealth::kAbandoned);
-    Fail(kStatusBadGateway, "answer too large to hold");
+  return HoldData(data);
+}
+
+bool RouteRelay::HoldData(std::string_view data) {
+  Attempt& attempt = *m_attempt;
+  if (!attempt.m_body.Append(data)) {
+    EndByFailure(AttemptFailure::kBroken, AttemptHealth::kBroken);
     return true;
   }
-  attempt.m_body.append(data);
+  const std::size_t size = attempt.m_body.size();
+  if (size - attempt.m_body_at_progress >= kProgressBytes) {
+    attempt.m_body_at_progress = size;
+    attempt.m_progress_at = BootTime();
+  }
   return true;
 }
 
@@ -375,7 +384,7 @@
   const int events_before = m_events.Events();
   const std::string events = m_events.Take(data);
   if (m_events.Events() > events_before) {
-    m_attempt->m_last_event_at = BootTime();
+    m_attempt->m_progress_at = BootTime();
   }
   if (!events.empty()) {
     BeginStream();
@@ -387,12 +396,12 @@
 }
 
 void RouteRelay::CheckSilence() {
-  if (m_done || !m_attempt || !IsStreamAnswer()) {
+  if (m_done || !m_attempt || m_attempt->m_status == 0) {
     return;
   }
   const Duration silent = m_attempt->m_paused
                               ? Duration::zero()
-                              : BootTime() - m_attempt->m_last_event_at;
+                              : BootTime() - m_attempt->m_progress_at;
   if (silent < m_attempt->m_silence_limit) {
     m_silence_timer.Start(m_attempt->m_silence_limit - silent);
     return;
@@ -445,10 +454,12 @@
     failure = AttemptFailure::kSilent;
     health = AttemptHealth::kSilent;
   }
-  const Attempt attempt = *m_attempt;
+  const UpstreamId upstream = m_attempt->m_upstream;
+  const Endpoint endpoint = m_attempt->m_endpoint;
+  const TimePoint sent_at = m_attempt->m_sent_at;
   EndAttempt(health, now);
   if (failure == AttemptFailure::kBroken) {
-    HandleBreak(attempt);
+    HandleBreak(upstream, endpoint, sent_at);
   } else {
     HandleFailure(failure);
   }
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -15,6 +15,7 @@
 #include "libnet/event_loop.h"
 #include "libnet/http_server.h"
 #include "nutmegd/gateway_state.h"
+#include "nutmeghollow/answer_memory.h"
 #include "nutmeghollow/event_stream.h"
 
 namespace nutmeghollow {
@@ -42,10 +43,11 @@
   struct HeldAnswer {
     int m_status = 0;
     net::HeaderList m_headers;
-    std::string m_body;
+    HeldBody m_body;
   };
   /// The attempt in progress.
   struct Attempt {
+    explicit Attempt(AnswerMemory* memory) : m_body(memory) {}
     net::HttpCallId m_call;
     UpstreamId m_upstream;
     Endpoint m_endpoint;
@@ -54,9 +56,10 @@
     net::HeaderMap m_headers;
     std::optional<AttemptFailure> m_failure;  ///< Told by the header.
     bool m_answered = false;
-    std::string m_body;
-    Duration m_silence_limit{};  ///< Between two whole events.
-    TimePoint m_last_event_at{};
+    HeldBody m_body;
+    std::size_t m_body_at_progress = 0;
+    Duration m_silence_limit{};  ///< Without progress of the answer.
+    TimePoint m_progress_at{};
     bool m_paused = false;  ///< The caller reads slowly.
   };
 
@@ -75,11 +78,14 @@
   void HandleFailure(AttemptFailure failure);
   /// Finds out whether the upstream crashed, then goes on. A request that is
   /// no suspect goes on at once.
-  void HandleBreak(const Attempt& attempt);
+  void HandleBreak(const UpstreamId& upstream,
+                   const Endpoint& endpoint,
+                   TimePoint sent_at);
   void HandleDeadline();
   void HandleGone();
 
-  /// Ends an attempt whose stream brings no whole events any more.
+  bool HoldData(std::string_view data);
+  /// Ends an attempt whose answer makes no progress any more.
   void CheckSilence();
   void BeginStream();
   void RelayEvents(std::string_view data);
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -76,12 +76,13 @@
   }
 }
 
-void RouteRelay::HandleBreak(const Attempt& attempt) {
+void RouteRelay::HandleBreak(const UpstreamId& upstream,
+                             const Endpoint& endpoint,
+                             TimePoint sent_at) {
   CrashWatch& crashes = *m_state->m_crashes;
   const bool suspect = crashes.Suspects().IsSuspect(Digest(), BootTime());
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
-  crashes.Investigate({Digest(), m_request.m_id, attempt.m_upstream,
-                       attempt.m_endpoint, attempt.m_sent_at},
+  crashes.Investigate({Digest(), m_request.m_id, upstream, endpoint, sent_at},
                       [weak, suspect] {
                         const auto self = weak.lock();
                         if (suspect && self != nullptr && !self->m_done) {
@@ -146,7 +147,7 @@
     return;
   }
   m_exchange->Respond(answer.m_status, answer.m_headers,
-                      std::move(answer.m_body));
+                      answer.m_body.Release());
   Finish("served", answer.m_status, "");
 }
 
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -344,8 +344,7 @@
     UpstreamSettings& target = m_settings.m_upstreams;
     SectionReader reader = Open("upstreams");
     reader.ReadMilliseconds("connect_timeout_ms", &target.m_connect_timeout);
-    reader.ReadMilliseconds("first_byte_timeout_ms",
-                            &target.m_head_timeout);
+    reader.ReadMilliseconds("first_byte_timeout_ms", &target.m_head_timeout);
     reader.ReadMilliseconds("idle_timeout_ms", &target.m_idle_timeout);
   }
 
