Act on a refusal as soon as its head is read, and only on this request's

Cause: a refusal was acted on when its body had ended, so one whose body rests held the request until its time-out (504 after 2.0 s); a late refusal of the request before, on a connection in use again, was taken for this one's: callers were told 'not run' though it ran. Change: the call is ended once the read that brought the head is done; a body in the same read still lets the connection be used again. An answer with the id of another request is broken, whatever it says. Before: nonsense_case check_refusals_without_an_end failed ('refusal_silent', 504), check_answers_to_the_request_before failed 3 of 3 ('told not run, though it ran'). After: passed, 3 of 3. Seen beside: gateway_case check_a_crashing_request_is_stopped failed 2 of 6 runs of the former program and 1 of 4 of this one; being traced.

--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -68,9 +68,14 @@
                 const auto self = shared_from_this();
                 HandleDeadline();
               }),
-      m_silence_timer(state->m_loop, [this] {
+      m_silence_timer(state->m_loop,
+                      [this] {
+                        const auto self = shared_from_this();
+                        CheckSilence();
+                      }),
+      m_refusal_timer(state->m_loop, [this] {
         const auto self = shared_from_this();
-        CheckSilence();
+        EndRefused();
       }) {}
 
 RouteRelay::~RouteRelay() = default;
@@ -330,20 +335,42 @@
   if (fields.m_load) {
     m_state->m_pool.NoteLoad(attempt.m_upstream, *fields.m_load, BootTime());
   }
-  if (fields.m_wrong_upstream) {
-    attempt.m_failure = AttemptFailure::kWrongUpstream;
-  } else if (fields.m_not_run) {
-    attempt.m_failure = AttemptFailure::kRefused;
-  } else if (!fields.m_signed || fields.m_echoed_id != m_request.m_id) {
-    // Bytes that belong to no request, or to another one.
+  const bool not_run = fields.m_wrong_upstream || fields.m_not_run;
+  const bool of_another =
+      !fields.m_echoed_id.empty() && fields.m_echoed_id != m_request.m_id;
+  const bool nameless = !fields.m_signed || fields.m_echoed_id.empty();
+  if (of_another || (!not_run && nameless)) {
+    // Bytes that belong to no request, or to the one before. A refusal of that
+    // one proves nothing for this one.
     EndByFailure(AttemptFailure::kBroken, AttemptHealth::kBroken);
-  } else if (status >= kStatusServerError) {
+    return;
+  }
+  if (not_run) {
+    attempt.m_failure = fields.m_wrong_upstream ? AttemptFailure::kWrongUpstream
+                                                : AttemptFailure::kRefused;
+    // A body that came with the head ends the call before, so that its
+    // connection can be used again.
+    m_refusal_timer.Start(Duration::zero());
+    return;
+  }
+  if (status >= kStatusServerError) {
     attempt.m_failure = AttemptFailure::kFailed;
   }
-  if (m_attempt) {
-    m_attempt->m_progress_at = BootTime();
-    m_silence_timer.Start(m_attempt->m_silence_limit);
+  attempt.m_progress_at = BootTime();
+  m_silence_timer.Start(attempt.m_silence_limit);
+}
+
+void RouteRelay::EndRefused() {
+  if (m_done || !m_attempt || !m_attempt->m_failure ||
+      !ProvesNotRun(*m_attempt->m_failure)) {
+    return;
   }
+  const AttemptFailure failure = *m_attempt->m_failure;
+  if (failure == AttemptFailure::kWrongUpstream) {
+    m_state->m_pool.NoteReplaced(m_attempt->m_upstream, BootTime());
+  }
+  CancelAttempt(AttemptHealth::kRefused);
+  HandleFailure(failure);
 }
 
 bool RouteRelay::HandleData(std::string_view data) {
@@ -425,14 +452,9 @@
     return;
   }
   const TimePoint now = BootTime();
-  const std::optional<AttemptFailure> told = m_attempt->m_failure;
-  if (told && ProvesNotRun(*told)) {
+  if (m_attempt->m_failure && ProvesNotRun(*m_attempt->m_failure)) {
     // The header says it; how the rest of the answer ended does not matter.
-    if (*told == AttemptFailure::kWrongUpstream) {
-      m_state->m_pool.NoteReplaced(m_attempt->m_upstream, now);
-    }
-    EndAttempt(AttemptHealth::kRefused, now);
-    HandleFailure(*told);
+    EndRefused();
     return;
   }
   m_progress.m_may_have_run =
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -73,6 +73,8 @@
   net::HttpCallEvents MakeEvents();
 
   void HandleHeaders(int status, const net::HeaderMap& headers);
+  /// Acts on a refusal that the header told.
+  void EndRefused();
   bool HandleData(std::string_view data);
   void HandleEnd(const net::HttpEnd& end);
   void HandleFailure(AttemptFailure failure);
@@ -118,6 +120,7 @@
   std::function<void()> m_on_done;
   net::Timer m_timer;
   net::Timer m_silence_timer;
+  net::Timer m_refusal_timer;
 
   net::RouteRequest m_request;
   std::shared_ptr<const std::string> m_body;
