Count crashes in sequence though their reports took different times

Cause: crash times travel as ages, so each report shifts them by its transit and rounding. The first report of two crashes 1 ms apart told the first crash later than the second report told the second send; the crashes then counted as one, and the other instance ran the request on a third server. Before: CrashSuspects.CountCrashesWhoseReportsTookDifferentTimes failed. After: passed.

--- a/src/libnutmeg/crash_suspects.cpp
+++ b/src/libnutmeg/crash_suspects.cpp
@@ -27,7 +27,8 @@
   int count = 0;
   TimePoint last;
   for (const CrashOfUpstream& crash : entry.m_crashes) {
-    const bool in_sequence = count == 0 || crash.m_sent_at >= last;
+    const bool in_sequence =
+        count == 0 || crash.m_sent_at + m_parameters.m_transit >= last;
     if (in_sequence && now - crash.m_crashed_at < m_parameters.m_expiry) {
       ++count;
       last = crash.m_crashed_at;
--- a/src/libnutmeg/crash_suspects_test.cpp
+++ b/src/libnutmeg/crash_suspects_test.cpp
@@ -63,6 +63,16 @@
                                    true}),
     [](const auto& info) { return info.param.m_name; });
 
+/// A report's times are ages, so each is late by its own transit. Here the
+/// report of the first crash took 2 ms longer than that of both.
+TEST(CrashSuspects, CountCrashesWhoseReportsTookDifferentTimes) {
+  CrashSuspects suspects;
+  suspects.NoteReport({kDigest, {Crash(1, 2, 12)}, {}}, At(13));
+  suspects.NoteReport({kDigest, {Crash(1, 0, 10), Crash(2, 10, 11)}, {}},
+                      At(14));
+  EXPECT_GT(suspects.RefusedFor(kDigest, At(20)), Duration::zero());
+}
+
 TEST(CrashSuspects, RefuseForAWhileAndThenLetOneThrough) {
   CrashSuspects suspects;
   EXPECT_FALSE(suspects.NoteCrash(kDigest, Crash(1, 0, 10), At(10)));
