Take the earliest time that reports tell of a crash

Change: that allowance is gone; a crash told again keeps the earliest of its times, which is the nearest to the truth, since transit only makes them later.

--- a/src/include/nutmeghollow/crash_suspects.h
+++ b/src/include/nutmeghollow/crash_suspects.h
@@ -47,10 +47,6 @@
   /// Crashes of one upstream within this time are one crash, seen twice. An
   /// upstream needs some seconds to come back.
   Duration m_same_crash = std::chrono::milliseconds(1500);
-  /// Times that others tell are late by the transit of a datagram, each by
-  /// another: a request that was sent this long before the last crash counts
-  /// as sent after it.
-  Duration m_transit = std::chrono::milliseconds(10);
   /// How long a report is repeated, since digests may be lost.
   Duration m_tell_for = std::chrono::seconds(3);
   /// Most requests kept; those that crashed longest ago go first.
--- a/src/libnutmeg/crash_suspects.cpp
+++ b/src/libnutmeg/crash_suspects.cpp
@@ -7,13 +7,19 @@
 
 void CrashSuspects::Add(Entry& entry, const CrashOfUpstream& crash) const {
   auto& crashes = entry.m_crashes;
-  const bool seen = std::any_of(
+  const auto seen = std::find_if(
       crashes.begin(), crashes.end(), [&](const CrashOfUpstream& known) {
         const Duration apart = known.m_crashed_at - crash.m_crashed_at;
         return known.m_upstream == crash.m_upstream &&
                std::max(apart, -apart) < m_parameters.m_same_crash;
       });
-  if (seen || crash.m_crashed_at <= entry.m_cleared_at) {
+  if (seen != crashes.end()) {
+    // A report's times are late by its transit: the earliest are the nearest.
+    seen->m_sent_at = std::min(seen->m_sent_at, crash.m_sent_at);
+    seen->m_crashed_at = std::min(seen->m_crashed_at, crash.m_crashed_at);
+    return;
+  }
+  if (crash.m_crashed_at <= entry.m_cleared_at) {
     return;
   }
   const auto place = std::find_if(
@@ -27,8 +33,7 @@
   int count = 0;
   TimePoint last;
   for (const CrashOfUpstream& crash : entry.m_crashes) {
-    const bool in_sequence =
-        count == 0 || crash.m_sent_at + m_parameters.m_transit >= last;
+    const bool in_sequence = count == 0 || crash.m_sent_at >= last;
     if (in_sequence && now - crash.m_crashed_at < m_parameters.m_expiry) {
       ++count;
       last = crash.m_crashed_at;
