Leave upstreams alone that say they leave, or refuse for a while

Cause: neither 'Server-Leaving: 1' nor Retry-After in an upstream's 503 was known: a server that was about to go got new requests until its registration said so, and one that asked to be left alone was asked again at once. Change: LeavingUpstreams keeps processes (id and birth) that said so; a registration that is draining counts alike, and an older read of it, or a row that comes back, takes nothing back. The fact travels with the digests. A process that refuses gets nothing until its time but one trial in the second half of it, and only when no other upstream takes the request; if all refuse, callers are told when the first is back. HasUsable, which only a test used, is gone; the test asks TakesRequests.

--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -1,7 +1,7 @@
 /// @file
 /// What instances of the gateway tell one another: whether they take callers,
-/// what they have in progress, where they sent which part of a prompt, and
-/// which requests crashed upstreams.
+/// what they have in progress, where they sent which part of a prompt,
+/// which requests crashed upstreams, and which upstreams said that they leave.
 ///
 /// Digests may be lost or late. Nothing depends on one for correctness.
 #pragma once
@@ -25,7 +25,8 @@
   std::vector<ActiveRequests> m_active;
   std::vector<PartPlacement> m_placements;
   std::vector<CrashReport> m_crashes;
-  bool m_crashes_only = false;  ///< Nothing is told of the lists above it.
+  std::vector<UpstreamProcess> m_leaving;
+  bool m_news_only = false;  ///< Tells of crashes and leaving upstreams only.
 };
 
 /// Most entries of each list, so that a digest fits into one datagram.
@@ -33,6 +34,7 @@
 inline constexpr std::size_t kMostPlacements = 32;
 inline constexpr std::size_t kMostCrashReports = 16;
 inline constexpr std::size_t kMostCrashesTold = 3;  ///< The last of a request.
+inline constexpr std::size_t kMostLeaving = 16;
 
 /// @return the digest as the payload of a datagram. Times travel as ages.
 std::string EncodeDigest(const FleetDigest& digest, TimePoint now);
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "nutmeghollow/leaving_upstreams.h"
 #include "nutmeghollow/routing.h"
 #include "nutmeghollow/types.h"
 
@@ -22,13 +23,6 @@
 /// Identifies a part of a prompt; equal parts have equal ids.
 using PartId = Number<struct PartTag>;
 
-/// Short name of an upstream between instances: the low 32 bits of the hash of
-/// its id.
-using UpstreamHash = Number<struct UpstreamHashTag, std::uint32_t>;
-
-/// @return the short name of an upstream.
-UpstreamHash HashOf(const UpstreamId& id);
-
 /// Requests that an instance has in progress at an upstream.
 struct ActiveRequests {
   UpstreamHash m_upstream;
@@ -92,6 +86,12 @@
   Duration m_first_rest = std::chrono::milliseconds(300);
   /// Longest rest: a registration of a dead upstream lasts a few seconds.
   Duration m_longest_rest = std::chrono::seconds(4);
+  /// Part of an upstream's stated refusal after which one request may try it,
+  /// when no other upstream takes the request: some are back sooner.
+  double m_refusal_trial = 0.5;
+  /// Longest refusal that is believed. An upstream that is away for longer
+  /// registers anew.
+  Duration m_longest_refusal = std::chrono::minutes(10);
   /// Part of a service's upstreams that may rest at once.
   double m_most_resting = 0.5;
   /// Most load of an engine, as a multiple of the mean: the users' bound.
@@ -163,8 +163,13 @@
   /// Chooses an upstream that takes new requests.
   /// @return nothing when the service has none.
   std::optional<UpstreamChoice> Choose(const UpstreamWish& wish, TimePoint now);
-  /// @return true when some upstream of the service takes new requests.
-  bool HasUsable(const ServiceId& service) const;
+  /// @return false when a request that was chosen for this process of an
+  /// upstream may no longer be sent there: it is leaving, gone or replaced.
+  bool TakesRequests(const UpstreamId& id, std::int64_t born_ms) const;
+  /// @return how long all upstreams of a service refuse, by their own word;
+  /// nothing when one does not, or none is registered.
+  std::optional<Duration> RefusedFor(const ServiceId& service,
+                                     TimePoint now) const;
 
   /// Notes that a request was sent. @param prompt null for none.
   void NoteSent(const UpstreamId& id,
@@ -184,6 +189,19 @@
                TimePoint now);
   /// Notes a load report that came with an answer.
   void NoteLoad(const UpstreamId& id, const LoadReport& load, TimePoint now);
+  /// Notes that a process said that it is leaving.
+  /// @return whether this was news.
+  bool NoteLeaving(const UpstreamProcess& process, TimePoint now);
+  /// @return leaving processes that other instances are to be told.
+  std::vector<UpstreamProcess> LeavingNews(std::size_t most,
+                                           TimePoint now) const {
+    return m_leaving.News(most, now);
+  }
+  /// Notes that a process refuses requests for a while, by its own word.
+  void NoteRefusal(const UpstreamId& id,
+                   std::int64_t born_ms,
+                   Duration wait,
+                   TimePoint now);
   /// Notes that another upstream answers at this one's address.
   void NoteReplaced(const UpstreamId& id, TimePoint now);
 
@@ -216,6 +234,10 @@
     double m_pending_prefill = 0;  ///< Tokens sent and not yet read.
     int m_failures = 0;            ///< In a row.
     TimePoint m_rest_until{};
+    bool m_leaving = false;  ///< By its registration or its own answers.
+    TimePoint m_refused_at{};
+    TimePoint m_refused_until{};  ///< By its own word.
+    bool m_refusal_tried = false;
     double m_failure_rate = 0;  ///< Moving average, 0 to 1.
     double m_took_ms = 0;       ///< Moving average of whole answers; 0: none.
     std::optional<LoadReport> m_report;
@@ -234,7 +256,11 @@
   };
 
   Upstream* FindRow(const UpstreamId& id);
-  std::vector<Candidate> Collect(const UpstreamWish& wish, TimePoint now);
+  /// @param trials whether upstreams that refuse for a while may be tried.
+  std::vector<Candidate> Collect(const UpstreamWish& wish,
+                                 bool trials,
+                                 TimePoint now);
+  bool MayTry(const Upstream& upstream, TimePoint now) const;
   void MarkResting(std::vector<Candidate>& candidates, TimePoint now) const;
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
   double EngineCost(const Candidate& candidate, Duration target) const;
@@ -255,6 +281,7 @@
 
   UpstreamPoolParameters m_parameters;
   std::map<UpstreamId, Upstream> m_upstreams;
+  LeavingUpstreams m_leaving;
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By short name.
   std::map<InstanceId, std::unordered_map<UpstreamHash, int>> m_peer_active;
   std::vector<PartPlacement> m_placements;  ///< Not yet told to others.
--- a/src/libnet/route_protocol.h
+++ b/src/libnet/route_protocol.h
@@ -45,6 +45,9 @@
   bool m_signed = false;          ///< Carries the upstream's signature.
   PublicRequestId m_echoed_id;
   std::optional<LoadReport> m_load;
+  bool m_leaving = false;  ///< The upstream takes no new requests.
+  /// It takes none before this time has passed.
+  std::optional<Duration> m_refused_for;
 };
 
 /// A text that is not what it should be, with its faults.
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -30,6 +30,12 @@
   clearedAgeMs @3 :UInt32;
 }
 
+# A process of an upstream that takes no new requests.
+struct LeavingUpstream {
+  upstream @0 :UInt32;
+  bornMs @1 :Int64;
+}
+
 struct Digest {
   ready @0 :Bool;
   revision @1 :UInt64;
@@ -37,6 +43,7 @@
   # Since the digest before.
   placements @3 :List(PartPlacement);
   crashes @4 :List(CrashReport);
-  # Tells of crashes only; the loads are as told before.
-  crashesOnly @5 :Bool;
+  # Tells of crashes and leaving upstreams only; the loads are as told before.
+  newsOnly @5 :Bool;
+  leaving @6 :List(LeavingUpstream);
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(bbcfc078b78678ea);
 CAPNP_DECLARE_SCHEMA(89855efddab90073);
 CAPNP_DECLARE_SCHEMA(d3f3adfd6bde9552);
+CAPNP_DECLARE_SCHEMA(cfe6c9674865c766);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
 
 }  // namespace schemas
@@ -88,6 +89,21 @@
   };
 };
 
+struct LeavingUpstream {
+  LeavingUpstream() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cfe6c9674865c766, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -96,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -449,6 +465,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingUpstream::Reader {
+public:
+  typedef LeavingUpstream Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::int64_t getBornMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingUpstream::Builder {
+public:
+  typedef LeavingUpstream Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::int64_t getBornMs();
+  inline void setBornMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingUpstream::Pipeline {
+public:
+  typedef LeavingUpstream Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
@@ -479,7 +576,10 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
-  inline bool getCrashesOnly() const;
+  inline bool getNewsOnly() const;
+
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -536,8 +636,15 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
 
-  inline bool getCrashesOnly();
-  inline void setCrashesOnly(bool value);
+  inline bool getNewsOnly();
+  inline void setNewsOnly(bool value);
+
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>> disownLeaving();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -741,6 +848,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LeavingUpstream::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LeavingUpstream::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingUpstream::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeavingUpstream::Reader::getBornMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeavingUpstream::Builder::getBornMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeavingUpstream::Builder::setBornMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Digest::Reader::getReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -871,20 +1006,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Digest::Reader::getCrashesOnly() const {
+inline bool Digest::Reader::getNewsOnly() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool Digest::Builder::getCrashesOnly() {
+inline bool Digest::Builder::getNewsOnly() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setCrashesOnly(bool value) {
+inline void Digest::Builder::setNewsOnly(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Digest::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setLeaving( ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>> Digest::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -88,7 +88,13 @@
   for (unsigned index = 0; index < report_count; ++index) {
     WriteReport(reports[index], digest.m_crashes[index], now);
   }
-  root.setCrashesOnly(digest.m_crashes_only);
+  const auto leaving_count = std::min(digest.m_leaving.size(), kMostLeaving);
+  auto leaving = root.initLeaving(static_cast<unsigned>(leaving_count));
+  for (unsigned index = 0; index < leaving_count; ++index) {
+    leaving[index].setUpstream(digest.m_leaving[index].m_upstream.value());
+    leaving[index].setBornMs(digest.m_leaving[index].m_born_ms);
+  }
+  root.setNewsOnly(digest.m_news_only);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
   const auto bytes = stream.getArray();
@@ -118,7 +124,11 @@
     for (const auto& report : root.getCrashes()) {
       digest.m_crashes.push_back(ReadReport(report, now));
     }
-    digest.m_crashes_only = root.getCrashesOnly();
+    for (const auto& entry : root.getLeaving()) {
+      digest.m_leaving.push_back(
+          {UpstreamHash(entry.getUpstream()), entry.getBornMs()});
+    }
+    digest.m_news_only = root.getNewsOnly();
   } catch (const kj::Exception&) {
     return std::nullopt;
   }
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -13,6 +13,7 @@
   digest.m_revision = Revision(17);
   digest.m_active = {{UpstreamHash(1), 3}, {UpstreamHash(2), 70000}};
   digest.m_placements = {{PartId(99), UpstreamHash(2)}};
+  digest.m_leaving = {{UpstreamHash(5), 1700000000123}};
   const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
   ASSERT_TRUE(read);
   EXPECT_TRUE(read->m_ready);
@@ -22,6 +23,7 @@
   EXPECT_EQ(read->m_active[1].m_count, 65535);
   ASSERT_EQ(read->m_placements.size(), 1U);
   EXPECT_EQ(read->m_placements[0].m_part, PartId(99));
+  EXPECT_EQ(read->m_leaving, digest.m_leaving);
 }
 
 TEST(FleetDigest, FitsIntoADatagramWhenFull) {
@@ -37,7 +39,7 @@
 TEST(FleetDigest, TellsOfCrashesByTheirAge) {
   using std::chrono::milliseconds;
   FleetDigest digest;
-  digest.m_crashes_only = true;
+  digest.m_news_only = true;
   digest.m_crashes = {
       {RequestDigest(7),
        {{UpstreamHash(1), kNow - milliseconds(900), kNow - milliseconds(800)},
@@ -48,7 +50,7 @@
   const TimePoint there = kNow + std::chrono::hours(5);
   const auto read = DecodeDigest(EncodeDigest(digest, kNow), there);
   ASSERT_TRUE(read);
-  EXPECT_TRUE(read->m_crashes_only);
+  EXPECT_TRUE(read->m_news_only);
   ASSERT_EQ(read->m_crashes.size(), 2U);
   ASSERT_EQ(read->m_crashes[0].m_crashes.size(), 2U);
   EXPECT_EQ(read->m_crashes[0].m_crashes[1].m_sent_at,
@@ -61,7 +63,7 @@
 
 TEST(FleetDigest, OfManyCrashesFitsIntoADatagram) {
   FleetDigest digest;
-  digest.m_crashes_only = true;
+  digest.m_news_only = true;
   const std::vector<CrashOfUpstream> crashes(
       9, {UpstreamHash(0x90000001U), TimePoint(), TimePoint()});
   for (std::uint64_t index = 0; index < 200; ++index) {
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -44,15 +44,25 @@
   return load;
 }
 
-std::vector<UpstreamPool::Candidate> UpstreamPool::Collect(
-    const UpstreamWish& wish,
-    TimePoint now) {
+bool UpstreamPool::MayTry(const Upstream& upstream, TimePoint now) const {
+  const Duration wait = upstream.m_refused_until - upstream.m_refused_at;
+  const Duration passed = now - upstream.m_refused_at;
+  return !upstream.m_refusal_tried &&
+         Milliseconds(passed) >=
+             m_parameters.m_refusal_trial * Milliseconds(wait);
+}
+
+std::vector<UpstreamPool::Candidate>
+UpstreamPool::Collect(const UpstreamWish& wish, bool trials, TimePoint now) {
   std::vector<Candidate> candidates;
   for (auto& [id, row] : m_upstreams) {
     const bool tried = std::find(wish.m_tried.begin(), wish.m_tried.end(),
                                  id) != wish.m_tried.end();
-    if (row.m_registration.m_service != wish.m_service ||
-        row.m_registration.m_draining || tried) {
+    if (row.m_registration.m_service != wish.m_service || row.m_leaving ||
+        tried) {
+      continue;
+    }
+    if (now < row.m_refused_until && !(trials && MayTry(row, now))) {
       continue;
     }
     candidates.push_back({&row, EstimatedLoad(row, now), 0, false});
@@ -201,7 +211,10 @@
 
 std::optional<UpstreamChoice> UpstreamPool::Choose(const UpstreamWish& wish,
                                                    TimePoint now) {
-  std::vector<Candidate> candidates = Collect(wish, now);
+  std::vector<Candidate> candidates = Collect(wish, false, now);
+  if (candidates.empty()) {
+    candidates = Collect(wish, true, now);
+  }
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -22,10 +22,6 @@
 
 }  // namespace
 
-UpstreamHash HashOf(const UpstreamId& id) {
-  return UpstreamHash(static_cast<std::uint32_t>(HashText(id.str())));
-}
-
 PartId ChatPart(const std::vector<PromptPart>& prompt) {
   return prompt[prompt.size() >= 2 ? prompt.size() - 2 : 0].m_id;
 }
@@ -68,6 +64,11 @@
   row.m_hash = HashOf(registration.m_id);
   m_ids[row.m_hash] = registration.m_id;
   row.m_cold_until = now + registration.m_cold;
+  const UpstreamProcess process{row.m_hash, registration.m_born_ms};
+  if (registration.m_draining) {
+    m_leaving.Note(process, now);
+  }
+  row.m_leaving = m_leaving.Contains(process);
 }
 
 void UpstreamPool::Remove(const UpstreamId& id) {
@@ -93,12 +94,27 @@
   return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
-bool UpstreamPool::HasUsable(const ServiceId& service) const {
-  return std::any_of(m_upstreams.begin(), m_upstreams.end(),
-                     [&](const auto& entry) {
-                       const auto& row = entry.second.m_registration;
-                       return row.m_service == service && !row.m_draining;
-                     });
+bool UpstreamPool::TakesRequests(const UpstreamId& id,
+                                 std::int64_t born_ms) const {
+  const auto found = m_upstreams.find(id);
+  return found != m_upstreams.end() && !found->second.m_leaving &&
+         found->second.m_registration.m_born_ms == born_ms;
+}
+
+std::optional<Duration> UpstreamPool::RefusedFor(const ServiceId& service,
+                                                 TimePoint now) const {
+  std::optional<Duration> least;
+  for (const auto& [id, row] : m_upstreams) {
+    if (row.m_registration.m_service != service || row.m_leaving) {
+      continue;
+    }
+    if (row.m_refused_until <= now) {
+      return std::nullopt;
+    }
+    const Duration left = row.m_refused_until - now;
+    least = std::min(least.value_or(left), left);
+  }
+  return least;
 }
 
 void UpstreamPool::Remember(Upstream& upstream, PartId part, TimePoint now) {
@@ -118,6 +134,7 @@
     return;
   }
   ++row->m_active;
+  row->m_refusal_tried |= now < row->m_refused_until;
   if (prompt != nullptr && !prompt->empty()) {
     row->m_pending_prefill += UnreadTokens(*row, *prompt, false, now);
     for (std::size_t index = 0; index + 1 < prompt->size(); ++index) {
@@ -162,6 +179,7 @@
     case AttemptHealth::kServed:
       row->m_failures = 0;
       row->m_rest_until = TimePoint();
+      row->m_refused_until = TimePoint();
       row->m_failure_rate *= 1.0 - weight;
       if (took > Duration::zero()) {
         row->m_took_ms = row->m_took_ms == 0 ? Milliseconds(took)
@@ -204,6 +222,29 @@
   row->m_active_at_report = row->m_active;
 }
 
+bool UpstreamPool::NoteLeaving(const UpstreamProcess& process, TimePoint now) {
+  const bool news = m_leaving.Note(process, now);
+  const auto id = m_ids.find(process.m_upstream);
+  Upstream* row = id == m_ids.end() ? nullptr : FindRow(id->second);
+  if (row != nullptr && row->m_registration.m_born_ms == process.m_born_ms) {
+    row->m_leaving = true;
+  }
+  return news;
+}
+
+void UpstreamPool::NoteRefusal(const UpstreamId& id,
+                               std::int64_t born_ms,
+                               Duration wait,
+                               TimePoint now) {
+  Upstream* row = FindRow(id);
+  if (row == nullptr || row->m_registration.m_born_ms != born_ms) {
+    return;
+  }
+  row->m_refused_at = now;
+  row->m_refused_until = now + std::min(wait, m_parameters.m_longest_refusal);
+  row->m_refusal_tried = false;
+}
+
 void UpstreamPool::NoteReplaced(const UpstreamId& id, TimePoint now) {
   Upstream* row = FindRow(id);
   if (row != nullptr) {
@@ -259,8 +300,7 @@
                                                   TimePoint now) const {
   Occupancy occupancy;
   for (const auto& [id, row] : m_upstreams) {
-    if (row.m_registration.m_service == service &&
-        !row.m_registration.m_draining) {
+    if (row.m_registration.m_service == service && !row.m_leaving) {
       occupancy.m_taken += EstimatedLoad(row, now);
       occupancy.m_places += row.m_registration.m_slots;
     }
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "nutmeghollow/hashing.h"
 
@@ -62,7 +64,7 @@
 TEST(UpstreamPool, ChoosesNothingWithoutUpstreams) {
   UpstreamPool pool;
   EXPECT_FALSE(pool.Choose(Wish(), At({})));
-  EXPECT_FALSE(pool.HasUsable(kService));
+  EXPECT_FALSE(pool.TakesRequests(UpstreamId("u0"), 0));
 }
 
 TEST(UpstreamPool, PassesOverDrainingAndTriedUpstreams) {
@@ -231,6 +233,111 @@
   EXPECT_EQ(Chosen(pool, Wish(&prompt)), home);
 }
 
+struct LeavingCase {
+  const char* m_name;
+  /// What became known, in order, of the process that was born at 0.
+  std::vector<std::function<void(UpstreamPool&)>> m_steps;
+  bool m_takes_requests;
+};
+
+class LeavingUpstream : public testing::TestWithParam<LeavingCase> {};
+
+TEST_P(LeavingUpstream, TakesNoNewRequests) {
+  UpstreamPool pool = MakePool(1);
+  for (const auto& step : GetParam().m_steps) {
+    step(pool);
+  }
+  EXPECT_EQ(pool.Choose(Wish(), At({})).has_value(),
+            GetParam().m_takes_requests);
+}
+
+void Leaves(UpstreamPool& pool) {
+  pool.NoteLeaving({HashOf(UpstreamId("u0")), 0}, At({}));
+}
+void RegistersAgain(UpstreamPool& pool) {
+  pool.Put(Registration("u0"), At({}));
+}
+void RegistersAsDraining(UpstreamPool& pool) {
+  RegisteredUpstream draining = Registration("u0");
+  draining.m_draining = true;
+  pool.Put(draining, At({}));
+}
+void IsGone(UpstreamPool& pool) {
+  pool.Remove(UpstreamId("u0"));
+}
+void IsBornAgain(UpstreamPool& pool) {
+  RegisteredUpstream reborn = Registration("u0");
+  reborn.m_born_ms = 5;
+  pool.Put(reborn, At({}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LeavingUpstream,
+    testing::Values(
+        LeavingCase{"BySelf", {Leaves}, false},
+        LeavingCase{"ByRegistration", {RegistersAsDraining}, false},
+        LeavingCase{"AnOldRowChangesNothing", {Leaves, RegistersAgain}, false},
+        LeavingCase{"AnOldReadChangesNothing",
+                    {RegistersAsDraining, RegistersAgain},
+                    false},
+        LeavingCase{"ARowThatComesBackChangesNothing",
+                    {Leaves, IsGone, RegistersAgain},
+                    false},
+        LeavingCase{"ToldBeforeItIsKnown",
+                    {IsGone, Leaves, RegistersAgain},
+                    false},
+        LeavingCase{"TheNextProcessIsAnother", {Leaves, IsBornAgain}, true},
+        LeavingCase{"LateNewsOfTheEarlierProcess",
+                    {IsBornAgain, Leaves},
+                    true}),
+    [](const auto& info) { return info.param.m_name; });
+
+TEST(UpstreamPool, TellsOthersOfLeavingProcessesForAWhile) {
+  UpstreamPool pool = MakePool(1);
+  Leaves(pool);
+  EXPECT_EQ(pool.LeavingNews(9, At(seconds(2))).size(), 1U);
+  EXPECT_TRUE(pool.LeavingNews(0, At(seconds(2))).empty());
+  EXPECT_TRUE(pool.LeavingNews(9, At(seconds(4))).empty());
+}
+
+TEST(UpstreamPool, LeavesARefusingUpstreamAloneUntilItsTime) {
+  UpstreamPool pool = MakePool(2);
+  pool.NoteRefusal(UpstreamId("u0"), 0, seconds(2), At({}));
+  EXPECT_FALSE(pool.RefusedFor(kService, At({})));
+  for (int round = 0; round < 20; ++round) {
+    EXPECT_EQ(Chosen(pool, Wish(), milliseconds(1900)), UpstreamId("u1"));
+  }
+  // With no other one, a single request may try it in the second half.
+  UpstreamWish wish = Wish();
+  wish.m_tried = {UpstreamId("u1")};
+  EXPECT_FALSE(pool.Choose(wish, At(milliseconds(900))));
+  EXPECT_EQ(Chosen(pool, wish, milliseconds(1100)), UpstreamId("u0"));
+  pool.NoteSent(UpstreamId("u0"), nullptr, At(milliseconds(1100)));
+  EXPECT_FALSE(pool.Choose(wish, At(milliseconds(1200))));
+  EXPECT_EQ(Chosen(pool, wish, seconds(2)), UpstreamId("u0"));
+}
+
+TEST(UpstreamPool, TakesAnUpstreamBackThatServes) {
+  UpstreamPool pool = MakePool(1);
+  pool.NoteRefusal(UpstreamId("u0"), 0, seconds(60), At({}));
+  pool.NoteSent(UpstreamId("u0"), nullptr, At(seconds(40)));
+  pool.NoteEnd(UpstreamId("u0"), AttemptHealth::kServed, {}, nullptr, true,
+               At(seconds(41)));
+  EXPECT_TRUE(pool.Choose(Wish(), At(seconds(41))));
+}
+
+TEST(UpstreamPool, TellsHowLongAllUpstreamsRefuse) {
+  UpstreamPool pool = MakePool(3);
+  pool.NoteRefusal(UpstreamId("u0"), 0, seconds(9), At({}));
+  pool.NoteRefusal(UpstreamId("u1"), 0, seconds(4), At({}));
+  pool.NoteRefusal(UpstreamId("u2"), 7, seconds(1), At({}));  // Of another.
+  EXPECT_FALSE(pool.RefusedFor(kService, At({})));
+  pool.NoteLeaving({HashOf(UpstreamId("u2")), 0}, At({}));
+  EXPECT_EQ(pool.RefusedFor(kService, At(seconds(1))), Duration(seconds(3)));
+  EXPECT_FALSE(pool.RefusedFor(ServiceId("none"), At({})));
+}
+
 TEST(UpstreamPool, CountsPlacesAndLoads) {
   UpstreamPool pool = MakePool(2, 4);
   pool.NoteSent(UpstreamId("u0"), nullptr, At({}));
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -152,12 +152,18 @@
   }
 }
 
-void FleetLink::TellOfCrashes() {
-  FleetDigest digest = OwnState();
-  digest.m_crashes = m_suspects->Reports(kMostCrashReports, BootTime());
-  digest.m_crashes_only = true;
-  if (!digest.m_crashes.empty()) {
-    SendToPeers(digest);
+void FleetLink::TellNews() {
+  // Two datagrams, since each list may fill one.
+  FleetDigest crashes = OwnState();
+  crashes.m_news_only = true;
+  FleetDigest leaving = crashes;
+  crashes.m_crashes = m_suspects->Reports(kMostCrashReports, BootTime());
+  leaving.m_leaving = m_pool->LeavingNews(kMostLeaving, BootTime());
+  if (!crashes.m_crashes.empty()) {
+    SendToPeers(crashes);
+  }
+  if (!leaving.m_leaving.empty()) {
+    SendToPeers(leaving);
   }
 }
 
@@ -166,7 +172,7 @@
   digest.m_active = m_pool->ActiveByUpstream();
   digest.m_placements = m_pool->TakePlacements();
   SendToPeers(digest);
-  TellOfCrashes();
+  TellNews();
   NoteAlive();
   m_timer.Start(Period());
 }
@@ -182,7 +188,10 @@
   for (const CrashReport& report : digest->m_crashes) {
     m_suspects->NoteReport(report, now);
   }
-  if (digest->m_crashes_only) {
+  for (const UpstreamProcess& process : digest->m_leaving) {
+    m_pool->NoteLeaving(process, now);
+  }
+  if (digest->m_news_only) {
     return;
   }
   m_pool->SetPeerActive(datagram.m_from, digest->m_active);
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -66,8 +66,9 @@
   Endpoint AddressOf(const InstanceId& id) const;
   /// Tells the others now, for example that this instance is leaving.
   void TellNow() { Tell(); }
-  /// Tells the others of requests that crash upstreams, if there is news.
-  void TellOfCrashes();
+  /// Tells the others of requests that crash upstreams and of upstreams that
+  /// are leaving, if there is news.
+  void TellNews();
   /// @return instances that were not heard for a long time and may be
   /// forgotten by all; empty unless it is this instance's part to do so.
   std::vector<InstanceId> LostPeers() const;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -311,6 +311,7 @@
   const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
   Attempt attempt(&m_state->m_answer_memory);
   attempt.m_upstream = upstream;
+  attempt.m_born_ms = registration->m_born_ms;
   attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
   net::HttpCall call = MakeCall(*registration, now);
@@ -332,8 +333,9 @@
       m_state->m_protocol.m_read_answer(status, headers);
   attempt.m_status = status;
   attempt.m_headers = headers;
-  if (fields.m_load) {
-    m_state->m_pool.NoteLoad(attempt.m_upstream, *fields.m_load, BootTime());
+  if (!fields.m_wrong_upstream) {
+    // Told by the process itself, also in an answer that belongs to nobody.
+    NoteUpstream(fields);
   }
   const bool not_run = fields.m_wrong_upstream || fields.m_not_run;
   const bool of_another =
@@ -360,6 +362,29 @@
   m_silence_timer.Start(attempt.m_silence_limit);
 }
 
+void RouteRelay::NoteUpstream(const net::AnswerFields& fields) {
+  const Attempt& attempt = *m_attempt;
+  const TimePoint now = BootTime();
+  UpstreamPool& pool = m_state->m_pool;
+  if (fields.m_load) {
+    pool.NoteLoad(attempt.m_upstream, *fields.m_load, now);
+  }
+  if (fields.m_leaving &&
+      pool.NoteLeaving({HashOf(attempt.m_upstream), attempt.m_born_ms}, now)) {
+    Log(LogLevel::kInfo, "upstream_leaving",
+        {{"upstream", attempt.m_upstream.str()},
+         {"request", m_request.m_id.str()}});
+  }
+  if (fields.m_refused_for) {
+    pool.NoteRefusal(attempt.m_upstream, attempt.m_born_ms,
+                     *fields.m_refused_for, now);
+    Log(LogLevel::kInfo, "upstream_refuses",
+        {{"upstream", attempt.m_upstream.str()},
+         {"request", m_request.m_id.str()},
+         {"for_ms", Milliseconds(*fields.m_refused_for)}});
+  }
+}
+
 void RouteRelay::EndRefused() {
   if (m_done || !m_attempt || !m_attempt->m_failure ||
       !ProvesNotRun(*m_attempt->m_failure)) {
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -50,6 +50,7 @@
     explicit Attempt(AnswerMemory* memory) : m_body(memory) {}
     net::HttpCallId m_call;
     UpstreamId m_upstream;
+    std::int64_t m_born_ms = 0;  ///< Of the upstream's process.
     Endpoint m_endpoint;
     TimePoint m_sent_at{};
     int m_status = 0;
@@ -73,6 +74,8 @@
   net::HttpCallEvents MakeEvents();
 
   void HandleHeaders(int status, const net::HeaderMap& headers);
+  /// Notes what an upstream's answer says of itself.
+  void NoteUpstream(const net::AnswerFields& fields);
   /// Acts on a refusal that the header told.
   void EndRefused();
   bool HandleData(std::string_view data);
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -28,6 +28,9 @@
 constexpr Duration kShortestReturn = std::chrono::milliseconds(50);
 constexpr Duration kLongestReturn = std::chrono::milliseconds(1500);
 
+/// Callers that are told when an upstream is back are spread over this time.
+constexpr double kReturnSpreadUs = 300e3;
+
 /// Statuses that promise a caller that its request did not run.
 bool PromisesNotRun(int status) {
   return status == kStatusTimeout || status == kStatusMisdirected ||
@@ -152,6 +155,13 @@
 }
 
 void RouteRelay::Refuse(const char* reason) {
+  const auto refused_for = m_state->m_pool.RefusedFor(m_service, BootTime());
+  if (refused_for) {
+    // Callers that come back together would find the first upstream full.
+    RefuseFor(reason, *refused_for + Duration(static_cast<std::int64_t>(
+                                         m_state->Draw(0, kReturnSpreadUs))));
+    return;
+  }
   const auto left = static_cast<double>(
       std::max(TimeLeft(BootTime()), Duration::zero()).count());
   const Duration wish(static_cast<std::int64_t>(
