Answer what was accepted before a planned stop ends

Cause: a stopping instance took new connections until it ended, so requests accepted in its last moments were cut; one that was read while the HTTP library was being stopped was suspended, and the library ended the process by force ('MHD_stop_daemon() called while we have suspended connections'). Change: it stops listening 0.3 s before its end, after it has taken the connections that wait, and hands no request on while it stops.

--- a/src/libnet/http_exchange.h
+++ b/src/libnet/http_exchange.h
@@ -19,6 +19,7 @@
   HttpServerOptions m_options;
   bool m_needs_run = false;  ///< A connection was resumed.
   bool m_close_after_answers = false;
+  bool m_stopping = false;  ///< No further request is handed on.
 };
 
 /// An exchange on one libmicrohttpd connection.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -26,6 +26,9 @@
 constexpr Duration kGoneCheckPeriod = std::chrono::milliseconds(250);
 /// Passes of the library in a row before other watchers get their turn.
 constexpr int kRunPasses = 8;
+/// Passes that take the connections waiting at the end of listening: the
+/// library takes several in each, and the system keeps about a thousand.
+constexpr int kMostAcceptPasses = 256;
 /// A declared body above this is refused without reading it.
 constexpr std::int64_t kDiscardLimit = 64 << 20;
 
@@ -152,10 +155,12 @@
 HttpServer::Impl::~Impl() {
   m_epoll_watcher.reset();
   m_before_sleep.reset();
+  // Suspended connections must have gone on before the library stops, and a
+  // request that is read meanwhile must not be suspended.
+  m_link->m_stopping = true;
   for (MhdExchange* exchange : m_exchanges) {
     exchange->AbortStream();
   }
-  // Suspended connections must have gone on before the library stops.
   MHD_run(m_daemon);
   MHD_stop_daemon(m_daemon);
   if (m_listen_descriptor >= 0) {
@@ -167,6 +172,12 @@
   if (m_listen_descriptor < 0) {
     return;
   }
+  // Callers whose connection stands were told that they are connected.
+  pollfd waiting{m_listen_descriptor, POLLIN, 0};
+  for (int pass = 0; pass < kMostAcceptPasses && poll(&waiting, 1, 0) > 0;
+       ++pass) {
+    MHD_run(m_daemon);
+  }
   MHD_quiesce_daemon(m_daemon);
   close(m_listen_descriptor);
   m_listen_descriptor = -1;
@@ -228,6 +239,9 @@
     *upload_size = 0;
     return MHD_YES;
   }
+  if (m_link->m_stopping) {
+    return MHD_NO;
+  }
   if (exchange->m_body_too_large && !exchange->m_dispatched) {
     return exchange->QueueError(413, "the request body is too large");
   }
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -37,6 +37,9 @@
 constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
 /// How often the end of a planned stop is looked for.
 constexpr Duration kDrainPeriod = std::chrono::milliseconds(50);
+/// A stopping instance takes no new connections for this long at its end, so
+/// that what was accepted before is read and answered.
+constexpr Duration kLastRequests = std::chrono::milliseconds(300);
 /// A planned stop ends this long before it would be ended by force.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 /// A stopping instance serves for this many times the life of an entry
@@ -457,7 +460,11 @@
   const Duration keep =
       std::chrono::seconds(m_settings.m_gateway.m_keep_seconds) * kDrainKeeps;
   const Duration limit = m_settings.m_gateway.m_stop_grace - kStopMargin;
-  const bool served_long_enough = elapsed >= std::min(keep, limit);
+  const Duration listen = std::min(keep, limit - kLastRequests);
+  if (elapsed >= listen) {
+    m_caller_server.StopListening();
+  }
+  const bool served_long_enough = elapsed >= listen + kLastRequests;
   if (elapsed < limit && !(served_long_enough && m_relays.empty())) {
     return;
   }
