Check key, configuration and upstream again just before the first byte

Cause: what allowed a request was checked when its upstream was chosen; a process that stood still while the connection was made sent it on waking, with a key taken away meanwhile, or to an upstream that had said it was leaving. Change: CheckBeforeSend; a request withheld goes through the whole choice anew.

--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -14,6 +14,7 @@
 using net::Log;
 using net::LogLevel;
 
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusTooLarge = 413;
@@ -47,6 +48,28 @@
   return size;
 }
 
+/// @return whether a text has bytes that separate the parts of a header.
+bool HasLineEnd(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
+/// @return whether no upstream may be given the request's header: its target
+/// or a field would be read as something else.
+bool IsMalformed(const net::HttpRequest& request) {
+  constexpr unsigned char kDelete = 0x7f;
+  const bool bad_target = std::any_of(
+      request.m_target.begin(), request.m_target.end(), [](unsigned char byte) {
+        return byte <= ' ' || byte == kDelete || byte == '#';
+      });
+  return bad_target ||
+         std::any_of(request.m_headers.begin(), request.m_headers.end(),
+                     [](const auto& field) {
+                       return HasLineEnd(field.first) ||
+                              HasLineEnd(field.second);
+                     });
+}
+
 std::string_view PathOf(const std::string& target) {
   return std::string_view(target).substr(0, target.find('?'));
 }
@@ -119,6 +142,9 @@
     return {kStatusUnavailable, "no configuration yet"};
   }
   const net::HttpRequest& request = m_exchange->Request();
+  if (IsMalformed(request)) {
+    return {kStatusBadRequest, "malformed target or field"};
+  }
   const CallerLimits& limits = m_configuration->m_limits;
   if (HeaderSize(request) > static_cast<std::size_t>(limits.m_header.value())) {
     return {kStatusHeaderTooLarge, "header too large"};
@@ -290,6 +316,11 @@
 net::HttpCallEvents RouteRelay::MakeEvents() {
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
   net::HttpCallEvents events;
+  events.m_on_send = [weak] {
+    if (const auto self = weak.lock()) {
+      self->CheckBeforeSend();
+    }
+  };
   events.m_on_headers = [weak](int status, const net::HeaderMap& headers) {
     if (const auto self = weak.lock()) {
       self->HandleHeaders(status, headers);
@@ -307,6 +338,32 @@
   return events;
 }
 
+void RouteRelay::CheckBeforeSend() {
+  if (m_done || !m_attempt) {
+    return;
+  }
+  const TimePoint now = BootTime();
+  // The configuration may have been read anew while the connection was made.
+  m_configuration = m_state->m_configuration;
+  const HttpRoute* route = m_configuration->FindRoute(
+      m_request.m_host, PathOf(m_exchange->Request().m_target));
+  const bool allowed = route != nullptr && CheckKey(*route, now).m_status == 0;
+  const bool late = now - m_attempt->m_sent_at > kConnectTimeout;
+  const bool takes = m_state->m_pool.TakesRequests(m_attempt->m_upstream,
+                                                   m_attempt->m_born_ms);
+  if (allowed && takes && !late) {
+    return;
+  }
+  Log(LogLevel::kInfo, "send_withheld",
+      {{"request", m_request.m_id.str()},
+       {"upstream", m_attempt->m_upstream.str()},
+       {"allowed", allowed},
+       {"takes_requests", takes},
+       {"after_ms", Milliseconds(now - m_attempt->m_sent_at)}});
+  CancelAttempt(AttemptHealth::kAbandoned);
+  HandleFailure(AttemptFailure::kUnreachable);
+}
+
 void RouteRelay::Send(const UpstreamId& upstream, TimePoint now) {
   const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
   Attempt attempt(&m_state->m_answer_memory);
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -72,6 +72,9 @@
   void Send(const UpstreamId& upstream, TimePoint now);
   net::HttpCall MakeCall(const RegisteredUpstream& upstream, TimePoint now);
   net::HttpCallEvents MakeEvents();
+  /// Just before the first byte goes out: what allowed the request when its
+  /// upstream was chosen may have run out since, if the process stood still.
+  void CheckBeforeSend();
 
   void HandleHeaders(int status, const net::HeaderMap& headers);
   /// Notes what an upstream's answer says of itself.
