--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -11,6 +11,9 @@
 
 constexpr long kConnectionCacheSize = 1024;
 constexpr std::size_t kIdleHandles = 256;
+/// Bytes read at once from a connection. Smaller than libcurl's 16 KiB, since
+/// each call in progress holds one such buffer and most reads are one event.
+constexpr long kReceiveBufferBytes = 4 << 10;
 
 void InitializeCurlOnce() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -94,15 +97,22 @@
 }
 
 CURL* HttpClient::Impl::TakeHandle() {
-  if (m_idle_handles.empty()) {
-    CURL* easy = curl_easy_init();
-    if (easy == nullptr) {
-      throw std::bad_alloc();
+  while (!m_idle_handles.empty()) {
+    CURL* easy = m_idle_handles.back();
+    m_idle_handles.pop_back();
+    // A handle whose call failed early may keep its buffer, and then takes no
+    // size; read with the default size, its buffer would be overrun.
+    if (curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes) ==
+        CURLE_OK) {
+      return easy;
     }
-    return easy;
+    curl_easy_cleanup(easy);
+  }
+  CURL* easy = curl_easy_init();
+  if (easy == nullptr) {
+    throw std::bad_alloc();
   }
-  CURL* easy = m_idle_handles.back();
-  m_idle_handles.pop_back();
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
   return easy;
 }
 
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -221,6 +221,28 @@
   EXPECT_EQ(malformed.m_end.m_kind, HttpEndKind::kConnectFailed);
 }
 
+TEST_F(HttpClientTest, CallsOnlyAddressesAndSendsTargetsAsTheyAre) {
+  for (const char* address :
+       {"127.0.0}1:9", "12E:5144]3e7.0.0.1:9", "localhost:9", "127.0.0.1",
+        "user@127.0.0.1:9", "127.0.0.1:9/x", ""}) {
+    HttpCall call = Call();
+    call.m_endpoint = Endpoint(address);
+    const HttpAnswer answer = FetchNow(call);
+    EXPECT_EQ(answer.m_end.m_kind, HttpEndKind::kConnectFailed) << address;
+    EXPECT_FALSE(answer.m_end.m_may_have_been_sent) << address;
+  }
+  // A handle that failed early must not be read into with a small buffer.
+  const std::string body(100'000, 'x');
+  m_reply = {"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + body};
+  for (const char* target : {"/a/../b?c=%2F", "/x#y", "/\x01\x7f", "/\xff"}) {
+    HttpCall call = Call();
+    call.m_path = target;
+    EXPECT_EQ(FetchNow(call).m_body, body);
+    EXPECT_TRUE(m_server.m_requests.back().starts_with(
+        std::string("POST ") + target + " HTTP/1.1\r\n"));
+  }
+}
+
 TEST_F(HttpClientTest, CancelClosesTheConnectionAndMakesNoCall) {
   m_reply = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"};
   bool ended = false;
--- a/src/libnet/http_transfer.cpp
+++ b/src/libnet/http_transfer.cpp
@@ -8,14 +8,12 @@
 #include <utility>
 
 #include "libnet/http_client_impl.h"
+#include "libnet/socket_address.h"
 #include "libnet/text.h"
 
 namespace nutmeghollow::net {
 namespace {
 
-/// Bytes read at once from a connection. Smaller than libcurl's 16 KiB, since
-/// each call in progress holds one such buffer and most reads are one event.
-constexpr long kReceiveBufferBytes = 4 << 10;
 /// Bytes of a request body copied at once; the least that libcurl takes.
 constexpr long kSendBufferBytes = 16 << 10;
 constexpr long kKeepaliveIdleSeconds = 10;
@@ -69,12 +67,17 @@
 void HttpClient::Impl::Configure(Call& call) {
   CURL* easy = call.m_easy;
   const HttpCall& wanted = call.m_call;
-  const std::string url = "http://" + wanted.m_endpoint.str() + wanted.m_path;
-  if (HasLineBreak(url) || HasLineBreak(wanted.m_method)) {
+  if (!ParseEndpoint(wanted.m_endpoint)) {
+    // libcurl would look a name up, or read it as another part of a URL.
+    call.m_failure = "the address is no IP address and port";
+  }
+  if (HasLineBreak(wanted.m_path) || HasLineBreak(wanted.m_method)) {
     call.m_failure = "the method or path has a line break";
   }
+  const std::string url = "http://" + wanted.m_endpoint.str() + "/";
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  // libcurl leaves this one as it is.
+  curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, wanted.m_path.c_str());
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -87,7 +90,6 @@
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                    static_cast<long>(wanted.m_reuse_max_idle.count()));
-  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
   curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    Milliseconds(wanted.m_connect_timeout));
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+#include <string>
+
 namespace nutmeghollow {
 namespace {
 
@@ -85,5 +88,31 @@
                                          std::string("\xff\xff\xff\xff"),
                                          std::string(40, '\x7f')));
 
+class SpoiltDigest : public testing::TestWithParam<unsigned> {};
+
+TEST_P(SpoiltDigest, IsReadOrNot) {
+  std::mt19937 random(GetParam());
+  FleetDigest digest;
+  digest.m_active = {{UpstreamHash(1), 3}, {UpstreamHash(2), 7}};
+  digest.m_placements = {{PartId(99), UpstreamHash(2)}};
+  digest.m_leaving = {{UpstreamHash(5), 1700000000123}};
+  digest.m_crashes = {
+      {RequestDigest(7), {{UpstreamHash(1), kNow, kNow}}, TimePoint()}};
+  const std::string whole = EncodeDigest(digest, kNow);
+  int read = 0;
+  constexpr int kRounds = 5000;
+  for (int round = 0; round < kRounds; ++round) {
+    std::string spoilt = whole;
+    for (int change = 0; change < 3; ++change) {
+      spoilt[random() % spoilt.size()] = static_cast<char>(random());
+    }
+    spoilt.resize(1 + random() % spoilt.size());
+    read += DecodeDigest(spoilt, kNow) ? 1 : 0;
+  }
+  EXPECT_GT(read, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SpoiltDigest, testing::Range(1U, 6U));
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/nutmegd/instance_rows.cpp
+++ b/src/nutmegd/instance_rows.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libnet/log.h"
+#include "libnet/socket_address.h"
 #include "nutmeghollow/feed_readers.h"
 
 namespace nutmeghollow {
@@ -67,14 +68,21 @@
 void InstanceRows::HandleInstance(const InstanceId& id,
                                   const std::string& value) {
   const json row = json::parse(value, nullptr, false);
-  if (!row.is_object() || !row.contains("caller")) {
-    Log(LogLevel::kWarning, "instance_row_not_used", {{"key", id.str()}});
+  const auto text = [&row](const char* name) {
+    const auto field = row.is_object() ? row.find(name) : row.end();
+    return field != row.end() && field->is_string() ? field->get<std::string>()
+                                                    : std::string();
+  };
+  const Endpoint caller(text("caller"));
+  const Endpoint peer(text("peer"));
+  if (!net::ParseEndpoint(caller) || !net::ParseEndpoint(peer)) {
+    Log(LogLevel::kWarning, "instance_row_not_used",
+        {{"key", id.str()}, {"caller", caller.str()}, {"peer", peer.str()}});
     return;
   }
-  m_directory->Put({id, Endpoint(row.value("caller", "")),
-                    DataCentreId(row.value("data_centre", "")),
-                    RegionId(row.value("region", "")), true, true});
-  m_fleet->PutPeer(id, Endpoint(row.value("peer", "")));
+  m_directory->Put({id, caller, DataCentreId(text("data_centre")),
+                    RegionId(text("region")), true, true});
+  m_fleet->PutPeer(id, peer);
 }
 
 void InstanceRows::HandleRemoved(const InstanceId& id) {
