Add up peers' loads once, not for each choice

Cause: each choice of an upstream summed the requests in progress over all peers for each upstream: a map look-up for each pair. Change: the sums are kept as digests come and go. Conclusion: a choice no longer depends on the number of instances.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -262,6 +262,7 @@
                                  TimePoint now);
   bool MayTry(const Upstream& upstream, TimePoint now) const;
   void MarkResting(std::vector<Candidate>& candidates, TimePoint now) const;
+  void AddPeerActive(const std::vector<ActiveRequests>& active, int sign);
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
   double EngineCost(const Candidate& candidate, Duration target) const;
   double ServiceCost(const Upstream& upstream,
@@ -283,7 +284,8 @@
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By short name.
-  std::map<InstanceId, std::unordered_map<UpstreamHash, int>> m_peer_active;
+  std::map<InstanceId, std::vector<ActiveRequests>> m_peer_active;
+  std::unordered_map<UpstreamHash, int> m_peer_total;  ///< Over all peers.
   std::vector<PartPlacement> m_placements;  ///< Not yet told to others.
   std::uint64_t m_turn = 0;                 ///< Counts choices.
   std::uint64_t m_seed = 0;  ///< Breaks ties differently on each instance.
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -29,11 +29,9 @@
 
 double UpstreamPool::EstimatedLoad(const Upstream& upstream,
                                    TimePoint now) const {
-  double load = upstream.m_active;
-  for (const auto& [peer, active] : m_peer_active) {
-    const auto found = active.find(upstream.m_hash);
-    load += found == active.end() ? 0 : found->second;
-  }
+  const auto peers = m_peer_total.find(upstream.m_hash);
+  double load =
+      upstream.m_active + (peers == m_peer_total.end() ? 0 : peers->second);
   if (upstream.m_report &&
       now - upstream.m_report_at < m_parameters.m_report_life) {
     const double reported = upstream.m_report->m_running +
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -270,15 +270,29 @@
 
 void UpstreamPool::SetPeerActive(const InstanceId& peer,
                                  const std::vector<ActiveRequests>& active) {
-  auto& counts = m_peer_active[peer];
-  counts.clear();
-  for (const ActiveRequests& entry : active) {
-    counts[entry.m_upstream] = entry.m_count;
-  }
+  std::vector<ActiveRequests>& known = m_peer_active[peer];
+  AddPeerActive(known, -1);
+  known = active;
+  AddPeerActive(known, 1);
 }
 
 void UpstreamPool::ForgetPeer(const InstanceId& peer) {
-  m_peer_active.erase(peer);
+  const auto known = m_peer_active.find(peer);
+  if (known != m_peer_active.end()) {
+    AddPeerActive(known->second, -1);
+    m_peer_active.erase(known);
+  }
+}
+
+void UpstreamPool::AddPeerActive(const std::vector<ActiveRequests>& active,
+                                 int sign) {
+  for (const ActiveRequests& entry : active) {
+    int& total = m_peer_total[entry.m_upstream];
+    total += sign * entry.m_count;
+    if (total == 0) {
+      m_peer_total.erase(entry.m_upstream);
+    }
+  }
 }
 
 std::vector<PartPlacement> UpstreamPool::TakePlacements() {
--- /dev/null
+++ b/src/libnutmeg/upstream_pool_bench.cpp
@@ -0,0 +1,52 @@
+// What one choice of an upstream costs, by the numbers of instances and
+// upstreams.
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <vector>
+
+#include "nutmeghollow/upstream_pool.h"
+
+namespace nutmeghollow {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(1)};
+
+void ChooseUpstream(benchmark::State& state) {
+  const auto instances = static_cast<int>(state.range(0));
+  const auto upstreams = static_cast<int>(state.range(1));
+  UpstreamPool pool;
+  std::vector<ActiveRequests> active;
+  for (int index = 0; index < upstreams; ++index) {
+    RegisteredUpstream upstream;
+    upstream.m_id = UpstreamId("engine-" + std::to_string(index));
+    upstream.m_service = ServiceId("s");
+    upstream.m_slots = 32;
+    pool.Put(upstream, kNow);
+    if (index < 5) {
+      active.push_back({HashOf(upstream.m_id), 1});
+    }
+  }
+  for (int index = 0; index < instances; ++index) {
+    pool.SetPeerActive(InstanceId("i" + std::to_string(index)), active);
+  }
+  const std::vector<PromptPart> prompt{{PartId(1), Tokens(500)},
+                                       {PartId(2), Tokens(10000)},
+                                       {PartId(3), Tokens(1300)}};
+  UpstreamWish wish;
+  wish.m_service = ServiceId("s");
+  wish.m_prompt = &prompt;
+  wish.m_latency_target = std::chrono::milliseconds(800);
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(pool.Choose(wish, kNow));
+  }
+}
+BENCHMARK(ChooseUpstream)
+    ->Args({7, 12})
+    ->Args({91, 65})
+    ->Args({295, 167})
+    ->Args({360, 760})
+    ->Unit(benchmark::kMicrosecond);
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -338,6 +338,25 @@
   EXPECT_FALSE(pool.RefusedFor(ServiceId("none"), At({})));
 }
 
+TEST(UpstreamPool, AddsUpWhatPeersHaveInProgress) {
+  UpstreamPool pool = MakePool(2, 4);
+  const UpstreamHash first = HashOf(UpstreamId("u0"));
+  const UpstreamHash second = HashOf(UpstreamId("u1"));
+  const auto taken = [&pool] {
+    return pool.OccupancyOf(kService, At({})).m_taken;
+  };
+  pool.SetPeerActive(InstanceId("a"), {{first, 2}, {second, 1}});
+  pool.SetPeerActive(InstanceId("b"), {{first, 3}});
+  EXPECT_DOUBLE_EQ(taken(), 6);
+  pool.SetPeerActive(InstanceId("a"), {{second, 4}});
+  EXPECT_DOUBLE_EQ(taken(), 7);
+  pool.ForgetPeer(InstanceId("b"));
+  pool.ForgetPeer(InstanceId("b"));
+  EXPECT_DOUBLE_EQ(taken(), 4);
+  pool.ForgetPeer(InstanceId("a"));
+  EXPECT_DOUBLE_EQ(taken(), 0);
+}
+
 TEST(UpstreamPool, CountsPlacesAndLoads) {
   UpstreamPool pool = MakePool(2, 4);
   pool.NoteSent(UpstreamId("u0"), nullptr, At({}));
