Spread a hot chat by its rate where loads are too old to tell

Cause: before 295 instances digests are 3 s old when the next ones come; all instances find the same engine free and send a hot chat there at once. Change: HotParts counts each chat's requests, own and told, over 7 s; a chat takes as many engines of its order as its share of the requests fills to 0.35 of the mean load, and each instance draws two of them and takes the lighter. Only where the loads of others are older than a second: at 100 instances and more.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -14,15 +14,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "nutmeghollow/hot_parts.h"
 #include "nutmeghollow/leaving_upstreams.h"
 #include "nutmeghollow/routing.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow {
 
-/// Identifies a part of a prompt; equal parts have equal ids.
-using PartId = Number<struct PartTag>;
-
 /// Requests that an instance has in progress at an upstream.
 struct ActiveRequests {
   UpstreamHash m_upstream;
@@ -96,6 +94,9 @@
   double m_most_resting = 0.5;
   /// Most load of an engine, as a multiple of the mean: the users' bound.
   double m_load_bound = 2.0;
+  /// Loads of other instances that are older than this do not tell where a
+  /// chat's next request fits: most requests end sooner.
+  Duration m_fresh_load = std::chrono::milliseconds(1000);
   /// Requests above the multiple that are always allowed. One under the users'
   /// bound of three, since each instance sees the loads late.
   double m_load_slack = 2.0;
@@ -213,6 +214,8 @@
   void SetPeerActive(const InstanceId& peer,
                      const std::vector<ActiveRequests>& active);
   void ForgetPeer(const InstanceId& peer);
+  /// Sets how old the loads of other instances are when the next ones come.
+  void SetLoadAge(Duration age) { m_load_age = age; }
   /// @return where chats were sent since the last call, the newest last.
   std::vector<PartPlacement> TakePlacements();
   /// Notes where another instance sent a part.
@@ -262,6 +265,11 @@
                                  TimePoint now);
   bool MayTry(const Upstream& upstream, TimePoint now) const;
   void MarkResting(std::vector<Candidate>& candidates, TimePoint now) const;
+  /// Chooses among the engines over which a hot chat is spread.
+  /// @return null when the chat is not hot, or none of them has room.
+  const Candidate* ChooseSpread(const std::vector<Candidate>& candidates,
+                                PartId chat,
+                                double bound) const;
   void AddPeerActive(const std::vector<ActiveRequests>& active, int sign);
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
   double EngineCost(const Candidate& candidate, Duration target) const;
@@ -283,6 +291,8 @@
   UpstreamPoolParameters m_parameters;
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
+  HotParts m_hot;
+  Duration m_load_age{};
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By short name.
   std::map<InstanceId, std::vector<ActiveRequests>> m_peer_active;
   std::unordered_map<UpstreamHash, int> m_peer_total;  ///< Over all peers.
--- /dev/null
+++ b/src/libnutmeg/hot_parts.cpp
@@ -0,0 +1,37 @@
+#include "nutmeghollow/hot_parts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace nutmeghollow {
+
+void HotParts::Note(PartId chat, TimePoint now) {
+  const Duration half = m_parameters.m_window / 2;
+  if (now - m_turned_at >= half) {
+    const bool in_time = now - m_turned_at < 2 * half;
+    m_previous = in_time ? std::move(m_current) : Half();
+    m_current = Half();
+    m_turned_at = now;
+  }
+  ++m_current.m_requests[chat];
+  ++m_current.m_total;
+}
+
+std::size_t HotParts::Spread(PartId chat, std::size_t engines) const {
+  const auto count = [chat](const Half& half) {
+    const auto found = half.m_requests.find(chat);
+    return found == half.m_requests.end() ? 0 : found->second;
+  };
+  const int requests = count(m_current) + count(m_previous);
+  const int total = m_current.m_total + m_previous.m_total;
+  if (requests < m_parameters.m_least_requests) {
+    return 1;
+  }
+  const double share = static_cast<double>(requests) / total;
+  const auto spread = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(engines) / m_parameters.m_fill));
+  return std::clamp<std::size_t>(spread, 1, std::max<std::size_t>(engines, 1));
+}
+
+}  // namespace nutmeghollow
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -207,6 +207,32 @@
   }
 }
 
+const UpstreamPool::Candidate* UpstreamPool::ChooseSpread(
+    const std::vector<Candidate>& candidates,
+    PartId chat,
+    double bound) const {
+  const std::size_t spread = m_load_age <= m_parameters.m_fresh_load
+                                 ? 1
+                                 : m_hot.Spread(chat, candidates.size());
+  if (spread <= 1) {
+    return nullptr;
+  }
+  // Two drawn by each instance for itself, so that not all take the same one.
+  const auto first = HashPair(m_seed, m_turn) % spread;
+  const auto second = HashPair(m_seed, ~m_turn) % spread;
+  const Candidate* best = nullptr;
+  for (const Candidate& candidate : candidates) {
+    const auto rank = static_cast<std::uint64_t>(candidate.m_rank);
+    const bool drawn = rank == first || rank == second;
+    const bool has_room = candidate.m_load + 1 <= bound;
+    if (drawn && has_room && !candidate.m_rests &&
+        (best == nullptr || candidate.m_load < best->m_load)) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
 std::optional<UpstreamChoice> UpstreamPool::Choose(const UpstreamWish& wish,
                                                    TimePoint now) {
   std::vector<Candidate> candidates = Collect(wish, false, now);
@@ -233,8 +259,11 @@
   };
   ++m_turn;
   const std::size_t start = HashPair(m_seed, m_turn) % candidates.size();
-  const Candidate* best = nullptr;
-  for (std::size_t step = 0; step < candidates.size(); ++step) {
+  const Candidate* best =
+      engines ? ChooseSpread(candidates, ChatPart(*wish.m_prompt), bound)
+              : nullptr;
+  const bool spread = best != nullptr;
+  for (std::size_t step = 0; !spread && step < candidates.size(); ++step) {
     const Candidate& candidate = candidates[(start + step) % candidates.size()];
     const auto rank = [&](const Candidate& one) {
       return std::tuple(one.m_rests, is_over(one), one.m_cost);
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -144,6 +144,7 @@
       m_placements.erase(m_placements.begin());
     }
     m_placements.push_back({ChatPart(*prompt), row->m_hash});
+    m_hot.Note(ChatPart(*prompt), now);
   }
 }
 
@@ -301,6 +302,7 @@
 
 void UpstreamPool::NotePeerPlacement(const PartPlacement& placement,
                                      TimePoint now) {
+  m_hot.Note(placement.m_part, now);
   const auto id = m_ids.find(placement.m_upstream);
   if (id == m_ids.end()) {
     return;
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -174,6 +174,7 @@
   SendToPeers(digest);
   TellNews();
   NoteAlive();
+  m_pool->SetLoadAge(Period());
   m_timer.Start(Period());
 }
 
