--- a/src/libnet/http_transfer.cpp
+++ b/src/libnet/http_transfer.cpp
@@ -28,11 +28,6 @@
   return std::max<long>(1, ceil<milliseconds>(duration).count());
 }
 
-bool HasLineBreak(std::string_view text) {
-  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
-         std::string_view::npos;
-}
-
 /// @return the status of a line such as "HTTP/1.1 200 OK", or nothing.
 std::optional<int> ParseStatusLine(std::string_view line) {
   if (!line.starts_with("HTTP/")) {
--- a/src/libnet/text.cpp
+++ b/src/libnet/text.cpp
@@ -24,6 +24,11 @@
   return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
 }
 
+bool HasLineBreak(std::string_view text) {
+  constexpr std::string_view kBreaks("\r\n\0", 3);
+  return text.find_first_of(kBreaks) != std::string_view::npos;
+}
+
 std::string HexOf(std::string_view bytes) {
   std::string hex;
   hex.reserve(2 * bytes.size());
--- a/src/libnet/text.h
+++ b/src/libnet/text.h
@@ -13,6 +13,9 @@
 /// @return the text without white space at either end.
 std::string_view Trim(std::string_view text);
 
+/// @return whether a text has bytes that separate the fields of a header.
+bool HasLineBreak(std::string_view text);
+
 /// @return the bytes as lower case hex digits.
 std::string HexOf(std::string_view bytes);
 
