Tell others only what upstreams said themselves

Cause: a draining registration entered the same table as what an upstream says in an answer, and was told to all instances for three seconds, although each reads the registrations itself: the digests' datagrams doubled while a server drained. Change: only what an answer said is told. TellsOthersOfLeavingProcessesForAWhile has the check.

--- a/src/include/nutmeghollow/leaving_upstreams.h
+++ b/src/include/nutmeghollow/leaving_upstreams.h
@@ -48,17 +48,24 @@
   explicit LeavingUpstreams(LeavingUpstreamsParameters parameters = {})
       : m_parameters(parameters) {}
 
+  /// @param tell whether other instances are to be told: they read
+  /// registrations themselves.
   /// @return whether this was news.
-  bool Note(const UpstreamProcess& process, TimePoint now);
+  bool Note(const UpstreamProcess& process, bool tell, TimePoint now);
   bool Contains(const UpstreamProcess& process) const {
-    return m_noted_at.contains(process);
+    return m_entries.contains(process);
   }
   /// @return what other instances are to be told, the newest first.
   std::vector<UpstreamProcess> News(std::size_t most, TimePoint now) const;
 
  private:
+  struct Entry {
+    TimePoint m_noted_at{};
+    bool m_tell = false;
+  };
+
   LeavingUpstreamsParameters m_parameters;
-  std::map<UpstreamProcess, TimePoint> m_noted_at;
+  std::map<UpstreamProcess, Entry> m_entries;
 };
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/leaving_upstreams.cpp
+++ b/src/libnutmeg/leaving_upstreams.cpp
@@ -11,17 +11,20 @@
   return UpstreamHash(static_cast<std::uint32_t>(HashText(id.str())));
 }
 
-bool LeavingUpstreams::Note(const UpstreamProcess& process, TimePoint now) {
-  if (!m_noted_at.emplace(process, now).second) {
+bool LeavingUpstreams::Note(const UpstreamProcess& process,
+                            bool tell,
+                            TimePoint now) {
+  if (!m_entries.emplace(process, Entry{now, tell}).second) {
     return false;
   }
-  std::erase_if(m_noted_at, [&](const auto& entry) {
-    return now - entry.second >= m_parameters.m_expiry;
+  std::erase_if(m_entries, [&](const auto& entry) {
+    return now - entry.second.m_noted_at >= m_parameters.m_expiry;
   });
-  while (m_noted_at.size() > m_parameters.m_limit) {
-    m_noted_at.erase(std::min_element(
-        m_noted_at.begin(), m_noted_at.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  while (m_entries.size() > m_parameters.m_limit) {
+    m_entries.erase(std::min_element(
+        m_entries.begin(), m_entries.end(), [](const auto& a, const auto& b) {
+          return a.second.m_noted_at < b.second.m_noted_at;
+        }));
   }
   return true;
 }
@@ -29,9 +32,9 @@
 std::vector<UpstreamProcess> LeavingUpstreams::News(std::size_t most,
                                                     TimePoint now) const {
   std::vector<std::pair<TimePoint, UpstreamProcess>> newest;
-  for (const auto& [process, noted_at] : m_noted_at) {
-    if (now - noted_at < m_parameters.m_tell_for) {
-      newest.emplace_back(noted_at, process);
+  for (const auto& [process, entry] : m_entries) {
+    if (entry.m_tell && now - entry.m_noted_at < m_parameters.m_tell_for) {
+      newest.emplace_back(entry.m_noted_at, process);
     }
   }
   std::sort(newest.rbegin(), newest.rend());
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -66,7 +66,7 @@
   row.m_cold_until = now + registration.m_cold;
   const UpstreamProcess process{row.m_hash, registration.m_born_ms};
   if (registration.m_draining) {
-    m_leaving.Note(process, now);
+    m_leaving.Note(process, false, now);
   }
   row.m_leaving = m_leaving.Contains(process);
 }
@@ -224,7 +224,7 @@
 }
 
 bool UpstreamPool::NoteLeaving(const UpstreamProcess& process, TimePoint now) {
-  const bool news = m_leaving.Note(process, now);
+  const bool news = m_leaving.Note(process, true, now);
   const auto id = m_ids.find(process.m_upstream);
   Upstream* row = id == m_ids.end() ? nullptr : FindRow(id->second);
   if (row != nullptr && row->m_registration.m_born_ms == process.m_born_ms) {
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -299,6 +299,9 @@
   EXPECT_EQ(pool.LeavingNews(9, At(seconds(2))).size(), 1U);
   EXPECT_TRUE(pool.LeavingNews(0, At(seconds(2))).empty());
   EXPECT_TRUE(pool.LeavingNews(9, At(seconds(4))).empty());
+  UpstreamPool other = MakePool(1);
+  RegistersAsDraining(other);  // The others read the registration too.
+  EXPECT_TRUE(other.LeavingNews(9, At({})).empty());
 }
 
 TEST(UpstreamPool, LeavesARefusingUpstreamAloneUntilItsTime) {
