Count the room that held answers take, not their length alone

Cause: a text that grows by itself takes up to twice what it holds, so the 24 MB of held answers took up to 48. Change: room grows by a quarter and is counted.

--- a/src/include/nutmeghollow/answer_memory.h
+++ b/src/include/nutmeghollow/answer_memory.h
@@ -41,7 +41,8 @@
   std::size_t m_held = 0;
 };
 
-/// The body of one answer, counted as long as it exists.
+/// The body of one answer, counted with the room that it has taken as long as
+/// it exists.
 class HeldBody {
  public:
   /// @param memory must outlive this object.
@@ -59,8 +60,12 @@
   std::size_t size() const { return m_text.size(); }
 
  private:
+  /// Takes room for a text of this size. @return false at the bound.
+  bool Reserve(std::size_t room);
+
   AnswerMemory* m_memory;
   std::string m_text;
+  std::size_t m_room = 0;
 };
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/answer_memory.cpp
+++ b/src/libnutmeg/answer_memory.cpp
@@ -14,29 +14,48 @@
 }
 
 HeldBody::~HeldBody() {
-  m_memory->Release(m_text.size());
+  m_memory->Release(m_room);
 }
 
 HeldBody::HeldBody(HeldBody&& other) noexcept
-    : m_memory(other.m_memory), m_text(std::exchange(other.m_text, {})) {}
+    : m_memory(other.m_memory),
+      m_text(std::exchange(other.m_text, {})),
+      m_room(std::exchange(other.m_room, 0)) {}
 
 HeldBody& HeldBody::operator=(HeldBody&& other) noexcept {
   std::swap(m_memory, other.m_memory);
   std::swap(m_text, other.m_text);
+  std::swap(m_room, other.m_room);
   return *this;
 }
 
-bool HeldBody::Append(std::string_view data) {
-  if (!m_memory->MayTake(m_text.size(), data.size())) {
+bool HeldBody::Reserve(std::size_t room) {
+  if (room <= m_room) {
+    return true;
+  }
+  if (!m_memory->MayTake(m_room, room - m_room)) {
     return false;
   }
-  m_memory->Take(data.size());
-  m_text.append(data);
+  m_memory->Take(room - m_room);
+  m_text.reserve(room);
+  m_room = room;
   return true;
 }
 
+bool HeldBody::Append(std::string_view data) {
+  // A string left to itself takes twice what it holds.
+  const std::size_t needed = m_text.size() + data.size();
+  const bool has_room = needed <= m_room ||
+                        Reserve(std::max(needed, m_room + m_room / 4)) ||
+                        Reserve(needed);
+  if (has_room) {
+    m_text.append(data);
+  }
+  return has_room;
+}
+
 std::string HeldBody::Release() {
-  m_memory->Release(m_text.size());
+  m_memory->Release(std::exchange(m_room, 0));
   return std::exchange(m_text, {});
 }
 
