Compare the load an engine reports with the one expected at its choice

The record of the incident does not tell whether an engine above the bound was expected there, how old the loads were, or why it was chosen. A log line engine_above_bound, a summary of the error and of the age, and a counter say so; no decision changes.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -146,8 +146,12 @@
   double m_load = 0;           ///< Estimated requests in progress.
   double m_mean_load = 0;      ///< Of the service's upstreams.
   double m_unread_tokens = 0;  ///< Estimated uncached prompt tokens.
+  double m_bound = 0;          ///< Of the load of an engine.
   /// The first engine of the order was over the load bound.
   bool m_home_over_bound = false;
+  bool m_spread =
+      false;  ///< One of the engines that a hot chat is spread over.
+  Duration m_load_age{};  ///< Of the loads of other instances.
 };
 
 /// Registered upstreams of all services.
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -288,6 +288,9 @@
   choice.m_rank = best->m_rank;
   choice.m_load = best->m_load;
   choice.m_mean_load = mean;
+  choice.m_bound = bound;
+  choice.m_spread = spread;
+  choice.m_load_age = m_load_age;
   choice.m_unread_tokens = best->m_unread_tokens;
   choice.m_home_over_bound = std::any_of(
       candidates.begin(), candidates.end(),
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -367,6 +367,19 @@
   EXPECT_DOUBLE_EQ(used_slots(), 0);
 }
 
+TEST(UpstreamPool, StatesTheBoundAndTheAgeOfLoadsBehindAChoice) {
+  UpstreamPool pool = MakePool(2, 4);
+  pool.SetLoadAge(milliseconds(300));
+  pool.NoteSent(UpstreamId("u0"), nullptr, At({}));
+  pool.NoteSent(UpstreamId("u1"), nullptr, At({}));
+  const auto prompt = Chat(1);
+  const auto choice = pool.Choose(MakeQuery(&prompt), At({}));
+  EXPECT_DOUBLE_EQ(choice->m_mean_load, 1);
+  EXPECT_DOUBLE_EQ(choice->m_bound, 4);
+  EXPECT_EQ(choice->m_load_age, Duration(milliseconds(300)));
+  EXPECT_FALSE(choice->m_spread);
+}
+
 TEST(UpstreamPool, CountsSlotsAndLoads) {
   UpstreamPool pool = MakePool(2, 4);
   pool.NoteSent(UpstreamId("u0"), nullptr, At({}));
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -277,7 +277,7 @@
        {"mean_load", chosen->m_mean_load},
        {"unread_tokens", chosen->m_unread_tokens},
        {"home_over_bound", chosen->m_home_over_bound}});
-  Send(chosen->m_id, now);
+  Send(*chosen, now);
 }
 
 net::HttpCall RouteRelay::MakeCall(const RegisteredUpstream& upstream,
@@ -360,10 +360,12 @@
   HandleFailure(AttemptFailure::kUnreachable);
 }
 
-void RouteRelay::Send(const UpstreamId& upstream, TimePoint now) {
+void RouteRelay::Send(const UpstreamChoice& choice, TimePoint now) {
+  const UpstreamId& upstream = choice.m_id;
   const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
   Attempt attempt(&m_state->m_response_memory);
   attempt.m_upstream = upstream;
+  attempt.m_choice = choice;
   attempt.m_start_time_ms = registration->m_start_time_ms;
   attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -55,6 +55,7 @@
     explicit Attempt(ResponseMemoryBudget* memory) : m_body(memory) {}
     net::HttpCallId m_call;
     UpstreamId m_upstream;
+    UpstreamChoice m_choice;
     std::int64_t m_start_time_ms = 0;  ///< Start of the upstream's process.
     Endpoint m_endpoint;
     TimePoint m_sent_at{};
@@ -80,7 +81,7 @@
   bool RefreshConfiguration(TimePoint now);
   /// Chooses an upstream and sends the request to it, or ends the request.
   void Dispatch(TimePoint now);
-  void Send(const UpstreamId& upstream, TimePoint now);
+  void Send(const UpstreamChoice& choice, TimePoint now);
   net::HttpCall MakeCall(const RegisteredUpstream& upstream, TimePoint now);
   net::HttpCallEvents MakeEvents();
   /// Called just before the first byte is written. Repeats the checks made when
@@ -91,6 +92,9 @@
   void HandleHeaders(int status, const net::HeaderMap& headers);
   /// Records the state that an upstream reports in a response header.
   void RecordUpstreamState(const net::ResponseFields& fields);
+  /// Compares the load that an engine reports with the one that was expected
+  /// when it was chosen.
+  void CompareLoad(const LoadReport& report);
   /// Ends an attempt whose response header states that the request did not run.
   void HandleRefusal();
   bool HandleData(std::string_view data);
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -75,6 +75,7 @@
   UpstreamPool& pool = m_state->m_pool;
   if (fields.m_load) {
     pool.NoteLoad(attempt.m_upstream, *fields.m_load, now);
+    CompareLoad(*fields.m_load);
   }
   if (fields.m_leaving &&
       pool.NoteLeaving({HashOf(attempt.m_upstream), attempt.m_start_time_ms},
@@ -93,6 +94,34 @@
   }
 }
 
+void RouteRelay::CompareLoad(const LoadReport& report) {
+  const UpstreamChoice& choice = m_attempt->m_choice;
+  if (!IsEngine()) {
+    return;
+  }
+  MetricsRegistry& metrics = m_state->m_metrics;
+  const double load = report.m_running + report.m_waiting - 1;
+  metrics.Observe("nutmeg_route_load_error", load - choice.m_load);
+  metrics.Observe("nutmeg_route_load_age_seconds",
+                  std::chrono::duration<double>(choice.m_load_age).count());
+  if (load <= choice.m_bound) {
+    return;
+  }
+  const bool expected = choice.m_load + 1 > choice.m_bound;
+  metrics.Count("nutmeg_route_engine_above_bound",
+                expected ? "expected=\"yes\"" : "expected=\"no\"");
+  Log(LogLevel::kInfo, "engine_above_bound",
+      {{"request", m_request.m_id.str()},
+       {"upstream", m_attempt->m_upstream.str()},
+       {"reported", load},
+       {"load", choice.m_load},
+       {"mean_load", choice.m_mean_load},
+       {"load_age_ms", Milliseconds(choice.m_load_age)},
+       {"rank", std::int64_t{choice.m_rank}},
+       {"unread_tokens", choice.m_unread_tokens},
+       {"spread", choice.m_spread}});
+}
+
 void RouteRelay::HandleRefusal() {
   if (m_done || !m_attempt || !m_attempt->m_failure ||
       !ProvesNotRun(*m_attempt->m_failure)) {
