Spread a hot chat when its requests outrun the loads, not at an age of loads

A chat was spread over several engines only when loads were older than a second. Whether loads show where its requests went depends on its rate too: at 91 instances loads are 0.9 s old and a hot chat of 142 requests a second sends 129 meanwhile. It is spread now when more than four of its requests are sent within the age of the loads.

--- a/src/include/nutmeghollow/hot_parts.h
+++ b/src/include/nutmeghollow/hot_parts.h
@@ -43,6 +43,8 @@
   /// @return the number of engines to spread the chat over; one when it is not
   /// hot.
   std::size_t Spread(PartId chat, std::size_t engines) const;
+  /// @return requests of the chat per second, averaged over the window.
+  double Rate(PartId chat, TimePoint now) const;
 
  private:
   /// Request counts of one half of the window.
@@ -51,6 +53,8 @@
     int m_total = 0;
   };
 
+  int Count(PartId chat) const;
+
   HotPartParameters m_parameters;
   Half m_current;
   Half m_previous;
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -97,10 +97,9 @@
   /// Maximum load of an engine as a multiple of the mean load, as required by
   /// the users.
   double m_load_bound = 2.0;
-  /// Hot chats are spread when the loads of other instances are older than
-  /// this: most requests end sooner, so such loads do not show where there is
-  /// capacity.
-  Duration m_max_fresh_load_age = std::chrono::milliseconds(1000);
+  /// A hot chat is spread when more of its requests than this are sent within
+  /// the age of the loads: the loads do not show to which engine they went.
+  double m_max_unseen_requests = 4.0;
   /// Requests allowed above the multiple. One less than the three that the
   /// users allow, since each instance sees the loads of others with a delay.
   double m_load_slack = 2.0;
@@ -287,7 +286,11 @@
   /// has capacity.
   const Candidate* ChooseSpread(const std::vector<Candidate>& candidates,
                                 PartId chat,
-                                double bound) const;
+                                double bound,
+                                TimePoint now) const;
+  /// @return number of engines to spread a chat over; one when the loads show
+  /// where its requests are.
+  std::size_t SpreadOf(PartId chat, std::size_t engines, TimePoint now) const;
   void AddPeerActive(const std::vector<ActiveRequests>& active, int sign);
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
   double EngineCost(const Candidate& candidate, Duration target) const;
--- a/src/libnutmeg/hot_parts.cpp
+++ b/src/libnutmeg/hot_parts.cpp
@@ -18,12 +18,22 @@
   ++m_current.m_total;
 }
 
-std::size_t HotPartTracker::Spread(PartId chat, std::size_t engines) const {
+int HotPartTracker::Count(PartId chat) const {
   const auto count = [chat](const Half& half) {
     const auto found = half.m_requests.find(chat);
     return found == half.m_requests.end() ? 0 : found->second;
   };
-  const int requests = count(m_current) + count(m_previous);
+  return count(m_current) + count(m_previous);
+}
+
+double HotPartTracker::Rate(PartId chat, TimePoint now) const {
+  const Duration half = m_parameters.m_window / 2;
+  const Duration length = half + std::min(half, now - m_half_started_at);
+  return Count(chat) / std::chrono::duration<double>(length).count();
+}
+
+std::size_t HotPartTracker::Spread(PartId chat, std::size_t engines) const {
+  const int requests = Count(chat);
   const int total = m_current.m_total + m_previous.m_total;
   if (requests < m_parameters.m_min_requests) {
     return 1;
--- a/src/libnutmeg/hot_parts_test.cpp
+++ b/src/libnutmeg/hot_parts_test.cpp
@@ -55,5 +55,14 @@
   EXPECT_EQ(parts.Spread(kHot, kEngines), 1U);
 }
 
+TEST(HotPartTracker, ReturnsTheRateOfTheWindow) {
+  HotPartTracker parts({.m_window = milliseconds(2000)});
+  for (int index = 0; index < 30; ++index) {
+    parts.Note(kHot, At(index * 100));
+  }
+  EXPECT_NEAR(parts.Rate(kHot, At(2900)), 10.0, 1.0);
+  EXPECT_EQ(parts.Rate(PartId(1), At(2900)), 0);
+}
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/libnutmeg/placement_spread_test.cpp
+++ b/src/libnutmeg/placement_spread_test.cpp
@@ -366,7 +366,7 @@
   for (const bool spreads : {false, true}) {
     UpstreamPoolParameters parameters;
     if (!spreads) {
-      parameters.m_max_fresh_load_age = std::chrono::hours(1);
+      parameters.m_max_unseen_requests = 1e9;
     }
     FleetSimulation fleet(GetParam(), parameters);
     fleet.Run();
@@ -390,7 +390,9 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          HotChat,
-                         testing::Values(Scenario{120, 1, 0.5},
+                         testing::Values(Scenario{7, 6, 0.5},
+                                         Scenario{91, 7, 0.5},
+                                         Scenario{120, 1, 0.5},
                                          Scenario{295, 2, 0.5}));
 
 class EnginesReturnAndAreAdded : public testing::TestWithParam<Scenario> {};
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -213,13 +213,22 @@
   }
 }
 
+std::size_t UpstreamPool::SpreadOf(PartId chat,
+                                   std::size_t engines,
+                                   TimePoint now) const {
+  const double unseen =
+      m_hot.Rate(chat, now) * std::chrono::duration<double>(m_load_age).count();
+  return unseen <= m_parameters.m_max_unseen_requests
+             ? 1
+             : m_hot.Spread(chat, engines);
+}
+
 const UpstreamPool::Candidate* UpstreamPool::ChooseSpread(
     const std::vector<Candidate>& candidates,
     PartId chat,
-    double bound) const {
-  const std::size_t spread = m_load_age <= m_parameters.m_max_fresh_load_age
-                                 ? 1
-                                 : m_hot.Spread(chat, candidates.size());
+    double bound,
+    TimePoint now) const {
+  const std::size_t spread = SpreadOf(chat, candidates.size(), now);
   if (spread <= 1) {
     return nullptr;
   }
@@ -270,9 +279,9 @@
   const std::size_t start =
       HashPair(m_seed, m_choice_count) % candidates.size();
   const Candidate* best =
-      engines
-          ? ChooseSpread(candidates, ChatPart(*upstream_query.m_prompt), bound)
-          : nullptr;
+      engines ? ChooseSpread(candidates, ChatPart(*upstream_query.m_prompt),
+                             bound, now)
+              : nullptr;
   const bool spread = best != nullptr;
   for (std::size_t step = 0; !spread && step < candidates.size(); ++step) {
     const Candidate& candidate = candidates[(start + step) % candidates.size()];
