Carry the loads of upstreams by relays, so that they stay young in large fleets

Callers of the large deployment reached engines above the bound (LIMIT): 317 of 5,249 requests in five seconds after 40 engines had returned and 48 were added.

Cause: each instance sent its requests in progress to all others, with a period that grows with the fleet, 2.9 s at 295 instances, when most requests last 0.1 to 1.7 s; and as all instances start together, their digests came together, so that all acted on the same old loads. Engines above the bound were expected to have 4 requests and had 13; none was expected to be above. The class: a fact whose age grows with the number of those that need it, fed back into a decision.

Ruled out: load reports of engines (the model without them is the same), new engines as such (49 of 268), a bound that is passed knowingly (0 of 268).

Change: up to 20 instances nothing. Above, the others of a data centre report to its relays every 200 ms and get the rest of the fleet's requests in response; relays exchange the sums of their groups (load_exchange.h, design/070).

Model, above the bound in the worst five seconds, before and after: engines return, are added: 7 instances 0.0002 0.0002, 91 0.0053 0.0032, 295 0.0611 0.0034 (bound 0.03; failed before) hot chat: 295 0.0520 0.0007 (failed before) recomputed tokens at 295 5.96M 4.48M; first token p95 112 ms, 71 ms Age of a load, 95th percentile: 190 ms at 7, 490 ms at 91, 295 and 360. Loads cost a reporter 7.6 kB/s at 295, a relay 267 kB/s.

--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -15,8 +15,9 @@
   Endpoint m_caller_endpoint;
   DataCentreId m_data_centre;
   RegionId m_region;
-  bool m_ready = false;  ///< As last reported by the instance itself.
-  bool m_alive = true;   ///< According to this instance's failure detection.
+  bool m_ready = false;    ///< As last reported by the instance itself.
+  bool m_alive = true;     ///< According to this instance's failure detection.
+  double m_link_mbps = 0;  ///< Bandwidth of its link; 0 when not known.
 };
 
 /// Directory of instances, keyed by id.
--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "nutmeghollow/crash_suspects.h"
+#include "nutmeghollow/load_exchange.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
 
@@ -27,8 +28,10 @@
   std::vector<PartPlacement> m_placements;
   std::vector<CrashReport> m_crashes;
   std::vector<UpstreamProcess> m_leaving;
-  /// The digest has crashes and leaving upstreams only; the loads sent before
-  /// stay valid.
+  /// A message about loads, see LoadExchange.
+  std::optional<LoadMessage> m_load;
+  /// The digest has crashes, leaving upstreams or m_load only; the other state
+  /// sent before stays valid.
   bool m_events_only = false;
 };
 
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -26,6 +26,11 @@
 struct ActiveRequests {
   UpstreamHash m_upstream;
   int m_count = 0;
+
+  /// Order by upstream.
+  friend bool operator<(const ActiveRequests& a, const ActiveRequests& b) {
+    return a.m_upstream < b.m_upstream;
+  }
 };
 
 /// Record that a part of a prompt was sent to an upstream.
@@ -223,8 +228,12 @@
 
   /// @return number of requests of this instance in progress at an upstream.
   int Active(const UpstreamId& id) const;
-  /// @return requests of this instance in progress, omitting idle upstreams.
+  /// @return requests of this instance in progress, omitting idle upstreams, in
+  /// ascending order of upstreams.
   std::vector<ActiveRequests> ActiveByUpstream() const;
+  /// @return requests of all instances in progress, as far as known, omitting
+  /// idle upstreams, in ascending order of upstreams.
+  std::vector<ActiveRequests> FleetActive() const;
   /// Replaces the requests in progress of another instance.
   void SetPeerActive(const InstanceId& peer,
                      const std::vector<ActiveRequests>& active);
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -36,6 +36,20 @@
   bornMs @1 :Int64;
 }
 
+# Requests in progress at the upstreams from first to last; those that are not
+# listed are idle.
+struct LoadMessage {
+  kind @0 :UInt8;  # 0: report, 1: response to a report, 2: sum of a group.
+  round @1 :UInt32;
+  first @2 :UInt32;
+  last @3 :UInt32;
+  ageMs @4 :UInt32;
+  # The first upstream less `first`, then each one less the one before it: small
+  # numbers take fewer bytes.
+  steps @5 :List(UInt32);
+  counts @6 :List(UInt16);
+}
+
 struct Digest {
   ready @0 :Bool;
   revision @1 :UInt64;
@@ -46,4 +60,6 @@
   # Has crashes and leaving upstreams only; the loads sent before stay valid.
   newsOnly @5 :Bool;
   leaving @6 :List(LeavingUpstream);
+  # With newsOnly, so that instances that do not know it keep the loads.
+  load @7 :LoadMessage;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(89855efddab90073);
 CAPNP_DECLARE_SCHEMA(d3f3adfd6bde9552);
 CAPNP_DECLARE_SCHEMA(cfe6c9674865c766);
+CAPNP_DECLARE_SCHEMA(fe7d5fdb0989358a);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
 
 }  // namespace schemas
@@ -104,6 +105,21 @@
   };
 };
 
+struct LoadMessage {
+  LoadMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe7d5fdb0989358a, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -112,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -546,6 +562,124 @@
 };
 #endif  // !CAPNP_LITE
 
+class LoadMessage::Reader {
+public:
+  typedef LoadMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint32_t getRound() const;
+
+  inline  ::uint32_t getFirst() const;
+
+  inline  ::uint32_t getLast() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasSteps() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getSteps() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getCounts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadMessage::Builder {
+public:
+  typedef LoadMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint32_t getRound();
+  inline void setRound( ::uint32_t value);
+
+  inline  ::uint32_t getFirst();
+  inline void setFirst( ::uint32_t value);
+
+  inline  ::uint32_t getLast();
+  inline void setLast( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasSteps();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getSteps();
+  inline void setSteps( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSteps(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initSteps(unsigned int size);
+  inline void adoptSteps(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownSteps();
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCounts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownCounts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadMessage::Pipeline {
+public:
+  typedef LoadMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
@@ -581,6 +715,9 @@
   inline bool hasLeaving() const;
   inline  ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
 
+  inline bool hasLoad() const;
+  inline  ::nutmeghollow::wire::LoadMessage::Reader getLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -646,6 +783,13 @@
   inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LeavingUpstream,  ::capnp::Kind::STRUCT>> disownLeaving();
 
+  inline bool hasLoad();
+  inline  ::nutmeghollow::wire::LoadMessage::Builder getLoad();
+  inline void setLoad( ::nutmeghollow::wire::LoadMessage::Reader value);
+  inline  ::nutmeghollow::wire::LoadMessage::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::nutmeghollow::wire::LoadMessage>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::LoadMessage> disownLoad();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -664,6 +808,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::nutmeghollow::wire::LoadMessage::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -876,6 +1021,152 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t LoadMessage::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t LoadMessage::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadMessage::Reader::getRound() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadMessage::Builder::getRound() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setRound( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadMessage::Reader::getFirst() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadMessage::Builder::getFirst() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setFirst( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadMessage::Reader::getLast() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadMessage::Builder::getLast() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setLast( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadMessage::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadMessage::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadMessage::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadMessage::Reader::hasSteps() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasSteps() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getSteps() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setSteps( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setSteps(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initSteps(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptSteps(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadMessage::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadMessage::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader LoadMessage::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadMessage::Builder::setCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void LoadMessage::Builder::setCounts(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder LoadMessage::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadMessage::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> LoadMessage::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Digest::Reader::getReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1054,6 +1345,45 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Digest::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmeghollow::wire::LoadMessage::Reader Digest::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::LoadMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::nutmeghollow::wire::LoadMessage::Builder Digest::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::LoadMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmeghollow::wire::LoadMessage::Pipeline Digest::Pipeline::getLoad() {
+  return  ::nutmeghollow::wire::LoadMessage::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setLoad( ::nutmeghollow::wire::LoadMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::LoadMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmeghollow::wire::LoadMessage::Builder Digest::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::LoadMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptLoad(
+    ::capnp::Orphan< ::nutmeghollow::wire::LoadMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::LoadMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmeghollow::wire::LoadMessage> Digest::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::LoadMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -59,6 +59,52 @@
   return report;
 }
 
+std::uint16_t CountOf(const ActiveRequests& entry) {
+  return static_cast<std::uint16_t>(std::clamp(
+      entry.m_count, 0, int{std::numeric_limits<std::uint16_t>::max()}));
+}
+
+void WriteLoad(wire::LoadMessage::Builder out, const LoadMessage& load) {
+  out.setKind(static_cast<std::uint8_t>(load.m_kind));
+  out.setRound(load.m_round);
+  out.setFirst(load.m_first.value());
+  out.setLast(load.m_last.value());
+  out.setAgeMs(AgeMs(TimePoint(), TimePoint() + load.m_age));
+  const auto count =
+      static_cast<unsigned>(std::min(load.m_active.size(), kMaxLoadEntries));
+  auto steps = out.initSteps(count);
+  auto counts = out.initCounts(count);
+  std::uint32_t previous = load.m_first.value();
+  for (unsigned index = 0; index < count; ++index) {
+    const std::uint32_t upstream = load.m_active[index].m_upstream.value();
+    steps.set(index, upstream - previous);
+    counts.set(index, CountOf(load.m_active[index]));
+    previous = upstream;
+  }
+}
+
+/// @return nothing when the kind is not known or the lists differ in length.
+std::optional<LoadMessage> ReadLoad(wire::LoadMessage::Reader in) {
+  const auto steps = in.getSteps();
+  const auto counts = in.getCounts();
+  if (in.getKind() > static_cast<std::uint8_t>(LoadMessageKind::kGroup) ||
+      steps.size() != counts.size()) {
+    return std::nullopt;
+  }
+  LoadMessage load{static_cast<LoadMessageKind>(in.getKind()),
+                   in.getRound(),
+                   UpstreamHash(in.getFirst()),
+                   UpstreamHash(in.getLast()),
+                   std::chrono::milliseconds(in.getAgeMs()),
+                   {}};
+  std::uint32_t upstream = in.getFirst();
+  for (unsigned index = 0; index < steps.size(); ++index) {
+    upstream += steps[index];
+    load.m_active.push_back({UpstreamHash(upstream), counts[index]});
+  }
+  return load;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetDigest& digest, TimePoint now) {
@@ -69,10 +115,8 @@
   const auto active_count = std::min(digest.m_active.size(), kMaxActiveEntries);
   auto active = root.initActive(static_cast<unsigned>(active_count));
   for (unsigned index = 0; index < active_count; ++index) {
-    const ActiveRequests& entry = digest.m_active[index];
-    active[index].setUpstream(entry.m_upstream.value());
-    active[index].setCount(static_cast<std::uint16_t>(std::clamp(
-        entry.m_count, 0, int{std::numeric_limits<std::uint16_t>::max()})));
+    active[index].setUpstream(digest.m_active[index].m_upstream.value());
+    active[index].setCount(CountOf(digest.m_active[index]));
   }
   const auto placement_count =
       std::min(digest.m_placements.size(), kMaxPlacements);
@@ -94,6 +138,9 @@
     leaving[index].setUpstream(digest.m_leaving[index].m_upstream.value());
     leaving[index].setBornMs(digest.m_leaving[index].m_start_time_ms);
   }
+  if (digest.m_load) {
+    WriteLoad(root.initLoad(), *digest.m_load);
+  }
   root.setNewsOnly(digest.m_events_only);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -129,6 +176,9 @@
           {UpstreamHash(entry.getUpstream()), entry.getBornMs()});
     }
     digest.m_events_only = root.getNewsOnly();
+    if (root.hasLoad()) {
+      digest.m_load = ReadLoad(root.getLoad());
+    }
   } catch (const kj::Exception&) {
     return std::nullopt;
   }
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -39,6 +39,42 @@
   EXPECT_LE(EncodeDigest(digest, kNow).size(), 1100U);
 }
 
+/// @return a message with the most entries, spread evenly over the hashes.
+LoadMessage FullLoadMessage() {
+  LoadMessage load;
+  load.m_kind = LoadMessageKind::kOthers;
+  load.m_round = 70'000;
+  load.m_first = UpstreamHash(12);
+  load.m_last = UpstreamHash(0xFFFFFFFFU);
+  load.m_age = std::chrono::milliseconds(350);
+  for (std::uint32_t index = 0; index < kMaxLoadEntries; ++index) {
+    load.m_active.push_back({UpstreamHash(0x1234567U * (index + 1)), 300});
+  }
+  return load;
+}
+
+TEST(FleetDigest, KeepsALoadMessageInARoundTrip) {
+  FleetDigest digest;
+  digest.m_events_only = true;
+  digest.m_load = FullLoadMessage();
+  const std::string payload = EncodeDigest(digest, kNow);
+  EXPECT_LE(payload.size(), 1100U);
+  const auto read = DecodeDigest(payload, kNow);
+  ASSERT_TRUE(read);
+  ASSERT_TRUE(read->m_load);
+  EXPECT_EQ(read->m_load->m_kind, LoadMessageKind::kOthers);
+  EXPECT_EQ(read->m_load->m_round, 70'000U);
+  EXPECT_EQ(read->m_load->m_first, UpstreamHash(12));
+  EXPECT_EQ(read->m_load->m_last, UpstreamHash(0xFFFFFFFFU));
+  EXPECT_EQ(read->m_load->m_age, Duration(std::chrono::milliseconds(350)));
+  ASSERT_EQ(read->m_load->m_active.size(), kMaxLoadEntries);
+  for (std::uint32_t index = 0; index < kMaxLoadEntries; ++index) {
+    const ActiveRequests& entry = read->m_load->m_active[index];
+    EXPECT_EQ(entry.m_upstream, UpstreamHash(0x1234567U * (index + 1)));
+    EXPECT_EQ(entry.m_count, 300);
+  }
+}
+
 TEST(FleetDigest, EncodesCrashTimesAsAges) {
   using std::chrono::milliseconds;
   FleetDigest digest;
@@ -101,6 +137,8 @@
   digest.m_leaving = {{UpstreamHash(5), 1700000000123}};
   digest.m_crashes = {
       {RequestDigest(7), {{UpstreamHash(1), kNow, kNow}}, TimePoint()}};
+  digest.m_load = FullLoadMessage();
+  digest.m_load->m_active.resize(GetParam());
   const std::string whole = EncodeDigest(digest, kNow);
   int read = 0;
   constexpr int kRounds = 5000;
--- a/src/libnutmeg/placement_spread_test.cpp
+++ b/src/libnutmeg/placement_spread_test.cpp
@@ -19,6 +19,8 @@
 #include <utility>
 #include <vector>
 
+#include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/load_exchange.h"
 #include "nutmeghollow/upstream_pool.h"
 
 namespace nutmeghollow {
@@ -40,6 +42,10 @@
 constexpr double kMaxShareOverBound = 0.03;
 /// All instances start within this time, so their digests come together.
 constexpr double kStartSpreadMs = 300;
+constexpr double kLoadPeriodMs = 200;
+constexpr int kDataCentres = 5;
+/// Instances of each data centre with ten times the link of the others.
+constexpr std::size_t kFastPerDataCentre = 3;
 constexpr double kMinPeriodMs = 200;
 constexpr double kPeriodPerPeerMs = 10;
 constexpr double kPrefillTokensPerMs = 56.6;
@@ -102,14 +108,26 @@
         m_random(scenario.m_seed),
         m_pools(scenario.m_instances, UpstreamPool(parameters)),
         m_next_digest_ms(scenario.m_instances),
+        m_next_round_ms(scenario.m_instances),
         m_period_ms(std::max(
             kMinPeriodMs,
             kPeriodPerPeerMs * static_cast<double>(scenario.m_instances))) {
     for (std::size_t index = 0; index < m_pools.size(); ++index) {
       m_pools[index].SetSeed(m_random());
-      m_pools[index].SetLoadAge(
-          Duration(static_cast<std::int64_t>(m_period_ms * 1e3)));
       m_next_digest_ms[index] = kStartSpreadMs * Unit();
+      m_next_round_ms[index] = m_next_digest_ms[index];
+      const bool fast = index / kDataCentres < kFastPerDataCentre;
+      m_directory.Put(
+          {.m_id = InstanceOf(index),
+           .m_data_centre = DataCentreId(std::to_string(index % kDataCentres)),
+           .m_link_mbps = fast ? 200.0 : 20.0});
+    }
+    for (std::size_t index = 0; index < m_pools.size(); ++index) {
+      m_exchanges.emplace_back(
+          InstanceOf(index), &m_directory, &m_pools[index],
+          [this, index](const InstanceId& to, const LoadMessage& message) {
+            m_in_flight.push_back({index, IndexOf(to), message});
+          });
     }
     AddEngines(kEngines, 0);
   }
@@ -119,6 +137,7 @@
     for (double now = 0; now < kLengthMs; now += kTickMs) {
       ChangeEngines(now);
       ExchangeLoads(now);
+      ExchangePlacements(now);
       for (const Kind& kind : kKinds) {
         std::poisson_distribution<int> arrivals(kind.m_per_second * kTickMs /
                                                 1e3);
@@ -160,6 +179,12 @@
   double m_recomputed_tokens = 0;
 
  private:
+  static InstanceId InstanceOf(std::size_t index) {
+    return InstanceId("i" + std::to_string(index));
+  }
+  static std::size_t IndexOf(const InstanceId& id) {
+    return std::stoul(id.str().substr(1));
+  }
   static UpstreamId IdOf(std::size_t engine) {
     return UpstreamId("e" + std::to_string(engine));
   }
@@ -322,31 +347,59 @@
     }
   }
 
+  /// Delivers the messages of the previous tick, and starts rounds.
   void ExchangeLoads(double now) {
+    for (const InFlight& sent : std::exchange(m_in_flight, {})) {
+      m_exchanges[sent.m_to].Handle(InstanceOf(sent.m_from), sent.m_message,
+                                    At(now));
+    }
+    for (std::size_t index = 0; index < m_pools.size(); ++index) {
+      if (m_next_round_ms[index] > now) {
+        continue;
+      }
+      m_next_round_ms[index] += kLoadPeriodMs;
+      m_exchanges[index].StartRound(At(now));
+      if (m_exchanges[index].IsFlat()) {
+        for (std::size_t to = 0; to < m_pools.size(); ++to) {
+          if (to != index) {
+            m_exchanges[to].NoteDigest(
+                InstanceOf(index), m_pools[index].ActiveByUpstream(), At(now));
+          }
+        }
+      }
+    }
+  }
+
+  void ExchangePlacements(double now) {
     for (std::size_t from = 0; from < m_pools.size(); ++from) {
       if (m_next_digest_ms[from] > now) {
         continue;
       }
       m_next_digest_ms[from] += m_period_ms;
-      const auto active = m_pools[from].ActiveByUpstream();
-      const auto placements = m_pools[from].TakePlacements();
-      const InstanceId name("i" + std::to_string(from));
-      for (std::size_t to = 0; to < m_pools.size(); ++to) {
-        if (to == from) {
-          continue;
-        }
-        m_pools[to].SetPeerActive(name, active);
-        for (const PartPlacement& placement : placements) {
-          m_pools[to].NotePeerPlacement(placement, At(now));
+      for (const PartPlacement& placement : m_pools[from].TakePlacements()) {
+        for (std::size_t to = 0; to < m_pools.size(); ++to) {
+          if (to != from) {
+            m_pools[to].NotePeerPlacement(placement, At(now));
+          }
         }
       }
     }
   }
 
+  struct InFlight {
+    std::size_t m_from;
+    std::size_t m_to;
+    LoadMessage m_message;
+  };
+
   const Scenario m_scenario;
   std::mt19937_64 m_random;
   std::vector<UpstreamPool> m_pools;
+  EntryDirectory m_directory;
+  std::vector<LoadExchange> m_exchanges;
+  std::vector<InFlight> m_in_flight;
   std::vector<double> m_next_digest_ms;
+  std::vector<double> m_next_round_ms;
   double m_period_ms;
   std::vector<Engine> m_engines;
   int m_live_engines = 0;
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -270,6 +270,23 @@
       active.push_back({row.m_hash, row.m_active});
     }
   }
+  std::sort(active.begin(), active.end());
+  return active;
+}
+
+std::vector<ActiveRequests> UpstreamPool::FleetActive() const {
+  std::vector<ActiveRequests> active;
+  for (const auto& [hash, count] : m_peer_total) {
+    const auto id = m_ids.find(hash);
+    active.push_back(
+        {hash, count + (id == m_ids.end() ? 0 : Active(id->second))});
+  }
+  for (const ActiveRequests& own : ActiveByUpstream()) {
+    if (!m_peer_total.contains(own.m_upstream)) {
+      active.push_back(own);
+    }
+  }
+  std::sort(active.begin(), active.end());
   return active;
 }
 
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -60,12 +60,33 @@
       m_suspects(suspects),
       m_hooks(std::move(hooks)),
       m_timer(loop, [this] { SendDigest(); }),
-      m_key_timer(loop, [this] { ProposeKey(); }) {
+      m_key_timer(loop, [this] { ProposeKey(); }),
+      m_load_timer(loop, [this] { StartLoadRound(); }),
+      m_loads(m_self,
+              m_directory,
+              m_pool,
+              [this](const InstanceId& to, const LoadMessage& message) {
+                SendLoad(to, message);
+              }) {
   m_timer.Start(kMinPeriod);
+  m_load_timer.StartRepeating(kLoadPeriod);
 }
 
 FleetLink::~FleetLink() = default;
 
+void FleetLink::RegisterGauges(MetricsRegistry* metrics) {
+  metrics->SetGauge("nutmeg_gateway_instances", "", [this] {
+    return static_cast<double>(m_directory->size());
+  });
+  metrics->SetGauge("nutmeg_gateway_load_age_seconds", "", [this] {
+    return std::chrono::duration<double>(m_loads.Age(BootTime())).count();
+  });
+  metrics->SetGauge("nutmeg_gateway_load_relay", "",
+                    [this] { return m_loads.IsRelay() ? 1.0 : 0.0; });
+  metrics->SetGauge("nutmeg_gateway_load_sources", "",
+                    [this] { return static_cast<double>(m_loads.Sources()); });
+}
+
 void FleetLink::ScheduleKeyProposal() {
   if (m_keys || m_key_timer.Active()) {
     return;
@@ -115,6 +136,7 @@
 }
 
 void FleetLink::PutPeer(const InstanceId& id, const Endpoint& endpoint) {
+  m_loads.NoteMembersChanged();
   if (id == m_self) {
     return;
   }
@@ -131,7 +153,7 @@
 
 void FleetLink::RemovePeer(const InstanceId& id) {
   m_peers.erase(id);
-  m_pool->ClearPeerActive(id);
+  m_loads.Forget(id);
 }
 
 Duration FleetLink::Period() const {
@@ -156,6 +178,27 @@
   }
 }
 
+void FleetLink::SendLoad(const InstanceId& to, const LoadMessage& message) {
+  const auto peer = m_peers.find(to);
+  if (m_transport == nullptr || peer == m_peers.end()) {
+    return;
+  }
+  FleetDigest digest;
+  digest.m_events_only = true;
+  digest.m_load = message;
+  m_transport->Send(to, peer->second.m_endpoint,
+                    EncodeDigest(digest, BootTime()));
+}
+
+void FleetLink::StartLoadRound() {
+  const InstanceId relay = m_loads.Relay();
+  m_loads.StartRound(BootTime());
+  if (m_loads.Relay() != relay) {
+    Log(LogLevel::kInfo, "load_relay_chosen",
+        {{"relay", m_loads.Relay().str()}, {"before", relay.str()}});
+  }
+}
+
 void FleetLink::SendEvents() {
   // Two datagrams, since each list may fill one.
   FleetDigest crashes = OwnState();
@@ -173,12 +216,13 @@
 
 void FleetLink::SendDigest() {
   FleetDigest digest = OwnState();
-  digest.m_active = m_pool->ActiveByUpstream();
+  if (m_loads.IsFlat()) {
+    digest.m_active = m_pool->ActiveByUpstream();
+  }
   digest.m_placements = m_pool->TakePlacements();
   SendToPeers(digest);
   SendEvents();
   UpdateLiveness();
-  m_pool->SetLoadAge(Period());
   m_timer.Start(Period());
 }
 
@@ -196,10 +240,13 @@
   for (const UpstreamProcess& process : digest->m_leaving) {
     m_pool->NoteLeaving(process, now);
   }
+  if (digest->m_load) {
+    m_loads.Handle(datagram.m_from, *digest->m_load, now);
+  }
   if (digest->m_events_only) {
     return;
   }
-  m_pool->SetPeerActive(datagram.m_from, digest->m_active);
+  m_loads.NoteDigest(datagram.m_from, digest->m_active, now);
   for (const PartPlacement& placement : digest->m_placements) {
     m_pool->NotePeerPlacement(placement, now);
   }
@@ -226,9 +273,6 @@
           {{"instance", id.str()}});
       entry->m_alive = alive;
     }
-    if (!alive) {
-      m_pool->ClearPeerActive(id);
-    }
   }
 }
 
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -17,7 +17,9 @@
 #include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/entry_directory.h"
 #include "nutmeghollow/fleet_digest.h"
+#include "nutmeghollow/load_exchange.h"
 #include "nutmeghollow/membership.h"
+#include "nutmeghollow/metrics.h"
 #include "nutmeghollow/upstream_pool.h"
 
 namespace nutmeghollow {
@@ -72,6 +74,8 @@
   /// Sends reports of requests that crash upstreams and of upstreams that are
   /// leaving, if there are any.
   void SendEvents();
+  /// @param metrics must not be rendered after this object is gone.
+  void RegisterGauges(MetricsRegistry* metrics);
   /// @return instances from which nothing was received for so long that their
   /// rows may be removed; empty unless it is up to this instance to do so.
   std::vector<InstanceId> LostPeers() const;
@@ -86,6 +90,8 @@
   void ProposeKey();
   void SendDigest();
   void SendToPeers(const FleetDigest& digest);
+  void SendLoad(const InstanceId& to, const LoadMessage& message);
+  void StartLoadRound();
   FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
   void UpdateLiveness();
@@ -103,6 +109,8 @@
   FleetLinkHooks m_hooks;
   net::Timer m_timer;
   net::Timer m_key_timer;
+  net::Timer m_load_timer;
+  LoadExchange m_loads;
   std::map<InstanceId, Peer> m_peers;
   std::optional<net::FleetKeys> m_keys;
   std::unique_ptr<net::PeerTransport> m_transport;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -283,8 +283,7 @@
   metrics.SetGauge("nutmeg_gateway_crash_suspects", "", [this] {
     return static_cast<double>(m_crash_detector.Suspects().size());
   });
-  metrics.SetGauge("nutmeg_gateway_instances", "",
-                   [this] { return static_cast<double>(m_directory.size()); });
+  m_fleet.RegisterGauges(&metrics);
 }
 
 void Gateway::Impl::ApplySettings() {
--- a/src/nutmegd/instance_rows.cpp
+++ b/src/nutmegd/instance_rows.cpp
@@ -27,7 +27,8 @@
   return json{{"caller", self.m_advertised_caller_address.str()},
               {"peer", self.m_advertised_peer_address.str()},
               {"data_centre", self.m_data_centre.str()},
-              {"region", self.m_region.str()}}
+              {"region", self.m_region.str()},
+              {"link_mbps", self.m_link_mbps}}
       .dump();
 }
 
@@ -80,8 +81,11 @@
         {{"key", id.str()}, {"caller", caller.str()}, {"peer", peer.str()}});
     return;
   }
-  m_directory->Put({id, caller, DataCentreId(text("data_centre")),
-                    RegionId(text("region")), true, true});
+  const auto link = row.find("link_mbps");
+  m_directory->Put(
+      {id, caller, DataCentreId(text("data_centre")), RegionId(text("region")),
+       true, true,
+       link != row.end() && link->is_number() ? link->get<double>() : 0.0});
   m_fleet->PutPeer(id, peer);
 }
 
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -232,6 +232,7 @@
                         &target.m_advertised_caller_address);
     reader.ReadEndpoint("advertised_peer_address",
                         &target.m_advertised_peer_address);
+    target.m_link_mbps = reader.ReadReal("link_mbps", 0, 1e9).value_or(0);
     if (target.m_advertised_caller_address.empty()) {
       target.m_advertised_caller_address = target.m_caller_address;
     }
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -49,6 +49,10 @@
   /// advertised_peer_address: address announced to other instances. Defaults to
   /// peer_address.
   Endpoint m_advertised_peer_address;
+  /// link_mbps: bandwidth of the instance's link in Mbit/s. In a fleet with
+  /// relays the instances with the fastest links relay loads. Defaults to 0,
+  /// not known.
+  double m_link_mbps = 0;
 };
 
 /// [fleet]: communication between instances.
