Log malformed messages about loads; name parts of the exchange

A message whose upstreams are not in order was dropped without a line. The test that relays alone respond had a name of another fault.

--- a/src/include/nutmeghollow/load_exchange.h
+++ b/src/include/nutmeghollow/load_exchange.h
@@ -78,7 +78,9 @@
   void NoteMembersChanged() { m_members_changed = true; }
   /// Starts a round; called every kLoadPeriod.
   void StartRound(TimePoint now);
-  void Handle(const InstanceId& from,
+  /// Handles a message of another instance.
+  /// @return false when it is malformed and was not used.
+  bool Handle(const InstanceId& from,
               const LoadMessage& message,
               TimePoint now);
 
@@ -115,6 +117,7 @@
   void ChooseRelay(TimePoint now);
   void RemoveExpired(TimePoint now);
   void RemoveSources();
+  void HandleResponse(const LoadMessage& message, TimePoint now);
   void Store(const InstanceId& from, const LoadMessage& message, TimePoint now);
   void ReportToRelay(TimePoint now);
   void SendGroup(TimePoint now);
--- a/src/libnutmeg/load_exchange.cpp
+++ b/src/libnutmeg/load_exchange.cpp
@@ -257,38 +257,45 @@
   } while (begin < active.size());
 }
 
-void LoadExchange::Handle(const InstanceId& from,
+bool LoadExchange::Handle(const InstanceId& from,
                           const LoadMessage& message,
                           TimePoint now) {
   if (!IsWellFormed(message)) {
-    return;
+    return false;
   }
   switch (message.m_kind) {
     case LoadMessageKind::kReport:
-      if (m_role != Role::kRelay) {
-        return;  // This instance does not know the loads of the fleet.
-      }
-      Store(from, message, now);
-      if (IsLastPart(message)) {
-        RespondToReport(from, message.m_round, now);
+      // Only a relay knows the loads of the fleet. The sender uses another one
+      // when there is no response.
+      if (m_role == Role::kRelay) {
+        Store(from, message, now);
+        if (IsLastPart(message)) {
+          RespondToReport(from, message.m_round, now);
+        }
       }
-      return;
+      return true;
     case LoadMessageKind::kGroup:
       if (m_role == Role::kRelay) {
         Store(from, message, now);
       }
-      return;
+      return true;
     case LoadMessageKind::kOthers:
       if (m_role == Role::kReporter && from == m_relay &&
           message.m_round == m_round) {
-        m_missed_responses = 0;
-        if (m_sources.size() != m_sources.count(from)) {
-          RemoveSources();  // Those of a relay used before.
-        }
-        Store(from, message, now);
+        HandleResponse(message, now);
       }
-      return;
+      return true;
+  }
+  return false;
+}
+
+void LoadExchange::HandleResponse(const LoadMessage& message, TimePoint now) {
+  m_missed_responses = 0;
+  const bool has_other_sources = m_sources.size() > m_sources.count(m_relay);
+  if (has_other_sources) {
+    RemoveSources();  // Those of the relay used before count the same requests.
   }
+  Store(m_relay, message, now);
 }
 
 void LoadExchange::Store(const InstanceId& from,
--- a/src/libnutmeg/load_exchange_test.cpp
+++ b/src/libnutmeg/load_exchange_test.cpp
@@ -7,9 +7,9 @@
 #include <algorithm>
 #include <cstdio>
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -58,6 +58,11 @@
   return directory;
 }
 
+/// @return the relay of the data centre of the instances 0, 5 and so on.
+std::size_t RelayOf(const EntryDirectory& directory) {
+  return IndexOf(ChooseLoadRelays(directory).begin()->second.front());
+}
+
 /// Instances whose messages are delivered in the next tick.
 class Fleet {
  public:
@@ -314,32 +319,22 @@
   EXPECT_EQ(most, 90);
 }
 
-TEST(LoadExchange, ServesReportersThatConsiderAnotherInstanceARelay) {
-  // The directory of a reporter lacks all relays but one that the others do
-  // not consider a relay.
-  Fleet fleet(91);
-  fleet.AddUpstreams(1);
-  fleet.RunFor(600);
-  std::set<InstanceId> relays;
-  for (const auto& [place, ids] : ChooseLoadRelays(fleet.m_directory)) {
-    relays.insert(ids.begin(), ids.end());
-  }
-  LoadMessage report;
-  report.m_last = UpstreamHash(UINT32_MAX);
-  std::vector<LoadMessage> responses;
-  UpstreamPool pool;
-  for (const bool is_relay : {true, false}) {
-    LoadExchange other(is_relay ? *relays.begin() : InstanceOf(90),
-                       &fleet.m_directory, &pool,
-                       [&](const InstanceId& to, const LoadMessage& message) {
-                         if (to == InstanceOf(89)) {
-                           responses.push_back(message);
-                         }
-                       });
-    responses.clear();
-    other.StartRound(At(0));
-    other.Handle(InstanceOf(89), report, At(0));
-    EXPECT_EQ(responses.size(), is_relay ? 1U : 0U);
+TEST(LoadExchange, RespondsToReportsOnlyAsARelay) {
+  const EntryDirectory directory = MakeDirectory(91);
+  for (const std::size_t index : {RelayOf(directory), std::size_t{90}}) {
+    UpstreamPool pool;
+    int responses = 0;
+    LoadExchange exchange(
+        InstanceOf(index), &directory, &pool,
+        [&](const InstanceId& /*to*/, const LoadMessage& message) {
+          responses += message.m_kind == LoadMessageKind::kOthers ? 1 : 0;
+        });
+    exchange.StartRound(At(0));
+    LoadMessage report;
+    report.m_last = UpstreamHash(UINT32_MAX);
+    EXPECT_TRUE(exchange.Handle(InstanceOf(89), report, At(0)));
+    EXPECT_EQ(responses, exchange.IsRelay() ? 1 : 0);
+    EXPECT_EQ(exchange.IsRelay(), index == RelayOf(directory)) << index;
   }
 }
 
@@ -383,16 +378,15 @@
   Fleet fleet(91);
   fleet.AddUpstreams(1);
   fleet.RunFor(600);
-  std::size_t relay = 0;
-  while (!fleet[relay].IsRelay()) {
-    ++relay;
-  }
+  const std::size_t relay = RelayOf(fleet.m_directory);
+  ASSERT_TRUE(fleet[relay].IsRelay());
   const std::size_t before = fleet[relay].Sources();
   LoadMessage message;
   message.m_first = UpstreamHash(GetParam().m_first);
   message.m_last = UpstreamHash(GetParam().m_last);
   message.m_active = GetParam().m_active;
-  fleet[relay].Handle(InstanceId("new"), message, At(fleet.m_now_ms));
+  EXPECT_FALSE(
+      fleet[relay].Handle(InstanceId("new"), message, At(fleet.m_now_ms)));
   EXPECT_EQ(fleet[relay].Sources(), before);
 }
 
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -240,8 +240,11 @@
   for (const UpstreamProcess& process : digest->m_leaving) {
     m_pool->NoteLeaving(process, now);
   }
-  if (digest->m_load) {
-    m_loads.Handle(datagram.m_from, *digest->m_load, now);
+  if (digest->m_load &&
+      !m_loads.Handle(datagram.m_from, *digest->m_load, now)) {
+    Log(LogLevel::kWarning, "load_message_not_used",
+        {{"instance", datagram.m_from.str()},
+         {"reason", std::string("its upstreams are not in order")}});
   }
   if (digest->m_events_only) {
     return;
