Give the two load reports names of their own

upstreams.h and upstream_pool.h each defined a struct LoadReport with other members: the one-definition rule was broken, and the linker could keep either std::optional of them. The one of the probes is ProbedLoad. make lint names types that two public headers define: LoadReport before, none now.

--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -17,6 +17,15 @@
   'platform/*.cpp')
 clang-format --dry-run --Werror "${sources[@]}"
 
+# Two types of one name break the one-definition rule.
+doubles=$(git grep -hE '^(struct|class|enum class) [A-Za-z]+ .*\{' \
+  -- 'src/include/nutmeghollow/*.h' |
+  sed -E 's/^(struct|class|enum class) ([A-Za-z]+) .*/\2/' | sort | uniq -d)
+if [ -n "$doubles" ]; then
+  echo "lint: defined in two public headers: $doubles"
+  exit 1
+fi
+
 # The users' platform is known in platform/ and deploy/ only.
 if git grep -nEi -f platform/words.txt -- src testsuite; then
   echo "lint: words of the users' platform outside platform/ and deploy/"
--- a/src/include/nutmeghollow/probing.h
+++ b/src/include/nutmeghollow/probing.h
@@ -26,7 +26,7 @@
   UpstreamId m_upstream;
   bool m_ok = false;  ///< It responded within the timeout.
   bool m_leaving = false;
-  std::optional<LoadReport> m_report;
+  std::optional<ProbedLoad> m_report;
   Duration m_round_trip{};
   Bytes m_wire_bytes;  ///< Sum of both directions, including headers.
 };
@@ -76,7 +76,7 @@
 struct StoredVerdict {
   ProbeVerdict m_verdict = ProbeVerdict::kOk;
   TimePoint m_taken_at{};
-  std::optional<LoadReport> m_report;
+  std::optional<ProbedLoad> m_report;
 };
 
 /// Health state of one upstream.
--- a/src/include/nutmeghollow/upstreams.h
+++ b/src/include/nutmeghollow/upstreams.h
@@ -22,7 +22,7 @@
 };
 
 /// Load of a model engine, as reported by it.
-struct LoadReport {
+struct ProbedLoad {
   int m_running = 0;       ///< Requests in the engine's batch.
   int m_queued = 0;        ///< Requests waiting inside the engine.
   TimePoint m_taken_at{};  ///< Time of measurement, in TickClock.
@@ -46,7 +46,7 @@
   TimePoint m_status_since{};
   /// Start of the current slow start; unset outside of a slow start.
   std::optional<TimePoint> m_slow_start_since;
-  std::optional<LoadReport> m_report;
+  std::optional<ProbedLoad> m_report;
   /// Requests of this instance that are running at the upstream.
   int m_local_running = 0;
   /// Instance that grants reservations when the upstream is near its load
--- a/src/libnet/operator_json.cpp
+++ b/src/libnet/operator_json.cpp
@@ -105,7 +105,7 @@
   return json;
 }
 
-Json LoadReportJson(const LoadReport& report, TimePoint now) {
+Json ProbedLoadJson(const ProbedLoad& report, TimePoint now) {
   return {{"running", report.m_running},
           {"queued", report.m_queued},
           {"age_ms", AgeJson(report.m_taken_at, now)}};
@@ -123,7 +123,7 @@
       {"slow_start", row.m_slow_start_since.has_value()},
       {"owner", row.m_owner.str()},
       {"running_from_here", row.m_local_running}};
-  json["report"] = row.m_report ? LoadReportJson(*row.m_report, now) : Json();
+  json["report"] = row.m_report ? ProbedLoadJson(*row.m_report, now) : Json();
   return json;
 }
 
--- a/src/libnet/upstream_prober.cpp
+++ b/src/libnet/upstream_prober.cpp
@@ -54,7 +54,7 @@
   result.m_ok = true;
   result.m_leaving = health->m_leaving;
   if (health->m_has_load) {
-    result.m_report = LoadReport{.m_running = health->m_running,
+    result.m_report = ProbedLoad{.m_running = health->m_running,
                                  .m_queued = health->m_queued,
                                  .m_taken_at = now - health->m_age,
                                  .m_received_at = now};
--- a/src/libnutmeg/configuration_system_test.cpp
+++ b/src/libnutmeg/configuration_system_test.cpp
@@ -129,7 +129,7 @@
   UpstreamRow& row = *world.m_upstreams.Find(UpstreamId("e"));
   row.m_local_running = 4;
   row.m_status = UpstreamStatus::kEjected;
-  row.m_report = LoadReport{.m_running = 7};
+  row.m_report = ProbedLoad{.m_running = 7};
   world.m_customers[CustomerId("c")].m_running = 3;
 
   ApplyTransfer(world, transfer(2, "127.0.0.1:1", "2"), later);
--- a/src/libnutmeg/fleet_bench.cpp
+++ b/src/libnutmeg/fleet_bench.cpp
@@ -141,7 +141,7 @@
           {.m_upstream = probe->m_upstream,
            .m_ok = true,
            .m_report =
-               LoadReport{.m_running = static_cast<int>(m_random() % 40),
+               ProbedLoad{.m_running = static_cast<int>(m_random() % 40),
                           .m_taken_at = m_now,
                           .m_received_at = m_now},
            .m_wire_bytes = Bytes(420)});
@@ -199,7 +199,7 @@
       world.m_probing_inbox.m_results.push_back(
           {.m_upstream = probe->m_upstream,
            .m_ok = true,
-           .m_report = LoadReport{.m_running = static_cast<int>(random() % 40),
+           .m_report = ProbedLoad{.m_running = static_cast<int>(random() % 40),
                                   .m_taken_at = fleet.Now(),
                                   .m_received_at = fleet.Now()},
            .m_wire_bytes = Bytes(420)});
--- a/src/libnutmeg/loads.cpp
+++ b/src/libnutmeg/loads.cpp
@@ -124,7 +124,7 @@
                    TimePoint now) {
   int remote = AnnouncedByPeers(world, row.m_id, now);
   if (HasFreshReport(world, row, now)) {
-    const LoadReport& report = *row.m_report;
+    const ProbedLoad& report = *row.m_report;
     const int own = load == nullptr ? 0 : load->m_history.At(report.m_taken_at);
     remote = std::max(remote, report.m_running + report.m_queued - own);
   }
--- a/src/libnutmeg/loads_test.cpp
+++ b/src/libnutmeg/loads_test.cpp
@@ -33,7 +33,7 @@
   fixture.m_now += milliseconds(500);
   if (test.m_reported) {
     engine.m_report =
-        LoadReport{.m_running = *test.m_reported - 1,
+        ProbedLoad{.m_running = *test.m_reported - 1,
                    .m_queued = 1,
                    .m_taken_at = fixture.m_now - test.m_report_age,
                    .m_received_at = fixture.m_now};
@@ -72,7 +72,7 @@
   };
   EXPECT_EQ(remote(), 1);
   fixture.m_now += seconds(1);
-  engine.m_report = LoadReport{.m_running = 1, .m_taken_at = fixture.m_now};
+  engine.m_report = ProbedLoad{.m_running = 1, .m_taken_at = fixture.m_now};
   EXPECT_EQ(remote(), 1) << "the report includes the granted request";
   engine.m_report.reset();
   fixture.m_now += seconds(3);
--- a/src/libnutmeg/probing_test.cpp
+++ b/src/libnutmeg/probing_test.cpp
@@ -62,7 +62,7 @@
                        .m_leaving = fake.m_leaving,
                        .m_wire_bytes = Bytes(420)};
     if (result.m_ok) {
-      result.m_report = LoadReport{.m_running = fake.m_running,
+      result.m_report = ProbedLoad{.m_running = fake.m_running,
                                    .m_taken_at = m_fleet.Now(),
                                    .m_received_at = m_fleet.Now()};
     }
--- a/src/libnutmeg/received_entries.cpp
+++ b/src/libnutmeg/received_entries.cpp
@@ -99,7 +99,7 @@
   const UpstreamRow* row = world.m_upstreams.Find(name->second);
   if (row != nullptr && row->m_kind == UpstreamKind::kEngine &&
       entry.m_verdict != ProbeVerdict::kFailing) {
-    stored->m_report = LoadReport{.m_running = entry.m_running,
+    stored->m_report = ProbedLoad{.m_running = entry.m_running,
                                   .m_queued = entry.m_queued,
                                   .m_taken_at = taken_at,
                                   .m_received_at = now};
