Log the request rates that upstreams state, and what is sent to them

The logs did not say which upstream stated a rate, nor how many requests an instance sent to it, so 'not read' and 'kept by each instance alone' could not be told apart. What is sent does not change.

--- /dev/null
+++ b/src/include/nutmeghollow/rate_limits.h
@@ -0,0 +1,93 @@
+/// @file
+/// Request rates that upstream processes accept from the whole fleet.
+///
+/// An upstream in need states its rate in its responses, for as long as it is
+/// in need. A limit belongs to one process: an upstream that is restarted has
+/// none until it states one. Requests are sent to a limited process with
+/// permits only, which RateExchange distributes among the instances.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "nutmeghollow/leaving_upstreams.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// What a process stated last.
+struct StatedRate {
+  UpstreamProcess m_process;
+  /// Requests per second from all instances; unset: it states none any more.
+  std::optional<double> m_rate;
+  TimePoint m_stated_at{};
+};
+
+/// Settings of the table of limits.
+struct RateLimitsParameters {
+  /// A permit that was not used for this long is void, so that permits cannot
+  /// accumulate at idle instances and be used all at once.
+  Duration m_permit_lifetime = std::chrono::milliseconds(1000);
+  /// A limit ends when no instance received a response of the process for this
+  /// long. Until then permits let requests through that ask it again.
+  Duration m_expiry = std::chrono::seconds(60);
+  /// Statements are sent to other instances for this long.
+  Duration m_report_duration = std::chrono::seconds(3);
+};
+
+/// Limits known to an instance, and its permits.
+class RateLimits {
+ public:
+  explicit RateLimits(RateLimitsParameters parameters = {})
+      : m_parameters(parameters) {}
+
+  /// Records what a response states.
+  /// @param rate requests per second; unset when it states none.
+  /// @param sent_at time when the response's request was sent. A response
+  /// without a rate ends a limit only if its request was sent after the rate
+  /// was last stated, since responses may overtake one another.
+  /// @return true when the limit began, changed or ended.
+  bool NoteResponse(const UpstreamProcess& process,
+                    std::optional<double> rate,
+                    TimePoint sent_at,
+                    TimePoint now);
+  /// Records what another instance reports, unless something newer is known.
+  void Merge(const StatedRate& stated);
+  /// @param limit maximum number of statements.
+  /// @return recent statements to send to other instances. Successive calls go
+  /// through all of them in turn.
+  std::vector<StatedRate> ToReport(std::size_t limit, TimePoint now);
+  /// Removes limits that no response has confirmed for too long.
+  void RemoveExpired(TimePoint now);
+
+  bool IsLimited(const UpstreamProcess& process) const;
+  /// @return the processes with a limit.
+  std::vector<StatedRate> Limited() const;
+  bool AnyLimited() const;
+
+  void AddPermits(const UpstreamProcess& process, int count, TimePoint now);
+  /// @return true when a request may be sent: the process has no limit, or there
+  /// is a permit.
+  bool MaySend(const UpstreamProcess& process, TimePoint now) const;
+  /// Uses a permit for a request that is sent to a limited process.
+  /// @return false when there is none.
+  bool TakePermit(const UpstreamProcess& process, TimePoint now);
+
+ private:
+  struct Entry {
+    std::optional<double> m_rate;
+    TimePoint m_stated_at{};
+    std::deque<TimePoint> m_permits;  ///< Times of receipt, ascending.
+  };
+
+  static std::size_t CountValid(const Entry& entry, TimePoint oldest);
+
+  RateLimitsParameters m_parameters;
+  std::map<UpstreamProcess, Entry> m_entries;
+  UpstreamProcess m_last_reported;
+};
+
+}  // namespace nutmeghollow
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -17,6 +17,7 @@
 
 #include "nutmeghollow/hot_parts.h"
 #include "nutmeghollow/leaving_upstreams.h"
+#include "nutmeghollow/rate_limits.h"
 #include "nutmeghollow/routing.h"
 #include "nutmeghollow/types.h"
 
@@ -223,6 +224,9 @@
                    std::int64_t start_time_ms,
                    Duration wait,
                    TimePoint now);
+  /// Rates that upstreams stated.
+  RateLimits& Limits() { return m_limits; }
+  const RateLimits& Limits() const { return m_limits; }
   /// Records that another upstream responded at this one's address.
   void NoteReplaced(const UpstreamId& id, TimePoint now);
 
@@ -321,6 +325,7 @@
   UpstreamPoolParameters m_parameters;
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
+  RateLimits m_limits;
   HotPartTracker m_hot;
   Duration m_load_age{};
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By compact id.
--- a/src/libnet/route_protocol.h
+++ b/src/libnet/route_protocol.h
@@ -52,6 +52,9 @@
   bool m_leaving = false;  ///< The upstream accepts no new requests.
   /// Time for which the upstream refuses requests; unset when not given.
   std::optional<Duration> m_refused_for;
+  /// Requests per second that the upstream accepts from all instances together;
+  /// unset when the response states none.
+  std::optional<double> m_rate_limit;
 };
 
 /// Error for an invalid document, with the reasons.
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -378,6 +378,13 @@
   m_attempt = std::move(attempt);
   ++m_progress.m_attempts;
   m_tried.push_back(upstream);
+  if (m_state->m_pool.Limits().IsLimited(
+          {HashOf(upstream), registration->m_start_time_ms})) {
+    m_state->m_metrics.Count("nutmeg_route_sent_to_limited",
+                             "upstream=\"" + upstream.str() + "\"");
+    Log(LogLevel::kInfo, "sent_to_limited",
+        {{"upstream", upstream.str()}, {"request", m_request.m_id.str()}});
+  }
   m_state->m_pool.NoteSent(upstream, Prompt(), now);
 }
 
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -92,6 +92,8 @@
   void HandleHeaders(int status, const net::HeaderMap& headers);
   /// Records the state that an upstream reports in a response header.
   void RecordUpstreamState(const net::ResponseFields& fields);
+  /// Records the request rate that an upstream states. @param rate unset: none.
+  void RecordRateLimit(std::optional<double> rate);
   /// Compares the load that an engine reports with the one that was expected
   /// when it was chosen.
   void CompareLoad(const LoadReport& report);
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -61,6 +61,9 @@
                                              : AttemptHealth::kBroken);
     return;
   }
+  if (!fields.m_rate_limit && !fields.m_wrong_upstream) {
+    RecordRateLimit(std::nullopt);
+  }
   if (not_run) {
     attempt.m_failure = fields.m_wrong_upstream ? AttemptFailure::kWrongUpstream
                                                 : AttemptFailure::kRefused;
@@ -94,6 +97,9 @@
         {{"upstream", attempt.m_upstream.str()},
          {"request", m_request.m_id.str()}});
   }
+  if (fields.m_rate_limit) {
+    RecordRateLimit(fields.m_rate_limit);
+  }
   if (fields.m_refused_for) {
     pool.NoteRefusal(attempt.m_upstream, attempt.m_start_time_ms,
                      *fields.m_refused_for, now);
@@ -104,6 +110,20 @@
   }
 }
 
+void RouteRelay::RecordRateLimit(std::optional<double> rate) {
+  const Attempt& attempt = *m_attempt;
+  const UpstreamProcess process{HashOf(attempt.m_upstream),
+                                attempt.m_start_time_ms};
+  RateLimits& limits = m_state->m_pool.Limits();
+  if (limits.NoteResponse(process, rate, attempt.m_sent_at, BootTime())) {
+    Log(LogLevel::kInfo, "upstream_rate_stated",
+        {{"upstream", attempt.m_upstream.str()},
+         {"request", m_request.m_id.str()},
+         {"limited", rate.has_value()},
+         {"rate", rate.value_or(0)}});
+  }
+}
+
 void RouteRelay::CompareLoad(const LoadReport& report) {
   const UpstreamChoice& choice = m_attempt->m_choice;
   if (!IsEngine()) {
