--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -1,8 +1,9 @@
 /// @file
 /// State that instances of the gateway send one another: whether they accept
 /// callers, which requests they have in progress, to which upstream they sent
-/// which part of a prompt, which requests crashed upstreams, and which
-/// upstreams announced that they are leaving.
+/// which part of a prompt, which requests crashed upstreams, which
+/// upstreams announced that they are leaving, and which request rates they
+/// stated.
 ///
 /// Digests may be lost or delayed. Correctness does not depend on them.
 #pragma once
@@ -15,6 +16,7 @@
 
 #include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/load_exchange.h"
+#include "nutmeghollow/rate_exchange.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
 
@@ -30,8 +32,12 @@
   std::vector<UpstreamProcess> m_leaving;
   /// A message about loads, see LoadExchange.
   std::optional<LoadMessage> m_load;
-  /// The digest has crashes, leaving upstreams or m_load only; the other state
-  /// sent before stays valid.
+  std::vector<StatedRate> m_rates;
+  /// Messages about permits, see RateExchange.
+  std::optional<PermitAsk> m_ask;
+  std::optional<PermitResponse> m_response;
+  /// The digest has none of the state above m_crashes; what was sent of it
+  /// before stays valid.
   bool m_events_only = false;
 };
 
@@ -42,6 +48,7 @@
 /// The most recent crashes of a suspect are sent: as many as refuse it.
 inline constexpr std::size_t kMaxCrashesPerReport = 5;
 inline constexpr std::size_t kMaxLeavingUpstreams = 16;
+inline constexpr std::size_t kMaxStatedRates = 12;
 
 /// @return the digest as the payload of a datagram. Times are encoded as ages
 /// in milliseconds, since the clocks of two machines differ.
--- /dev/null
+++ b/src/include/nutmeghollow/rate_exchange.h
@@ -0,0 +1,145 @@
+/// @file
+/// Distributes the request rates that limited upstreams accept among the
+/// instances.
+///
+/// One instance, the allocator, turns each rate into permits. An instance asks
+/// for a permit when it has a request for a limited upstream, and states which
+/// other ones would do. Since nobody else makes permits, the sum over the fleet
+/// stays within the rate however uneven the traffic is, and an instance that
+/// does not reach the allocator sends nothing to a limited upstream. While no
+/// upstream is limited, nothing is sent.
+///
+/// Messages may be lost. An allocator that does not respond is replaced by the
+/// next instance of an order that is the same everywhere.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/rate_limits.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// Identifies an ask for a permit at the instance that sent it.
+using PermitAskId = Number<struct PermitAskTag, std::uint32_t>;
+
+/// A process that a permit is asked for, with its rate.
+struct LimitedProcess {
+  UpstreamProcess m_process;
+  double m_rate = 0;  ///< Requests per second from all instances.
+};
+
+/// Time until the allocator can make the next permit for a process.
+struct PermitDelay {
+  UpstreamProcess m_process;
+  Duration m_delay{};
+};
+
+/// Ask for one permit, for the first process of a list that has one left.
+struct PermitAsk {
+  PermitAskId m_id;
+  std::vector<LimitedProcess> m_processes;  ///< In order of preference.
+};
+
+/// Response to an ask.
+struct PermitResponse {
+  PermitAskId m_id;
+  std::optional<UpstreamProcess> m_granted;
+  std::vector<PermitDelay> m_exhausted;  ///< Processes without a permit.
+};
+
+/// Maximum processes of an ask.
+inline constexpr std::size_t kMaxProcessesPerAsk = 12;
+
+/// Settings of the exchange.
+struct RateExchangeParameters {
+  /// Longest wait for a response. The request is then sent elsewhere.
+  Duration m_response_timeout = std::chrono::milliseconds(60);
+  /// Asks in a row without a response after which the next allocator is used.
+  int m_max_missed_responses = 3;
+  /// Time for which an allocator that did not respond is not used.
+  Duration m_allocator_backoff = std::chrono::seconds(3);
+  /// Permits of this long are kept while nobody asks, and one more.
+  Duration m_burst = std::chrono::milliseconds(500);
+  /// Permits of processes that nobody asked for are forgotten after this long.
+  Duration m_bucket_expiry = std::chrono::seconds(10);
+};
+
+/// The part of the exchange that one instance plays.
+class RateExchange {
+ public:
+  /// Messages to other instances.
+  struct Hooks {
+    std::function<void(const InstanceId& to, const PermitAsk& ask)> m_send_ask;
+    std::function<void(const InstanceId& to, const PermitResponse& response)>
+        m_send_response;
+  };
+
+  /// @param directory and @param limits must outlive this object.
+  RateExchange(InstanceId self,
+               const EntryDirectory* directory,
+               RateLimits* limits,
+               Hooks hooks,
+               RateExchangeParameters parameters = {});
+
+  /// Asks for a permit. It is added to the limits, with what is exhausted.
+  /// @param processes in order of preference; not empty.
+  /// @param done called once, after the response or the timeout, possibly
+  /// before this function returns.
+  void Ask(std::vector<LimitedProcess> processes,
+           std::function<void()> done,
+           TimePoint now);
+  /// Ends asks that were not answered in time. Called every few milliseconds
+  /// while HasOpenAsks.
+  void CheckTimeouts(TimePoint now);
+  bool HasOpenAsks() const { return !m_open.empty(); }
+
+  /// Handles an ask of another instance.
+  void HandleAsk(const InstanceId& from, const PermitAsk& ask, TimePoint now);
+  /// Handles a response.
+  void HandleResponse(const InstanceId& from,
+                      const PermitResponse& response,
+                      TimePoint now);
+
+  /// @return the instance that this one asks; empty before the first ask.
+  const InstanceId& Allocator() const { return m_allocator; }
+
+ private:
+  struct OpenAsk {
+    TimePoint m_sent_at{};
+    std::function<void()> m_done;
+  };
+  /// Permits of a process that can be granted now.
+  struct Bucket {
+    double m_permits = 0;
+    double m_rate = 0;
+    TimePoint m_filled_at{};
+  };
+
+  void ChooseAllocator(TimePoint now);
+  PermitResponse Respond(const PermitAsk& ask, TimePoint now);
+  void Apply(const PermitResponse& response, TimePoint now);
+  Bucket& Fill(const LimitedProcess& process, TimePoint now);
+  /// @return part of each rate that this instance may hand out: less than one
+  /// when another allocator may exist.
+  double OwnShare(TimePoint now) const;
+  bool HasFailed(const InstanceId& id, TimePoint now) const;
+
+  InstanceId m_self;
+  const EntryDirectory* m_directory;
+  RateLimits* m_limits;
+  Hooks m_hooks;
+  RateExchangeParameters m_parameters;
+  InstanceId m_allocator;
+  std::map<InstanceId, TimePoint> m_failed_at;
+  int m_missed_responses = 0;
+  std::uint32_t m_last_ask = 0;
+  std::map<PermitAskId, OpenAsk> m_open;
+  std::map<UpstreamProcess, Bucket> m_buckets;
+};
+
+}  // namespace nutmeghollow
--- a/src/include/nutmeghollow/rate_limits.h
+++ b/src/include/nutmeghollow/rate_limits.h
@@ -36,6 +36,8 @@
   Duration m_expiry = std::chrono::seconds(60);
   /// Statements are sent to other instances for this long.
   Duration m_report_duration = std::chrono::seconds(3);
+  /// Period over which the rate of received permits is averaged.
+  Duration m_average_window = std::chrono::seconds(2);
 };
 
 /// Limits known to an instance, and its permits.
@@ -63,14 +65,23 @@
   /// Removes limits that no response has confirmed for too long.
   void RemoveExpired(TimePoint now);
 
-  bool IsLimited(const UpstreamProcess& process) const;
-  /// @return the processes with a limit.
-  std::vector<StatedRate> Limited() const;
+  bool IsLimited(const UpstreamProcess& process) const {
+    return RateOf(process).has_value();
+  }
   bool AnyLimited() const;
 
-  void AddPermits(const UpstreamProcess& process, int count, TimePoint now);
-  /// @return true when a request may be sent: the process has no limit, or there
-  /// is a permit.
+  /// @return the rate of a process; unset: it has no limit.
+  std::optional<double> RateOf(const UpstreamProcess& process) const;
+  void AddPermit(const UpstreamProcess& process, TimePoint now);
+  /// Records that there is no permit for a process until a time.
+  void NoteExhausted(const UpstreamProcess& process, TimePoint until);
+  /// @return true when a permit may be asked for: there is no known reason why
+  /// there should be none.
+  bool MayAsk(const UpstreamProcess& process, TimePoint now) const;
+  /// @return permits received per second, averaged over m_average_window.
+  double ReceivedRate(const UpstreamProcess& process, TimePoint now) const;
+  /// @return true when a request may be sent: the process has no limit, or
+  /// there is a permit.
   bool MaySend(const UpstreamProcess& process, TimePoint now) const;
   /// Uses a permit for a request that is sent to a limited process.
   /// @return false when there is none.
@@ -80,10 +91,14 @@
   struct Entry {
     std::optional<double> m_rate;
     TimePoint m_stated_at{};
-    std::deque<TimePoint> m_permits;  ///< Times of receipt, ascending.
+    std::deque<TimePoint> m_permits;   ///< Times of receipt, ascending.
+    std::deque<TimePoint> m_received;  ///< The same, used permits included.
+    TimePoint m_exhausted_until{};
   };
 
-  static std::size_t CountValid(const Entry& entry, TimePoint oldest);
+  /// @return number of ascending times after another.
+  static std::size_t CountAfter(const std::deque<TimePoint>& times,
+                                TimePoint oldest);
 
   RateLimitsParameters m_parameters;
   std::map<UpstreamProcess, Entry> m_entries;
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -17,6 +17,8 @@
 
 #include "nutmeghollow/hot_parts.h"
 #include "nutmeghollow/leaving_upstreams.h"
+#include "nutmeghollow/priority_demand.h"
+#include "nutmeghollow/rate_exchange.h"
 #include "nutmeghollow/rate_limits.h"
 #include "nutmeghollow/routing.h"
 #include "nutmeghollow/types.h"
@@ -95,6 +97,9 @@
   /// request may be sent to it, when no other upstream accepts the request.
   /// Some upstreams recover before the stated time.
   double m_refusal_trial_share = 0.5;
+  /// Longest wait that is stated to a caller who was refused for want of
+  /// permits.
+  Duration m_max_permit_wait = std::chrono::seconds(2);
   /// Upper limit of a stated refusal time. An upstream that is unavailable for
   /// longer registers again.
   Duration m_max_refusal = std::chrono::minutes(10);
@@ -131,6 +136,11 @@
   double m_load_cost = 2.5;
   /// Weight of the newest result in the moving averages.
   double m_average_weight = 0.15;
+  /// Cost of using a permit of a limited engine, in milliseconds. It leaves the
+  /// permits to the requests that gain most from the engine's cache.
+  double m_permit_cost = 120.0;
+  /// The same for a server of a plain service, relative to its cost when idle.
+  double m_service_permit_cost = 1.0;
   /// Relative cost increase of an upstream with a failure rate of 1.
   double m_failure_cost = 8.0;
 };
@@ -142,6 +152,7 @@
   std::vector<UpstreamId> m_tried;                    ///< Not to be chosen.
   DataCentreId m_data_centre;   ///< Tie-breaker: preferred location.
   Duration m_latency_target{};  ///< For the time to first token.
+  int m_priority = 0;           ///< Rank; 0 is the most urgent.
 };
 
 /// Chosen upstream and the figures behind the choice.
@@ -156,7 +167,8 @@
   bool m_home_over_bound = false;
   bool m_spread =
       false;  ///< One of the engines that a hot chat is spread over.
-  Duration m_load_age{};  ///< Of the loads of other instances.
+  Duration m_load_age{};   ///< Of the loads of other instances.
+  bool m_limited = false;  ///< Chosen with a permit for its request rate.
 };
 
 /// Registered upstreams of all services.
@@ -184,11 +196,26 @@
   /// @return true when requests may still be sent to the chosen process of an
   /// upstream; false when it is leaving, removed or replaced.
   bool TakesRequests(const UpstreamId& id, std::int64_t start_time_ms) const;
+  /// Counts a new request, and decides whether it may use a permit: less urgent
+  /// requests leave them to the more urgent ones when there are too few.
+  bool AdmitRequest(const UpstreamQuery& upstream_query, TimePoint now);
+  /// @return limited upstreams to which a request should rather be sent than to
+  /// the one that Choose returns, if there were permits; the best first.
+  std::vector<LimitedProcess> PermitsWanted(const UpstreamQuery& upstream_query,
+                                            TimePoint now);
+  /// @return true when a request that was chosen an upstream for may still be
+  /// sent: false when the upstream has stated a request rate since.
+  bool MaySend(const UpstreamChoice& choice) const;
   /// @return time until the first of a service's upstreams accepts requests
   /// again according to its stated refusal; nothing when one does not refuse,
   /// or none is registered.
   std::optional<Duration> RefusedFor(const ServiceId& service,
                                      TimePoint now) const;
+  /// Called when a request is refused for want of permits. Successive requests
+  /// are given successive times, as far apart as the permits of this instance.
+  /// @return time until the request may be sent; nothing when one of the
+  /// service's upstreams has no limit.
+  std::optional<Duration> PermitWait(const ServiceId& service, TimePoint now);
 
   /// Records that a request was sent. @param prompt null for none.
   void NoteSent(const UpstreamId& id,
@@ -284,8 +311,23 @@
     bool m_backing_off = false;
     int m_rank = 0;
     double m_unread_tokens = 0;
+    bool m_limited = false;       ///< Has a request rate limit.
+    bool m_needs_permit = false;  ///< Cannot be chosen before one is received.
+    bool m_is_over = false;       ///< Over the load bound.
+  };
+  /// Candidates of a request with their costs.
+  struct Evaluation {
+    std::vector<Candidate> m_candidates;
+    double m_mean = 0;  ///< Load.
+    double m_bound = 0;
   };
 
+  static double MeanLoad(const std::vector<Candidate>& candidates);
+  Evaluation Evaluate(const UpstreamQuery& upstream_query, TimePoint now);
+  /// @return the best of the candidates that need no permit, or null.
+  const Candidate* Best(const std::vector<Candidate>& candidates) const;
+  /// @return true when a candidate is to be preferred to another.
+  static bool IsBetter(const Candidate& a, const Candidate& b);
   Upstream* FindRow(const UpstreamId& id);
   /// @param trials whether to include refusing upstreams that are due for a
   /// trial request.
@@ -293,6 +335,13 @@
                                  bool trials,
                                  TimePoint now);
   bool MayTry(const Upstream& upstream, TimePoint now) const;
+  static UpstreamProcess ProcessOf(const Upstream& upstream) {
+    return {upstream.m_hash, upstream.m_registration.m_start_time_ms};
+  }
+  /// @return permits per second that this instance gets for a service;
+  /// nothing when one of its upstreams has no limit.
+  std::optional<double> PermitRate(const ServiceId& service,
+                                   TimePoint now) const;
   void MarkBackingOff(std::vector<Candidate>& candidates, TimePoint now) const;
   /// Chooses among the engines over which a hot chat is spread.
   /// @return null when the chat is not spread, or none of the two engines drawn
@@ -326,6 +375,8 @@
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
   RateLimits m_limits;
+  std::map<ServiceId, PriorityDemand> m_demand;
+  std::map<ServiceId, TimePoint> m_next_return;  ///< Of a refused request.
   HotPartTracker m_hot;
   Duration m_load_age{};
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By compact id.
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -52,6 +52,41 @@
   counts @6 :List(UInt16);
 }
 
+# The request rate that a process of an upstream stated, or that it states none
+# any more.
+struct StatedRate {
+  upstream @0 :UInt32;
+  bornMs @1 :Int64;
+  limited @2 :Bool;
+  rate @3 :Float32;  # Requests per second.
+  ageMs @4 :UInt32;
+}
+
+struct LimitedProcess {
+  upstream @0 :UInt32;
+  bornMs @1 :Int64;
+  rate @2 :Float32;
+}
+
+struct PermitAsk {
+  id @0 :UInt32;
+  processes @1 :List(LimitedProcess);
+}
+
+struct PermitDelay {
+  upstream @0 :UInt32;
+  bornMs @1 :Int64;
+  delayMs @2 :UInt16;
+}
+
+struct PermitResponse {
+  id @0 :UInt32;
+  granted @1 :Bool;
+  upstream @2 :UInt32;
+  bornMs @3 :Int64;
+  exhausted @4 :List(PermitDelay);
+}
+
 struct Digest {
   ready @0 :Bool;
   revision @1 :UInt64;
@@ -64,4 +99,8 @@
   leaving @6 :List(LeavingUpstream);
   # With newsOnly, so that instances that do not know it keep the loads.
   load @7 :LoadMessage;
+  rates @8 :List(StatedRate);
+  # With newsOnly, as the load.
+  ask @9 :PermitAsk;
+  response @10 :PermitResponse;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -22,6 +22,11 @@
 CAPNP_DECLARE_SCHEMA(d3f3adfd6bde9552);
 CAPNP_DECLARE_SCHEMA(cfe6c9674865c766);
 CAPNP_DECLARE_SCHEMA(fe7d5fdb0989358a);
+CAPNP_DECLARE_SCHEMA(a70cea1bd06c00f2);
+CAPNP_DECLARE_SCHEMA(eee97bb4d0fa543a);
+CAPNP_DECLARE_SCHEMA(c49452602c8baa97);
+CAPNP_DECLARE_SCHEMA(ce39a2989d8a358e);
+CAPNP_DECLARE_SCHEMA(d284b291a5d1e347);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
 
 }  // namespace schemas
@@ -120,6 +125,81 @@
   };
 };
 
+struct StatedRate {
+  StatedRate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a70cea1bd06c00f2, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LimitedProcess {
+  LimitedProcess() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eee97bb4d0fa543a, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitAsk {
+  PermitAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c49452602c8baa97, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitDelay {
+  PermitDelay() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ce39a2989d8a358e, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitResponse {
+  PermitResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d284b291a5d1e347, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -128,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -651,13 +731,468 @@
   inline void adoptSteps(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownSteps();
 
-  inline bool hasCounts();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getCounts();
-  inline void setCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setCounts(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initCounts(unsigned int size);
-  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownCounts();
+  inline bool hasCounts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCounts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownCounts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadMessage::Pipeline {
+public:
+  typedef LoadMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StatedRate::Reader {
+public:
+  typedef StatedRate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::int64_t getBornMs() const;
+
+  inline bool getLimited() const;
+
+  inline float getRate() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StatedRate::Builder {
+public:
+  typedef StatedRate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::int64_t getBornMs();
+  inline void setBornMs( ::int64_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline float getRate();
+  inline void setRate(float value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StatedRate::Pipeline {
+public:
+  typedef StatedRate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LimitedProcess::Reader {
+public:
+  typedef LimitedProcess Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::int64_t getBornMs() const;
+
+  inline float getRate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitedProcess::Builder {
+public:
+  typedef LimitedProcess Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::int64_t getBornMs();
+  inline void setBornMs( ::int64_t value);
+
+  inline float getRate();
+  inline void setRate(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitedProcess::Pipeline {
+public:
+  typedef LimitedProcess Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitAsk::Reader {
+public:
+  typedef PermitAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline bool hasProcesses() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader getProcesses() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitAsk::Builder {
+public:
+  typedef PermitAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool hasProcesses();
+  inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder getProcesses();
+  inline void setProcesses( ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder initProcesses(unsigned int size);
+  inline void adoptProcesses(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>> disownProcesses();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitAsk::Pipeline {
+public:
+  typedef PermitAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitDelay::Reader {
+public:
+  typedef PermitDelay Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::int64_t getBornMs() const;
+
+  inline  ::uint16_t getDelayMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitDelay::Builder {
+public:
+  typedef PermitDelay Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::int64_t getBornMs();
+  inline void setBornMs( ::int64_t value);
+
+  inline  ::uint16_t getDelayMs();
+  inline void setDelayMs( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitDelay::Pipeline {
+public:
+  typedef PermitDelay Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitResponse::Reader {
+public:
+  typedef PermitResponse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline bool getGranted() const;
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::int64_t getBornMs() const;
+
+  inline bool hasExhausted() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Reader getExhausted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitResponse::Builder {
+public:
+  typedef PermitResponse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::int64_t getBornMs();
+  inline void setBornMs( ::int64_t value);
+
+  inline bool hasExhausted();
+  inline  ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Builder getExhausted();
+  inline void setExhausted( ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Builder initExhausted(unsigned int size);
+  inline void adoptExhausted(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>> disownExhausted();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -669,9 +1204,9 @@
 };
 
 #if !CAPNP_LITE
-class LoadMessage::Pipeline {
+class PermitResponse::Pipeline {
 public:
-  typedef LoadMessage Pipelines;
+  typedef PermitResponse Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -723,6 +1258,15 @@
   inline bool hasLoad() const;
   inline  ::nutmeghollow::wire::LoadMessage::Reader getLoad() const;
 
+  inline bool hasRates() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader getRates() const;
+
+  inline bool hasAsk() const;
+  inline  ::nutmeghollow::wire::PermitAsk::Reader getAsk() const;
+
+  inline bool hasResponse() const;
+  inline  ::nutmeghollow::wire::PermitResponse::Reader getResponse() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -795,6 +1339,27 @@
   inline void adoptLoad(::capnp::Orphan< ::nutmeghollow::wire::LoadMessage>&& value);
   inline ::capnp::Orphan< ::nutmeghollow::wire::LoadMessage> disownLoad();
 
+  inline bool hasRates();
+  inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder getRates();
+  inline void setRates( ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder initRates(unsigned int size);
+  inline void adoptRates(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>> disownRates();
+
+  inline bool hasAsk();
+  inline  ::nutmeghollow::wire::PermitAsk::Builder getAsk();
+  inline void setAsk( ::nutmeghollow::wire::PermitAsk::Reader value);
+  inline  ::nutmeghollow::wire::PermitAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::nutmeghollow::wire::PermitAsk>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitAsk> disownAsk();
+
+  inline bool hasResponse();
+  inline  ::nutmeghollow::wire::PermitResponse::Builder getResponse();
+  inline void setResponse( ::nutmeghollow::wire::PermitResponse::Reader value);
+  inline  ::nutmeghollow::wire::PermitResponse::Builder initResponse();
+  inline void adoptResponse(::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> disownResponse();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -814,6 +1379,8 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::nutmeghollow::wire::LoadMessage::Pipeline getLoad();
+  inline  ::nutmeghollow::wire::PermitAsk::Pipeline getAsk();
+  inline  ::nutmeghollow::wire::PermitResponse::Pipeline getResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1186,6 +1753,298 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t StatedRate::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StatedRate::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t StatedRate::Reader::getBornMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t StatedRate::Builder::getBornMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setBornMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StatedRate::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool StatedRate::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline float StatedRate::Reader::getRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float StatedRate::Builder::getRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StatedRate::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StatedRate::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LimitedProcess::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LimitedProcess::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LimitedProcess::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LimitedProcess::Reader::getBornMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LimitedProcess::Builder::getBornMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LimitedProcess::Builder::setBornMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline float LimitedProcess::Reader::getRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float LimitedProcess::Builder::getRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LimitedProcess::Builder::setRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitAsk::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitAsk::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitAsk::Reader::hasProcesses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasProcesses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader PermitAsk::Reader::getProcesses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder PermitAsk::Builder::getProcesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::setProcesses( ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder PermitAsk::Builder::initProcesses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitAsk::Builder::adoptProcesses(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>> PermitAsk::Builder::disownProcesses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PermitDelay::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitDelay::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitDelay::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitDelay::Reader::getBornMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitDelay::Builder::getBornMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitDelay::Builder::setBornMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t PermitDelay::Reader::getDelayMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PermitDelay::Builder::getDelayMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitDelay::Builder::setDelayMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitResponse::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitResponse::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitResponse::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitResponse::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PermitResponse::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitResponse::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitResponse::Reader::getBornMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitResponse::Builder::getBornMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitResponse::Builder::setBornMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitResponse::Reader::hasExhausted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitResponse::Builder::hasExhausted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Reader PermitResponse::Reader::getExhausted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Builder PermitResponse::Builder::getExhausted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitResponse::Builder::setExhausted( ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>::Builder PermitResponse::Builder::initExhausted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitResponse::Builder::adoptExhausted(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>> PermitResponse::Builder::disownExhausted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::PermitDelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Digest::Reader::getReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1403,6 +2262,118 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Digest::Reader::hasRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setRates( ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptRates(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>> Digest::Builder::disownRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmeghollow::wire::PermitAsk::Reader Digest::Reader::getAsk() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::nutmeghollow::wire::PermitAsk::Builder Digest::Builder::getAsk() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmeghollow::wire::PermitAsk::Pipeline Digest::Pipeline::getAsk() {
+  return  ::nutmeghollow::wire::PermitAsk::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setAsk( ::nutmeghollow::wire::PermitAsk::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmeghollow::wire::PermitAsk::Builder Digest::Builder::initAsk() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptAsk(
+    ::capnp::Orphan< ::nutmeghollow::wire::PermitAsk>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmeghollow::wire::PermitAsk> Digest::Builder::disownAsk() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasResponse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasResponse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmeghollow::wire::PermitResponse::Reader Digest::Reader::getResponse() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::getResponse() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmeghollow::wire::PermitResponse::Pipeline Digest::Pipeline::getResponse() {
+  return  ::nutmeghollow::wire::PermitResponse::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setResponse( ::nutmeghollow::wire::PermitResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::initResponse() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptResponse(
+    ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> Digest::Builder::disownResponse() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -6,6 +6,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "libnutmeg/digest.capnp.h"
@@ -62,9 +63,13 @@
   return report;
 }
 
+std::uint16_t ToUInt16(int count) {
+  return static_cast<std::uint16_t>(
+      std::clamp(count, 0, int{std::numeric_limits<std::uint16_t>::max()}));
+}
+
 std::uint16_t CountOf(const ActiveRequests& entry) {
-  return static_cast<std::uint16_t>(std::clamp(
-      entry.m_count, 0, int{std::numeric_limits<std::uint16_t>::max()}));
+  return ToUInt16(entry.m_count);
 }
 
 void WriteLoad(wire::LoadMessage::Builder out, const LoadMessage& load) {
@@ -108,6 +113,88 @@
   return load;
 }
 
+void WriteRate(wire::StatedRate::Builder out,
+               const StatedRate& stated,
+               TimePoint now) {
+  out.setUpstream(stated.m_process.m_upstream.value());
+  out.setBornMs(stated.m_process.m_start_time_ms);
+  out.setLimited(stated.m_rate.has_value());
+  out.setRate(static_cast<float>(stated.m_rate.value_or(0)));
+  out.setAgeMs(AgeMs(stated.m_stated_at, now));
+}
+
+/// @return nothing when the rate is not a non-negative number.
+std::optional<StatedRate> ReadRate(wire::StatedRate::Reader in, TimePoint now) {
+  StatedRate stated{{UpstreamHash(in.getUpstream()), in.getBornMs()},
+                    std::nullopt,
+                    TimeFromAge(in.getAgeMs(), now)};
+  if (in.getLimited()) {
+    stated.m_rate = double{in.getRate()};
+    if (!std::isfinite(*stated.m_rate) || *stated.m_rate < 0) {
+      return std::nullopt;
+    }
+  }
+  return stated;
+}
+
+void WriteAsk(wire::PermitAsk::Builder out, const PermitAsk& ask) {
+  out.setId(ask.m_id.value());
+  const auto count = std::min(ask.m_processes.size(), kMaxProcessesPerAsk);
+  auto processes = out.initProcesses(static_cast<unsigned>(count));
+  for (unsigned index = 0; index < count; ++index) {
+    const LimitedProcess& entry = ask.m_processes[index];
+    processes[index].setUpstream(entry.m_process.m_upstream.value());
+    processes[index].setBornMs(entry.m_process.m_start_time_ms);
+    processes[index].setRate(static_cast<float>(entry.m_rate));
+  }
+}
+
+/// @return nothing when a rate is not a non-negative number.
+std::optional<PermitAsk> ReadAsk(wire::PermitAsk::Reader in) {
+  PermitAsk ask{PermitAskId(in.getId()), {}};
+  for (const auto& entry : in.getProcesses()) {
+    const double rate = entry.getRate();
+    if (!std::isfinite(rate) || rate < 0) {
+      return std::nullopt;
+    }
+    ask.m_processes.push_back(
+        {{UpstreamHash(entry.getUpstream()), entry.getBornMs()}, rate});
+  }
+  return ask;
+}
+
+void WriteResponse(wire::PermitResponse::Builder out,
+                   const PermitResponse& response) {
+  out.setId(response.m_id.value());
+  out.setGranted(response.m_granted.has_value());
+  if (response.m_granted) {
+    out.setUpstream(response.m_granted->m_upstream.value());
+    out.setBornMs(response.m_granted->m_start_time_ms);
+  }
+  const auto count = std::min(response.m_exhausted.size(), kMaxProcessesPerAsk);
+  auto exhausted = out.initExhausted(static_cast<unsigned>(count));
+  for (unsigned index = 0; index < count; ++index) {
+    const PermitDelay& entry = response.m_exhausted[index];
+    exhausted[index].setUpstream(entry.m_process.m_upstream.value());
+    exhausted[index].setBornMs(entry.m_process.m_start_time_ms);
+    exhausted[index].setDelayMs(ToUInt16(static_cast<int>(
+        std::chrono::ceil<std::chrono::milliseconds>(entry.m_delay).count())));
+  }
+}
+
+PermitResponse ReadResponse(wire::PermitResponse::Reader in) {
+  PermitResponse response{PermitAskId(in.getId()), std::nullopt, {}};
+  if (in.getGranted()) {
+    response.m_granted = {UpstreamHash(in.getUpstream()), in.getBornMs()};
+  }
+  for (const auto& entry : in.getExhausted()) {
+    response.m_exhausted.push_back(
+        {{UpstreamHash(entry.getUpstream()), entry.getBornMs()},
+         std::chrono::milliseconds(entry.getDelayMs())});
+  }
+  return response;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetDigest& digest, TimePoint now) {
@@ -144,6 +231,17 @@
   if (digest.m_load) {
     WriteLoad(root.initLoad(), *digest.m_load);
   }
+  const auto rate_count = std::min(digest.m_rates.size(), kMaxStatedRates);
+  auto rates = root.initRates(static_cast<unsigned>(rate_count));
+  for (unsigned index = 0; index < rate_count; ++index) {
+    WriteRate(rates[index], digest.m_rates[index], now);
+  }
+  if (digest.m_ask) {
+    WriteAsk(root.initAsk(), *digest.m_ask);
+  }
+  if (digest.m_response) {
+    WriteResponse(root.initResponse(), *digest.m_response);
+  }
   root.setNewsOnly(digest.m_events_only);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -182,6 +280,17 @@
     if (root.hasLoad()) {
       digest.m_load = ReadLoad(root.getLoad());
     }
+    for (const auto& entry : root.getRates()) {
+      if (const auto stated = ReadRate(entry, now)) {
+        digest.m_rates.push_back(*stated);
+      }
+    }
+    if (root.hasAsk()) {
+      digest.m_ask = ReadAsk(root.getAsk());
+    }
+    if (root.hasResponse()) {
+      digest.m_response = ReadResponse(root.getResponse());
+    }
   } catch (const kj::Exception&) {
     return std::nullopt;
   }
--- /dev/null
+++ b/src/libnutmeg/rate_exchange.cpp
@@ -0,0 +1,185 @@
+#include "nutmeghollow/rate_exchange.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include "nutmeghollow/hashing.h"
+
+namespace nutmeghollow {
+namespace {
+
+/// Share of the instances that must be reachable for permits to be granted at
+/// the full rate: two parts of a divided fleet cannot both have it.
+constexpr double kMajority = 0.5;
+/// Longest delay that is stated for a process with a rate near zero.
+constexpr Duration kMaxPermitDelay = std::chrono::seconds(2);
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+RateExchange::RateExchange(InstanceId self,
+                           const EntryDirectory* directory,
+                           RateLimits* limits,
+                           Hooks hooks,
+                           RateExchangeParameters parameters)
+    : m_self(std::move(self)),
+      m_directory(directory),
+      m_limits(limits),
+      m_hooks(std::move(hooks)),
+      m_parameters(parameters) {}
+
+bool RateExchange::HasFailed(const InstanceId& id, TimePoint now) const {
+  const auto failed = m_failed_at.find(id);
+  return failed != m_failed_at.end() &&
+         now - failed->second < m_parameters.m_allocator_backoff;
+}
+
+void RateExchange::ChooseAllocator(TimePoint now) {
+  using Rank = std::tuple<bool, double, std::uint64_t, InstanceId>;
+  std::optional<Rank> best;
+  for (const auto& [id, instance] : m_directory->Instances()) {
+    if (id == m_self || (instance.m_alive && !HasFailed(id, now))) {
+      const Rank rank{!instance.m_ready, -instance.m_link_mbps,
+                      HashText(id.str()), id};
+      best = best ? std::min(*best, rank) : rank;
+    }
+  }
+  const InstanceId chosen = best ? std::get<InstanceId>(*best) : m_self;
+  if (chosen != m_allocator) {
+    m_allocator = chosen;
+    m_missed_responses = 0;
+    m_buckets.clear();
+  }
+}
+
+void RateExchange::Ask(std::vector<LimitedProcess> processes,
+                       std::function<void()> done,
+                       TimePoint now) {
+  ChooseAllocator(now);
+  processes.resize(std::min(processes.size(), kMaxProcessesPerAsk));
+  PermitAsk ask{PermitAskId(++m_last_ask), std::move(processes)};
+  if (m_allocator == m_self) {
+    Apply(Respond(ask, now), now);
+    done();
+    return;
+  }
+  m_open.emplace(ask.m_id, OpenAsk{now, std::move(done)});
+  m_hooks.m_send_ask(m_allocator, ask);
+}
+
+void RateExchange::CheckTimeouts(TimePoint now) {
+  std::vector<std::function<void()>> late;
+  for (auto ask = m_open.begin(); ask != m_open.end();) {
+    if (now - ask->second.m_sent_at < m_parameters.m_response_timeout) {
+      ++ask;
+      continue;
+    }
+    late.push_back(std::move(ask->second.m_done));
+    ask = m_open.erase(ask);
+  }
+  if (late.empty()) {
+    return;
+  }
+  ++m_missed_responses;
+  if (m_missed_responses >= m_parameters.m_max_missed_responses) {
+    m_failed_at[m_allocator] = now;
+    m_missed_responses = 0;
+  }
+  for (const auto& done : late) {
+    done();
+  }
+}
+
+void RateExchange::HandleAsk(const InstanceId& from,
+                             const PermitAsk& ask,
+                             TimePoint now) {
+  ChooseAllocator(now);
+  // Without a response the sender uses another allocator.
+  if (m_allocator == m_self) {
+    m_hooks.m_send_response(from, Respond(ask, now));
+  }
+}
+
+void RateExchange::HandleResponse(const InstanceId& from,
+                                  const PermitResponse& response,
+                                  TimePoint now) {
+  if (from == m_allocator) {
+    m_missed_responses = 0;
+  }
+  Apply(response, now);
+  const auto ask = m_open.find(response.m_id);
+  if (ask != m_open.end()) {
+    const auto done = std::move(ask->second.m_done);
+    m_open.erase(ask);
+    done();
+  }
+}
+
+void RateExchange::Apply(const PermitResponse& response, TimePoint now) {
+  if (response.m_granted) {
+    m_limits->AddPermit(*response.m_granted, now);
+  }
+  for (const PermitDelay& entry : response.m_exhausted) {
+    m_limits->NoteExhausted(entry.m_process, now + entry.m_delay);
+  }
+}
+
+PermitResponse RateExchange::Respond(const PermitAsk& ask, TimePoint now) {
+  std::erase_if(m_buckets, [&](const auto& entry) {
+    return now - entry.second.m_filled_at >= m_parameters.m_bucket_expiry;
+  });
+  PermitResponse response{ask.m_id, std::nullopt, {}};
+  for (const LimitedProcess& process : ask.m_processes) {
+    Bucket& bucket = Fill(process, now);
+    if (bucket.m_permits >= 1.0) {
+      bucket.m_permits -= 1.0;
+      response.m_granted = process.m_process;
+      break;
+    }
+    const double missing = 1.0 - bucket.m_permits;
+    const double seconds =
+        bucket.m_rate > 0 ? missing / bucket.m_rate : Seconds(kMaxPermitDelay);
+    response.m_exhausted.push_back(
+        {process.m_process,
+         Duration(static_cast<std::int64_t>(
+             1e6 * std::min(seconds, Seconds(kMaxPermitDelay))))});
+  }
+  return response;
+}
+
+RateExchange::Bucket& RateExchange::Fill(const LimitedProcess& process,
+                                         TimePoint now) {
+  const double rate =
+      m_limits->RateOf(process.m_process).value_or(process.m_rate) *
+      OwnShare(now);
+  const auto [entry, is_new] =
+      m_buckets.try_emplace(process.m_process, Bucket{1.0, rate, now});
+  Bucket& bucket = entry->second;
+  bucket.m_permits =
+      std::min(bucket.m_permits + rate * Seconds(now - bucket.m_filled_at),
+               1.0 + rate * Seconds(m_parameters.m_burst));
+  bucket.m_rate = rate;
+  bucket.m_filled_at = now;
+  return bucket;
+}
+
+double RateExchange::OwnShare(TimePoint now) const {
+  double alive = 0;
+  bool contested = false;
+  for (const auto& [id, instance] : m_directory->Instances()) {
+    alive += id == m_self || instance.m_alive ? 1 : 0;
+    contested |= id != m_self && instance.m_alive && HasFailed(id, now);
+  }
+  const double size = std::max(1.0, static_cast<double>(m_directory->size()));
+  if (contested) {
+    return 1.0 / size;
+  }
+  return alive / size >= kMajority ? 1.0 : alive / size;
+}
+
+}  // namespace nutmeghollow
--- a/src/libnutmeg/rate_limits.cpp
+++ b/src/libnutmeg/rate_limits.cpp
@@ -14,7 +14,7 @@
         sent_at <= found->second.m_stated_at) {
       return false;
     }
-    found->second = Entry{std::nullopt, now, {}};
+    found->second = Entry{std::nullopt, now, {}, {}, {}};
     return true;
   }
   Entry& entry = m_entries[process];
@@ -28,7 +28,8 @@
   const auto found = m_entries.find(stated.m_process);
   if (found == m_entries.end()) {
     if (stated.m_rate) {
-      m_entries[stated.m_process] = {stated.m_rate, stated.m_stated_at, {}};
+      m_entries[stated.m_process] = {
+          stated.m_rate, stated.m_stated_at, {}, {}, {}};
     }
     return;
   }
@@ -61,63 +62,81 @@
   });
 }
 
-bool RateLimits::IsLimited(const UpstreamProcess& process) const {
+std::optional<double> RateLimits::RateOf(const UpstreamProcess& process) const {
   const auto found = m_entries.find(process);
-  return found != m_entries.end() && found->second.m_rate.has_value();
+  return found == m_entries.end() ? std::nullopt : found->second.m_rate;
 }
 
-std::vector<StatedRate> RateLimits::Limited() const {
-  std::vector<StatedRate> limited;
-  for (const auto& [process, entry] : m_entries) {
-    if (entry.m_rate) {
-      limited.push_back({process, entry.m_rate, entry.m_stated_at});
+bool RateLimits::AnyLimited() const {
+  return std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) {
+    return entry.second.m_rate.has_value();
+  });
+}
+
+void RateLimits::AddPermit(const UpstreamProcess& process, TimePoint now) {
+  const auto found = m_entries.find(process);
+  if (found == m_entries.end()) {
+    return;
+  }
+  const auto add = [&](std::deque<TimePoint>* times, Duration lifetime) {
+    while (!times->empty() && now - times->front() >= lifetime) {
+      times->pop_front();
     }
+    times->push_back(now);
+  };
+  add(&found->second.m_permits, m_parameters.m_permit_lifetime);
+  add(&found->second.m_received, m_parameters.m_average_window);
+}
+
+void RateLimits::NoteExhausted(const UpstreamProcess& process,
+                               TimePoint until) {
+  const auto found = m_entries.find(process);
+  if (found != m_entries.end()) {
+    found->second.m_exhausted_until = until;
   }
-  return limited;
 }
 
-bool RateLimits::AnyLimited() const {
-  return std::any_of(
-      m_entries.begin(), m_entries.end(),
-      [](const auto& entry) { return entry.second.m_rate.has_value(); });
+bool RateLimits::MayAsk(const UpstreamProcess& process, TimePoint now) const {
+  const auto found = m_entries.find(process);
+  return found == m_entries.end() || now >= found->second.m_exhausted_until;
 }
 
-void RateLimits::AddPermits(const UpstreamProcess& process,
-                            int count,
-                            TimePoint now) {
+double RateLimits::ReceivedRate(const UpstreamProcess& process,
+                                TimePoint now) const {
   const auto found = m_entries.find(process);
   if (found == m_entries.end()) {
-    return;
-  }
-  std::deque<TimePoint>& permits = found->second.m_permits;
-  while (!permits.empty() &&
-         now - permits.front() >= m_parameters.m_permit_lifetime) {
-    permits.pop_front();
+    return 0;
   }
-  permits.insert(permits.end(), static_cast<std::size_t>(std::max(0, count)),
-                 now);
+  const Duration window = m_parameters.m_average_window;
+  return static_cast<double>(
+             CountAfter(found->second.m_received, now - window)) /
+         std::chrono::duration<double>(window).count();
 }
 
-std::size_t RateLimits::CountValid(const Entry& entry, TimePoint oldest) {
+std::size_t RateLimits::CountAfter(const std::deque<TimePoint>& times,
+                                   TimePoint oldest) {
   return static_cast<std::size_t>(
-      entry.m_permits.end() - std::upper_bound(entry.m_permits.begin(),
-                                               entry.m_permits.end(), oldest));
+      times.end() - std::upper_bound(times.begin(), times.end(), oldest));
 }
 
 bool RateLimits::MaySend(const UpstreamProcess& process, TimePoint now) const {
   const auto found = m_entries.find(process);
   return found == m_entries.end() || !found->second.m_rate ||
-         CountValid(found->second, now - m_parameters.m_permit_lifetime) > 0;
+         CountAfter(found->second.m_permits,
+                    now - m_parameters.m_permit_lifetime) > 0;
 }
 
 bool RateLimits::TakePermit(const UpstreamProcess& process, TimePoint now) {
   const auto found = m_entries.find(process);
   if (found == m_entries.end() ||
-      CountValid(found->second, now - m_parameters.m_permit_lifetime) == 0) {
+      CountAfter(found->second.m_permits,
+                 now - m_parameters.m_permit_lifetime) == 0) {
     return false;
   }
-  // The newest one, so that a use is as close as possible to its allocation.
-  found->second.m_permits.pop_back();
+  // The oldest valid one, so that the others last.
+  auto& permits = found->second.m_permits;
+  permits.erase(std::upper_bound(permits.begin(), permits.end(),
+                                 now - m_parameters.m_permit_lifetime));
   return true;
 }
 
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -66,7 +66,12 @@
     if (now < row.m_refused_until && !(trials && MayTry(row, now))) {
       continue;
     }
-    candidates.push_back({&row, EstimatedLoad(row, now), 0, false});
+    Candidate candidate;
+    candidate.m_upstream = &row;
+    candidate.m_load = EstimatedLoad(row, now);
+    candidate.m_limited = m_limits.IsLimited(ProcessOf(row));
+    candidate.m_needs_permit = !m_limits.MaySend(ProcessOf(row), now);
+    candidates.push_back(candidate);
   }
   MarkBackingOff(candidates, now);
   return candidates;
@@ -171,7 +176,8 @@
                                               rank == 0 && !cached_on_any, now);
     candidate->m_cost =
         EngineCost(*candidate, upstream_query.m_latency_target) +
-        (near ? 0 : kDistanceCost);
+        (near ? 0 : kDistanceCost) +
+        (candidate->m_limited ? m_parameters.m_permit_cost : 0);
     ++rank;
   }
 }
@@ -210,6 +216,11 @@
     const double own_load = candidate.m_upstream->m_active;
     candidate.m_cost = ServiceCost(*candidate.m_upstream, own_load,
                                    mean_response_ms, failure_rate);
+    if (candidate.m_limited) {
+      candidate.m_cost +=
+          m_parameters.m_service_permit_cost /
+          std::max(1, candidate.m_upstream->m_registration.m_slots);
+    }
   }
 }
 
@@ -242,6 +253,7 @@
     const bool drawn = rank == first || rank == second;
     const bool has_room = candidate.m_load + 1 <= bound;
     if (drawn && has_room && !candidate.m_backing_off &&
+        !candidate.m_needs_permit &&
         (best == nullptr || candidate.m_load < best->m_load)) {
       best = &candidate;
     }
@@ -249,16 +261,31 @@
   return best;
 }
 
-std::optional<UpstreamChoice> UpstreamPool::Choose(
+double UpstreamPool::MeanLoad(const std::vector<Candidate>& candidates) {
+  // Limited upstreams cannot take their part of the load, so the others have to
+  // carry more than the mean of all.
+  double sum = 0;
+  double sum_unlimited = 0;
+  int unlimited = 0;
+  for (const Candidate& candidate : candidates) {
+    sum += candidate.m_load;
+    sum_unlimited += candidate.m_limited ? 0 : candidate.m_load;
+    unlimited += candidate.m_limited ? 0 : 1;
+  }
+  return unlimited > 0
+             ? sum_unlimited / unlimited
+             : sum / std::max(1.0, static_cast<double>(candidates.size()));
+}
+
+UpstreamPool::Evaluation UpstreamPool::Evaluate(
     const UpstreamQuery& upstream_query,
     TimePoint now) {
-  std::vector<Candidate> candidates = Collect(upstream_query, false, now);
+  Evaluation evaluation;
+  std::vector<Candidate>& candidates = evaluation.m_candidates;
+  candidates = Collect(upstream_query, false, now);
   if (candidates.empty()) {
     candidates = Collect(upstream_query, true, now);
   }
-  if (candidates.empty()) {
-    return std::nullopt;
-  }
   const bool engines =
       upstream_query.m_prompt != nullptr && !upstream_query.m_prompt->empty();
   if (engines) {
@@ -266,44 +293,94 @@
   } else {
     CostServices(candidates);
   }
-  double mean = 0;
-  for (const Candidate& candidate : candidates) {
-    mean += candidate.m_load / static_cast<double>(candidates.size());
+  evaluation.m_mean = MeanLoad(candidates);
+  evaluation.m_bound =
+      m_parameters.m_load_bound * evaluation.m_mean + m_parameters.m_load_slack;
+  for (Candidate& candidate : candidates) {
+    candidate.m_is_over = engines && candidate.m_load + 1 > evaluation.m_bound;
   }
-  const double bound =
-      m_parameters.m_load_bound * mean + m_parameters.m_load_slack;
-  const auto is_over = [&](const Candidate& candidate) {
-    return engines && candidate.m_load + 1 > bound;
-  };
+  return evaluation;
+}
+
+bool UpstreamPool::IsBetter(const Candidate& a, const Candidate& b) {
+  return std::tuple(a.m_backing_off, a.m_is_over, a.m_cost) <
+         std::tuple(b.m_backing_off, b.m_is_over, b.m_cost);
+}
+
+const UpstreamPool::Candidate* UpstreamPool::Best(
+    const std::vector<Candidate>& candidates) const {
+  const Candidate* best = nullptr;
+  const std::size_t start = HashPair(m_seed, m_choice_count) %
+                            std::max<std::size_t>(1, candidates.size());
+  for (std::size_t step = 0; step < candidates.size(); ++step) {
+    const Candidate& candidate = candidates[(start + step) % candidates.size()];
+    if (!candidate.m_needs_permit &&
+        (best == nullptr || IsBetter(candidate, *best))) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+std::vector<LimitedProcess> UpstreamPool::PermitsWanted(
+    const UpstreamQuery& upstream_query,
+    TimePoint now) {
+  std::vector<LimitedProcess> wanted;
+  if (!m_limits.AnyLimited()) {
+    return wanted;
+  }
+  const Evaluation evaluation = Evaluate(upstream_query, now);
+  const Candidate* best = Best(evaluation.m_candidates);
+  std::vector<const Candidate*> preferred;
+  for (const Candidate& candidate : evaluation.m_candidates) {
+    if (candidate.m_needs_permit &&
+        m_limits.MayAsk(ProcessOf(*candidate.m_upstream), now) &&
+        (best == nullptr || IsBetter(candidate, *best))) {
+      preferred.push_back(&candidate);
+    }
+  }
+  std::sort(
+      preferred.begin(), preferred.end(),
+      [](const Candidate* a, const Candidate* b) { return IsBetter(*a, *b); });
+  for (const Candidate* candidate : preferred) {
+    const UpstreamProcess process = ProcessOf(*candidate->m_upstream);
+    wanted.push_back({process, m_limits.RateOf(process).value_or(0)});
+  }
+  return wanted;
+}
+
+std::optional<UpstreamChoice> UpstreamPool::Choose(
+    const UpstreamQuery& upstream_query,
+    TimePoint now) {
   ++m_choice_count;
-  const std::size_t start =
-      HashPair(m_seed, m_choice_count) % candidates.size();
+  const Evaluation evaluation = Evaluate(upstream_query, now);
+  const std::vector<Candidate>& candidates = evaluation.m_candidates;
+  const bool engines =
+      upstream_query.m_prompt != nullptr && !upstream_query.m_prompt->empty();
   const Candidate* best =
       engines ? ChooseSpread(candidates, ChatPart(*upstream_query.m_prompt),
-                             bound, now)
+                             evaluation.m_bound, now)
               : nullptr;
   const bool spread = best != nullptr;
-  for (std::size_t step = 0; !spread && step < candidates.size(); ++step) {
-    const Candidate& candidate = candidates[(start + step) % candidates.size()];
-    const auto rank = [&](const Candidate& one) {
-      return std::tuple(one.m_backing_off, is_over(one), one.m_cost);
-    };
-    if (best == nullptr || rank(candidate) < rank(*best)) {
-      best = &candidate;
-    }
+  if (!spread) {
+    best = Best(candidates);
+  }
+  if (best == nullptr) {
+    return std::nullopt;
   }
   UpstreamChoice choice;
   choice.m_id = best->m_upstream->m_registration.m_id;
   choice.m_rank = best->m_rank;
   choice.m_load = best->m_load;
-  choice.m_mean_load = mean;
-  choice.m_bound = bound;
+  choice.m_mean_load = evaluation.m_mean;
+  choice.m_bound = evaluation.m_bound;
   choice.m_spread = spread;
   choice.m_load_age = m_load_age;
   choice.m_unread_tokens = best->m_unread_tokens;
+  choice.m_limited = best->m_limited;
   choice.m_home_over_bound = std::any_of(
       candidates.begin(), candidates.end(),
-      [&](const auto& one) { return one.m_rank == 0 && is_over(one); });
+      [](const auto& one) { return one.m_rank == 0 && one.m_is_over; });
   return choice;
 }
 
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -16,6 +16,11 @@
 /// Consecutive failures after which the backoff no longer doubles.
 constexpr int kMaxDoublings = 5;
 
+/// Requests admitted relative to the permits received lately.
+constexpr double kPermitGrowth = 1.25;
+/// Requests per second that are admitted without any permit received.
+constexpr double kMinPermitRate = 0.5;
+
 double Milliseconds(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
@@ -101,6 +106,68 @@
          found->second.m_registration.m_start_time_ms == start_time_ms;
 }
 
+bool UpstreamPool::MaySend(const UpstreamChoice& choice) const {
+  const auto found = m_upstreams.find(choice.m_id);
+  return choice.m_limited || found == m_upstreams.end() ||
+         !m_limits.IsLimited(ProcessOf(found->second));
+}
+
+std::optional<double> UpstreamPool::PermitRate(const ServiceId& service,
+                                               TimePoint now) const {
+  double rate = 0;
+  bool limited = false;
+  for (const auto& [id, row] : m_upstreams) {
+    if (row.m_registration.m_service != service || row.m_leaving) {
+      continue;
+    }
+    if (!m_limits.IsLimited(ProcessOf(row))) {
+      return std::nullopt;
+    }
+    limited = true;
+    rate += m_limits.ReceivedRate(ProcessOf(row), now);
+  }
+  return limited ? std::optional(rate) : std::nullopt;
+}
+
+bool UpstreamPool::AdmitRequest(const UpstreamQuery& upstream_query,
+                                TimePoint now) {
+  if (!m_limits.AnyLimited()) {
+    return true;
+  }
+  ++m_choice_count;
+  PriorityDemand& demand = m_demand[upstream_query.m_service];
+  demand.Note(upstream_query.m_priority, now);
+  const std::optional<double> rate = PermitRate(upstream_query.m_service, now);
+  const auto refused = m_next_return.find(upstream_query.m_service);
+  const bool too_few = rate && refused != m_next_return.end() &&
+                       now - refused->second < m_parameters.m_max_permit_wait;
+  if (!too_few) {
+    return true;
+  }
+  // More than was received, since an instance that asks for less gets less.
+  const double capacity = kPermitGrowth * *rate + kMinPermitRate;
+  return RendezvousScore(m_seed, m_choice_count, 1.0) <
+         demand.ServedShare(upstream_query.m_priority, capacity, now);
+}
+
+std::optional<Duration> UpstreamPool::PermitWait(const ServiceId& service,
+                                                 TimePoint now) {
+  const std::optional<double> rate = PermitRate(service, now);
+  if (!rate) {
+    return std::nullopt;
+  }
+  const Duration step =
+      *rate <= 0 ? m_parameters.m_max_permit_wait
+                 : std::min(Duration(static_cast<std::int64_t>(1e6 / *rate)),
+                            m_parameters.m_max_permit_wait);
+  TimePoint& next = m_next_return[service];
+  next = std::max(next, now) + step;
+  if (next - now > m_parameters.m_max_permit_wait) {
+    next = now + step;
+  }
+  return next - now;
+}
+
 std::optional<Duration> UpstreamPool::RefusedFor(const ServiceId& service,
                                                  TimePoint now) const {
   std::optional<Duration> least;
@@ -134,6 +201,9 @@
     return;
   }
   ++row->m_active;
+  if (m_limits.IsLimited(ProcessOf(*row))) {
+    m_limits.TakePermit(ProcessOf(*row), now);
+  }
   row->m_refusal_tried |= now < row->m_refused_until;
   if (prompt != nullptr && !prompt->empty()) {
     row->m_pending_prefill += UnreadTokens(*row, *prompt, false, now);
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -39,6 +39,9 @@
 /// of a few seconds.
 constexpr Duration kLostPeerTimeout = std::chrono::seconds(12);
 
+/// Interval between checks for permits that were not answered in time.
+constexpr Duration kAskCheckInterval = std::chrono::milliseconds(10);
+
 }  // namespace
 
 FleetLink::FleetLink(struct ev_loop* loop,
@@ -67,7 +70,24 @@
               m_pool,
               [this](const InstanceId& to, const LoadMessage& message) {
                 SendLoad(to, message);
-              }) {
+              }),
+      m_rates(
+          m_self,
+          m_directory,
+          &m_pool->Limits(),
+          {.m_send_ask =
+               [this](const InstanceId& to, const PermitAsk& ask) {
+                 FleetDigest digest;
+                 digest.m_ask = ask;
+                 SendRates(to, std::move(digest));
+               },
+           .m_send_response =
+               [this](const InstanceId& to, const PermitResponse& response) {
+                 FleetDigest digest;
+                 digest.m_response = response;
+                 SendRates(to, std::move(digest));
+               }}),
+      m_ask_timer(loop, [this] { CheckAsks(); }) {
   m_timer.Start(kMinPeriod);
   m_load_timer.StartRepeating(kLoadPeriod);
 }
@@ -186,11 +206,48 @@
   FleetDigest digest;
   digest.m_events_only = true;
   digest.m_load = message;
+  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
   m_transport->Send(to, peer->second.m_endpoint,
                     EncodeDigest(digest, BootTime()));
 }
 
+void FleetLink::SendRates(const InstanceId& to, FleetDigest digest) {
+  const auto peer = m_peers.find(to);
+  if (m_transport == nullptr || peer == m_peers.end()) {
+    return;
+  }
+  digest.m_events_only = true;
+  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
+  m_transport->Send(to, peer->second.m_endpoint,
+                    EncodeDigest(digest, BootTime()));
+}
+
+void FleetLink::AskForPermit(std::vector<LimitedProcess> processes,
+                             std::function<void()> done) {
+  const InstanceId allocator = m_rates.Allocator();
+  if (EntryInstance* self = m_directory->Find(m_self)) {
+    self->m_ready = m_hooks.m_ready();
+  }
+  m_rates.Ask(std::move(processes), std::move(done), BootTime());
+  if (m_rates.Allocator() != allocator) {
+    Log(LogLevel::kInfo, "rate_allocator_chosen",
+        {{"allocator", m_rates.Allocator().str()},
+         {"before", allocator.str()}});
+  }
+  if (m_rates.HasOpenAsks() && !m_ask_timer.Active()) {
+    m_ask_timer.Start(kAskCheckInterval);
+  }
+}
+
+void FleetLink::CheckAsks() {
+  m_rates.CheckTimeouts(BootTime());
+  if (m_rates.HasOpenAsks() && !m_ask_timer.Active()) {
+    m_ask_timer.Start(kAskCheckInterval);
+  }
+}
+
 void FleetLink::StartLoadRound() {
+  m_pool->Limits().RemoveExpired(BootTime());
   const InstanceId relay = m_loads.Relay();
   m_loads.StartRound(BootTime());
   if (m_loads.Relay() != relay) {
@@ -221,6 +278,7 @@
     digest.m_active = m_pool->ActiveByUpstream();
   }
   digest.m_placements = m_pool->TakePlacements();
+  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
   SendToPeers(digest);
   SendEvents();
   UpdateLiveness();
@@ -241,6 +299,15 @@
   for (const UpstreamProcess& process : digest->m_leaving) {
     m_pool->NoteLeaving(process, now);
   }
+  for (const StatedRate& stated : digest->m_rates) {
+    m_pool->Limits().Merge(stated);
+  }
+  if (digest->m_ask) {
+    m_rates.HandleAsk(datagram.m_from, *digest->m_ask, now);
+  }
+  if (digest->m_response) {
+    m_rates.HandleResponse(datagram.m_from, *digest->m_response, now);
+  }
   if (digest->m_load &&
       !m_loads.Handle(datagram.m_from, *digest->m_load, now)) {
     Log(LogLevel::kWarning, "load_message_not_used",
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <vector>
 
 #include "libnet/http_client.h"
 #include "libnet/route_protocol.h"
@@ -35,6 +36,10 @@
   const Settings* m_settings = nullptr;
   AttemptPolicyParameters m_attempt_parameters;
 
+  /// Asks for a permit to send a request to one of the limited upstreams. The
+  /// callback is called once, with or without a permit.
+  std::function<void(std::vector<LimitedProcess>, std::function<void()>)>
+      m_ask_for_permit;
   /// Null until a configuration has been read.
   std::shared_ptr<const RoutingConfiguration> m_configuration;
   ConfigurationFreshness m_freshness;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -251,12 +251,43 @@
   if (!RefreshConfiguration(now) || EndIfRefusedForCrashes()) {
     return;
   }
+  UpstreamQuery upstream_query = MakeQuery();
+  if (m_progress.m_attempts == 0 &&
+      !m_state->m_pool.AdmitRequest(upstream_query, now)) {
+    EndUnserved(kStatusBadGateway, "request rates of all upstreams reached");
+    return;
+  }
+  std::vector<LimitedProcess> wanted =
+      m_state->m_pool.PermitsWanted(upstream_query, now);
+  if (wanted.empty()) {
+    ChooseAndSend(std::move(upstream_query), now);
+    return;
+  }
+  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+  m_state->m_ask_for_permit(std::move(wanted), [weak] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->m_done) {
+      return;
+    }
+    const TimePoint answered_at = BootTime();
+    if (self->RefreshConfiguration(answered_at)) {
+      self->ChooseAndSend(self->MakeQuery(), answered_at);
+    }
+  });
+}
+
+UpstreamQuery RouteRelay::MakeQuery() const {
   UpstreamQuery upstream_query;
   upstream_query.m_service = m_service;
   upstream_query.m_prompt = Prompt();
   upstream_query.m_tried = m_tried;
   upstream_query.m_latency_target = m_route.m_latency_target;
+  upstream_query.m_priority = m_priority;
   upstream_query.m_data_centre = m_state->m_settings->m_instance.m_data_centre;
+  return upstream_query;
+}
+
+void RouteRelay::ChooseAndSend(UpstreamQuery upstream_query, TimePoint now) {
   std::optional<UpstreamChoice> chosen =
       m_state->m_pool.Choose(upstream_query, now);
   if (!chosen && !m_tried.empty() && !m_progress.m_may_have_run) {
@@ -350,7 +381,8 @@
   const bool late = now - m_attempt->m_sent_at > kConnectTimeout;
   const bool takes_requests = m_state->m_pool.TakesRequests(
       m_attempt->m_upstream, m_attempt->m_start_time_ms);
-  if (allowed && takes_requests && !late) {
+  const bool within_rate = m_state->m_pool.MaySend(m_attempt->m_choice);
+  if (allowed && takes_requests && within_rate && !late) {
     return;
   }
   Log(LogLevel::kInfo, "send_withheld",
@@ -358,6 +390,7 @@
        {"upstream", m_attempt->m_upstream.str()},
        {"allowed", allowed},
        {"takes_requests", takes_requests},
+       {"within_rate", within_rate},
        {"after_ms", Milliseconds(now - m_attempt->m_sent_at)}});
   CancelAttempt(AttemptHealth::kAbandoned);
   HandleFailure(AttemptFailure::kUnreachable);
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -79,8 +79,11 @@
   /// longer has the chosen one.
   /// @return true if it is allowed.
   bool RefreshConfiguration(TimePoint now);
-  /// Chooses an upstream and sends the request to it, or ends the request.
+  /// Chooses an upstream and sends the request to it, or ends the request. Asks
+  /// for a permit before when the best upstream limits its request rate.
   void Dispatch(TimePoint now);
+  UpstreamQuery MakeQuery() const;
+  void ChooseAndSend(UpstreamQuery upstream_query, TimePoint now);
   void Send(const UpstreamChoice& choice, TimePoint now);
   net::HttpCall MakeCall(const RegisteredUpstream& upstream, TimePoint now);
   net::HttpCallEvents MakeEvents();
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -173,6 +173,11 @@
                                     m_state->Draw(0, kRetryAfterJitterUs))));
     return;
   }
+  const auto permit_wait = m_state->m_pool.PermitWait(m_service, BootTime());
+  if (permit_wait) {
+    RefuseWithRetryAfter(reason, *permit_wait);
+    return;
+  }
   const auto time_left_us = static_cast<double>(
       std::max(TimeLeft(BootTime()), Duration::zero()).count());
   const Duration retry_after(static_cast<std::int64_t>(
