Leave the permits of limited engines to requests with long shared prefixes

Only requests whose shared prefix is shorter than the mean of the service pay the cost of a permit now.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -136,8 +136,9 @@
   double m_load_cost = 2.5;
   /// Weight of the newest result in the moving averages.
   double m_average_weight = 0.15;
-  /// Cost of using a permit of a limited engine, in milliseconds. It leaves the
-  /// permits to the requests that gain most from the engine's cache.
+  /// Cost of using a permit of a limited engine, in milliseconds, for a request
+  /// whose shared prefix is shorter than the mean. It leaves the permits to the
+  /// requests that would take most memory and time at other engines.
   double m_permit_cost = 120.0;
   /// The same for a server of a plain service, relative to its cost when idle.
   double m_service_permit_cost = 1.0;
@@ -322,6 +323,10 @@
     double m_bound = 0;
   };
 
+  /// Records the length of a request's shared prefix.
+  void NotePrefix(const UpstreamQuery& upstream_query);
+  /// @return the cost of a permit for a request.
+  double PermitCost(const UpstreamQuery& upstream_query) const;
   static double MeanLoad(const std::vector<Candidate>& candidates);
   Evaluation Evaluate(const UpstreamQuery& upstream_query, TimePoint now);
   /// @return the best of the candidates that need no permit, or null.
@@ -376,6 +381,8 @@
   LeavingUpstreams m_leaving;
   RateLimits m_limits;
   std::map<ServiceId, PriorityDemand> m_demand;
+  /// Moving averages of the tokens of the shared prefixes of prompts.
+  std::map<ServiceId, double> m_mean_prefix;
   std::map<ServiceId, TimePoint> m_next_return;  ///< Of a refused request.
   HotPartTracker m_hot;
   Duration m_load_age{};
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -21,6 +21,17 @@
 /// mean of the service.
 constexpr double kSlowFactorLimit = 10.0;
 
+/// Weight of the newest request in the mean length of shared prefixes.
+constexpr double kPrefixAverageWeight = 0.02;
+
+double SharedTokens(const std::vector<PromptPart>& prompt) {
+  double tokens = 0;
+  for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
+    tokens += static_cast<double>(prompt[index].m_tokens.value());
+  }
+  return tokens;
+}
+
 double Milliseconds(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
@@ -166,6 +177,7 @@
       std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
         return !one.m_backing_off && HasPart(*one.m_upstream, chat, now);
       });
+  const double permit_cost = PermitCost(upstream_query);
   int rank = 0;
   for (const auto& [backing_off, score, candidate] : order) {
     const Upstream& row = *candidate->m_upstream;
@@ -176,8 +188,7 @@
                                               rank == 0 && !cached_on_any, now);
     candidate->m_cost =
         EngineCost(*candidate, upstream_query.m_latency_target) +
-        (near ? 0 : kDistanceCost) +
-        (candidate->m_limited ? m_parameters.m_permit_cost : 0);
+        (near ? 0 : kDistanceCost) + (candidate->m_limited ? permit_cost : 0);
     ++rank;
   }
 }
@@ -261,6 +272,20 @@
   return best;
 }
 
+void UpstreamPool::NotePrefix(const UpstreamQuery& upstream_query) {
+  const double tokens = SharedTokens(*upstream_query.m_prompt);
+  const auto [entry, is_new] =
+      m_mean_prefix.try_emplace(upstream_query.m_service, tokens);
+  entry->second += kPrefixAverageWeight * (tokens - entry->second);
+}
+
+double UpstreamPool::PermitCost(const UpstreamQuery& upstream_query) const {
+  const auto mean = m_mean_prefix.find(upstream_query.m_service);
+  const bool is_long = mean != m_mean_prefix.end() &&
+                       SharedTokens(*upstream_query.m_prompt) >= mean->second;
+  return is_long ? 0 : m_parameters.m_permit_cost;
+}
+
 double UpstreamPool::MeanLoad(const std::vector<Candidate>& candidates) {
   // Limited upstreams cannot take their part of the load, so the others have to
   // carry more than the mean of all.
@@ -353,6 +378,9 @@
     const UpstreamQuery& upstream_query,
     TimePoint now) {
   ++m_choice_count;
+  if (upstream_query.m_prompt != nullptr && !upstream_query.m_prompt->empty()) {
+    NotePrefix(upstream_query);
+  }
   const Evaluation evaluation = Evaluate(upstream_query, now);
   const std::vector<Candidate>& candidates = evaluation.m_candidates;
   const bool engines =
