--- a/src/include/nutmeghollow/types.h
+++ b/src/include/nutmeghollow/types.h
@@ -59,6 +59,8 @@
 using InstanceId = Name<struct InstanceTag>;
 /// A model engine or a server of a plain service.
 using UpstreamId = Name<struct UpstreamTag>;
+/// Version of an upstream's software.
+using SoftwareVersion = Name<struct SoftwareVersionTag>;
 /// A route, named after the model that callers request.
 using RouteId = Name<struct RouteTag>;
 /// A plain service, as opposed to the model engines.
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -60,6 +60,7 @@
   ServiceId m_service;
   Endpoint m_endpoint;
   DataCentreId m_data_centre;
+  SoftwareVersion m_version;  ///< Empty when not stated.
   int m_slots = 1;
   bool m_draining = false;
   Duration m_cold{};  ///< Remaining time of its warm-up.
--- a/src/libnet/route_protocol.h
+++ b/src/libnet/route_protocol.h
@@ -27,6 +27,9 @@
   std::int64_t m_max_output_tokens = 0;  ///< Zero when unknown.
   /// Id of the last event that the caller received; empty for a new stream.
   std::string m_resume_after;
+  /// Id of the attempt that received the stream's first event; empty for a new
+  /// stream, or when not stated.
+  PublicRequestId m_resumed_attempt;
 };
 
 /// Header fields that this instance sends to an upstream in addition to the
--- a/src/nutmegd/registrations.cpp
+++ b/src/nutmegd/registrations.cpp
@@ -52,6 +52,7 @@
               {{"upstream", id.str()},
                {"service", upstream.m_service.str()},
                {"address", upstream.m_endpoint.str()},
+               {"version", upstream.m_version.str()},
                {"draining", upstream.m_draining}});
         }
         m_pool->Put(upstream, now);
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -300,12 +300,17 @@
                 m_tried.empty() ? "no upstream" : "no other upstream");
     return;
   }
-  // Retries are rare and explain failures; first attempts are for tracing only.
-  Log(m_progress.m_attempts > 0 ? LogLevel::kInfo : LogLevel::kDebug,
-      "dispatched",
+  // Retries and resumptions are rare and explain failures; first attempts of
+  // new requests are for tracing only.
+  const bool is_first =
+      m_progress.m_attempts == 0 && m_request.m_resume_after.empty();
+  Log(is_first ? LogLevel::kDebug : LogLevel::kInfo, "dispatched",
       {{"request", m_request.m_id.str()},
        {"route", m_route.m_name},
        {"upstream", chosen->m_id.str()},
+       {"version", m_state->m_pool.Find(chosen->m_id)->m_version.str()},
+       {"resume_after", ResumeAfter()},
+       {"resumed_attempt", m_request.m_resumed_attempt.str()},
        {"rank", std::int64_t{chosen->m_rank}},
        {"load", chosen->m_load},
        {"mean_load", chosen->m_mean_load},
@@ -314,6 +319,10 @@
   Send(*chosen, now);
 }
 
+std::string RouteRelay::ResumeAfter() const {
+  return m_event_splitter.LastId().value_or(m_request.m_resume_after);
+}
+
 net::HttpCall RouteRelay::MakeCall(const RegisteredUpstream& upstream,
                                    TimePoint now) {
   const net::HttpRequest& request = m_exchange->Request();
@@ -324,8 +333,7 @@
   fields.m_customer = m_customer;
   fields.m_priority = m_priority;
   fields.m_engine = IsEngine();
-  fields.m_resume_after =
-      m_event_splitter.LastId().value_or(m_request.m_resume_after);
+  fields.m_resume_after = ResumeAfter();
   net::HttpCall call;
   call.m_method = request.m_method;
   call.m_endpoint = upstream.m_endpoint;
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -156,6 +156,8 @@
   std::vector<PartId> SharedParts() const;
   /// @return hash that is equal for each repetition of the request by a caller.
   RequestDigest Digest();
+  /// @return id of the event after which an upstream resumes; empty for none.
+  std::string ResumeAfter() const;
   Duration TimeLeft(TimePoint now) const { return m_deadline - now; }
 
   GatewayState* m_state;
