Continue streams only at the software version that began them

Cause: an upstream's software version was not read, so a resumption chose among all upstreams; and the attempt that a caller's resumption names was not read either, so no instance could know where it had run.

Now the origin of a stream (service and software version) is held by its relay, and a resumption chooses among upstreams of that origin only. One without a record goes on only where a single origin is possible, and is refused otherwise.

Ruled out: writing the rows after the first event.

--- a/src/include/nutmeghollow/routing.h
+++ b/src/include/nutmeghollow/routing.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -102,6 +103,10 @@
   /// @return true when callers must present an API key.
   bool HasCustomers() const { return !m_customers.empty(); }
   std::size_t RouteCount() const { return m_route_count; }
+  /// @return the services of routes whose streams may be resumed.
+  const std::set<ServiceId>& ResumableServices() const {
+    return m_resumable_services;
+  }
 
  private:
   using RoutesByPrefix = std::map<std::string, HttpRoute, std::less<>>;
@@ -110,6 +115,7 @@
   std::map<ServiceId, ServicePolicy> m_services;
   std::map<CustomerId, CustomerKeys> m_customers;
   std::unordered_map<std::string, CustomerId> m_keys;
+  std::set<ServiceId> m_resumable_services;
   std::size_t m_route_count = 0;
 };
 
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -66,6 +66,14 @@
   Duration m_cold{};  ///< Remaining time of its warm-up.
 };
 
+/// A service and the software of one of its upstreams: what one of them began,
+/// only an upstream of the same origin can continue.
+using OriginHash = Number<struct OriginTag>;
+
+/// @return the origin of an upstream's responses. The version is that of the
+/// software; an upstream that states none is an origin by itself.
+OriginHash OriginOf(const RegisteredUpstream& upstream);
+
 /// Load reported by an upstream.
 struct LoadReport {
   int m_running = 0;
@@ -155,6 +163,8 @@
   DataCentreId m_data_centre;   ///< Tie-breaker: preferred location.
   Duration m_latency_target{};  ///< For the time to first token.
   int m_priority = 0;           ///< Rank; 0 is the most urgent.
+  /// Origin that the upstream must have; unset for any.
+  std::optional<OriginHash> m_origin;
 };
 
 /// Chosen upstream and the figures behind the choice.
@@ -191,6 +201,11 @@
   /// @return the registration, or null.
   const RegisteredUpstream* Find(const UpstreamId& id) const;
 
+  /// @return true when another process is registered under an upstream's id.
+  bool IsReplaced(const UpstreamId& id, std::int64_t start_time_ms) const;
+  /// @return the service whose upstreams have an origin; empty when none has.
+  ServiceId ServiceOf(OriginHash origin) const;
+
   /// Chooses an upstream that accepts new requests.
   /// @return nothing when the service has none.
   std::optional<UpstreamChoice> Choose(const UpstreamQuery& upstream_query,
@@ -289,6 +304,7 @@
   struct Upstream {
     RegisteredUpstream m_registration;
     UpstreamHash m_hash;
+    OriginHash m_origin;
     TimePoint m_cold_until{};
     int m_active = 0;
     double m_pending_prefill = 0;  ///< Tokens sent, not processed yet.
--- a/src/libnutmeg/routing.cpp
+++ b/src/libnutmeg/routing.cpp
@@ -7,6 +7,11 @@
 void RoutingConfiguration::Add(HttpRoute route) {
   RoutesByPrefix& routes = m_hosts[route.m_host];
   std::string prefix = route.m_prefix;
+  if (route.m_streamed && route.m_repeatability == Repeatability::kResumable) {
+    for (const TrafficShare& share : route.m_shares) {
+      m_resumable_services.insert(share.m_service);
+    }
+  }
   const bool added =
       routes.insert_or_assign(std::move(prefix), std::move(route)).second;
   m_route_count += added ? 1 : 0;
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -71,7 +71,8 @@
         std::find(upstream_query.m_tried.begin(), upstream_query.m_tried.end(),
                   id) != upstream_query.m_tried.end();
     if (row.m_registration.m_service != upstream_query.m_service ||
-        row.m_leaving || tried) {
+        row.m_leaving || tried ||
+        (upstream_query.m_origin && row.m_origin != *upstream_query.m_origin)) {
       continue;
     }
     if (now < row.m_refused_until && !(trials && MayTry(row, now))) {
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "nutmeghollow/upstream_pool.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "nutmeghollow/hashing.h"
@@ -31,6 +32,15 @@
   return prompt[prompt.size() >= 2 ? prompt.size() - 2 : 0].m_id;
 }
 
+OriginHash OriginOf(const RegisteredUpstream& upstream) {
+  const std::string software =
+      upstream.m_version.empty() ? "process " + upstream.m_id.str() + " " +
+                                       std::to_string(upstream.m_start_time_ms)
+                                 : "version " + upstream.m_version.str();
+  return OriginHash(
+      HashPair(HashText(upstream.m_service.str()), HashText(software)));
+}
+
 const char* AttemptHealthName(AttemptHealth health) {
   switch (health) {
     case AttemptHealth::kServed:
@@ -67,6 +77,7 @@
   }
   row.m_registration = registration;
   row.m_hash = HashOf(registration.m_id);
+  row.m_origin = OriginOf(registration);
   m_ids[row.m_hash] = registration.m_id;
   row.m_cold_until = now + registration.m_cold;
   const UpstreamProcess process{row.m_hash, registration.m_start_time_ms};
@@ -99,6 +110,22 @@
   return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+bool UpstreamPool::IsReplaced(const UpstreamId& id,
+                              std::int64_t start_time_ms) const {
+  const RegisteredUpstream* registration = Find(id);
+  return registration != nullptr &&
+         registration->m_start_time_ms != start_time_ms;
+}
+
+ServiceId UpstreamPool::ServiceOf(OriginHash origin) const {
+  for (const auto& [id, row] : m_upstreams) {
+    if (row.m_origin == origin) {
+      return row.m_registration.m_service;
+    }
+  }
+  return ServiceId();
+}
+
 bool UpstreamPool::TakesRequests(const UpstreamId& id,
                                  std::int64_t start_time_ms) const {
   const auto found = m_upstreams.find(id);
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -102,6 +103,8 @@
   void HandleEntry(const Exchange& exchange);
   void HandleOperator(const Exchange& exchange);
   bool Ready() const;
+  /// @return the services whose streams may be resumed.
+  std::set<ServiceId> ResumableServices() const;
 
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
@@ -123,6 +126,7 @@
   Registrations m_registrations;
   EntryDirectory m_directory;
   CrashDetector m_crash_detector;
+  StreamRecords m_streams;
   FleetLink m_fleet;
   InstanceRows m_instance_rows;
   std::map<std::uint64_t, std::shared_ptr<RouteRelay>> m_relays;
@@ -166,6 +170,11 @@
       m_crash_detector(loop,
                        &m_state.m_metrics,
                        [this] { m_fleet.SendEvents(); }),
+      m_streams(loop,
+                settings.m_instance.m_id,
+                m_feed,
+                &m_state.m_pool,
+                [this] { return ResumableServices(); }),
       m_fleet(loop,
               settings.m_instance.m_id,
               settings.m_instance.m_peer_address,
@@ -188,6 +197,7 @@
                       &m_fleet,
                       [this](int instances) {
                         m_state.m_allowance.SetInstances(instances);
+                        m_streams.SetInstances(instances);
                       }),
       m_peer_feed_server(loop,
                          settings.m_instance.m_peer_address,
@@ -237,6 +247,7 @@
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
+  m_state.m_streams = &m_streams;
   m_state.m_ask_for_permit = [this](std::vector<LimitedProcess> processes,
                                     std::function<void()> done) {
     m_fleet.AskForPermit(std::move(processes), std::move(done));
@@ -334,6 +345,12 @@
           m_state.MayServeKeyedRequests(BootTime()));
 }
 
+std::set<ServiceId> Gateway::Impl::ResumableServices() const {
+  return m_state.m_configuration == nullptr
+             ? std::set<ServiceId>()
+             : m_state.m_configuration->ResumableServices();
+}
+
 void Gateway::Impl::HandleCaller(const Exchange& exchange) {
   const std::uint64_t id = ++m_last_relay_id;
   auto relay = std::make_shared<RouteRelay>(&m_state, exchange,
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -12,6 +12,7 @@
 #include "libnet/route_protocol.h"
 #include "nutmegd/crash_detector.h"
 #include "nutmegd/settings.h"
+#include "nutmegd/stream_records.h"
 #include "nutmeghollow/attempt_policy.h"
 #include "nutmeghollow/configuration_freshness.h"
 #include "nutmeghollow/metrics.h"
@@ -32,6 +33,7 @@
   struct ev_loop* m_loop = nullptr;
   net::HttpClient* m_client = nullptr;
   CrashDetector* m_crash_detector = nullptr;
+  StreamRecords* m_streams = nullptr;
   net::RouteProtocol m_protocol;
   const Settings* m_settings = nullptr;
   AttemptPolicyParameters m_attempt_parameters;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -126,7 +126,81 @@
   });
   m_timer.Start(std::max(m_deadline - now, Duration(1)));
   m_state->m_allowance.NoteRequest(m_service, now);
-  Dispatch(now);
+  if (IsResumable() && !m_request.m_resume_after.empty()) {
+    DispatchResumption();
+  } else {
+    Dispatch(now);
+  }
+}
+
+bool RouteRelay::IsResumable() const {
+  return m_route.m_streamed &&
+         m_route.m_repeatability == Repeatability::kResumable;
+}
+
+void RouteRelay::DispatchResumption() {
+  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+  m_state->m_streams->Find(
+      StreamHashOf(m_request.m_resumed_attempt), m_service,
+      [weak](std::optional<OriginHash> origin) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->m_done) {
+          return;
+        }
+        Log(LogLevel::kInfo, "stream_origin",
+            {{"request", self->m_request.m_id.str()},
+             {"resumed_attempt", self->m_request.m_resumed_attempt.str()},
+             {"known", origin.has_value()}});
+        const ServiceId service =
+            origin ? self->m_state->m_pool.ServiceOf(*origin) : ServiceId();
+        if (service.empty()) {
+          self->Refuse(origin ? "no upstream has the stream's software version"
+                              : "the stream's software version is not known");
+          return;
+        }
+        self->m_origin = origin;
+        self->m_service = service;
+        self->Dispatch(BootTime());
+      });
+}
+
+std::vector<StreamHash> RouteRelay::StreamIds() const {
+  std::vector<StreamHash> ids{StreamHashOf(m_request.m_id)};
+  if (!m_request.m_resumed_attempt.empty()) {
+    ids.push_back(StreamHashOf(m_request.m_resumed_attempt));
+  }
+  return ids;
+}
+
+void RouteRelay::RecordOrigin() {
+  m_origin = m_attempt->m_origin;
+  if (!IsResumable()) {
+    return;
+  }
+  m_holds_events = true;
+  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+  m_state->m_streams->Record(StreamIds(), *m_origin, [weak] {
+    if (const auto self = weak.lock()) {
+      self->ForwardHeldEvents();
+    }
+  });
+}
+
+void RouteRelay::ForwardHeldEvents() {
+  if (!std::exchange(m_holds_events, false) || m_held_events.empty()) {
+    return;
+  }
+  BeginStream();
+  m_exchange->Write(std::exchange(m_held_events, {}));
+}
+
+void RouteRelay::RecordStreamEnd(bool complete) {
+  if (!IsResumable() || !m_origin) {
+    return;
+  }
+  for (const StreamHash id : StreamIds()) {
+    m_state->m_streams->Origins().End(id, complete, BootTime());
+  }
 }
 
 RouteRelay::Rejection RouteRelay::CheckRequest(TimePoint now) {
@@ -210,6 +284,10 @@
                   [this](const TrafficShare& share) {
                     return share.m_service == m_service;
                   });
+  if (!service_remains && m_origin) {
+    EndUnserved(kStatusBadGateway, "service was removed from the route");
+    return false;
+  }
   if (!service_remains) {
     m_service = ChooseService(*route, m_state->Draw(0, 1));
   }
@@ -283,6 +361,7 @@
   upstream_query.m_tried = m_tried;
   upstream_query.m_latency_target = m_route.m_latency_target;
   upstream_query.m_priority = m_priority;
+  upstream_query.m_origin = m_origin;
   upstream_query.m_data_centre = m_state->m_settings->m_instance.m_data_centre;
   return upstream_query;
 }
@@ -411,6 +490,7 @@
   attempt.m_upstream = upstream;
   attempt.m_choice = choice;
   attempt.m_start_time_ms = registration->m_start_time_ms;
+  attempt.m_origin = OriginOf(*registration);
   attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
   net::HttpCall call = MakeCall(*registration, now);
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -57,6 +57,7 @@
     UpstreamId m_upstream;
     UpstreamChoice m_choice;
     std::int64_t m_start_time_ms = 0;  ///< Start of the upstream's process.
+    OriginHash m_origin;
     Endpoint m_endpoint;
     TimePoint m_sent_at{};
     int m_status = 0;
@@ -79,6 +80,19 @@
   /// longer has the chosen one.
   /// @return true if it is allowed.
   bool RefreshConfiguration(TimePoint now);
+  /// Finds out which software began the stream that the caller resumes, and
+  /// dispatches the request to the same, or refuses it.
+  void DispatchResumption();
+  /// @return true when callers and instances may resume the route's streams.
+  bool IsResumable() const;
+  /// Records which software began the stream, at its first event, and holds its
+  /// events until that is done.
+  void RecordOrigin();
+  void ForwardHeldEvents();
+  /// Records that the stream has ended.
+  void RecordStreamEnd(bool complete);
+  /// @return ids under which the stream may be resumed.
+  std::vector<StreamHash> StreamIds() const;
   /// Chooses an upstream and sends the request to it, or ends the request. Asks
   /// for a permit before when the best upstream limits its request rate.
   void Dispatch(TimePoint now);
@@ -119,6 +133,7 @@
   /// Ends an attempt whose response has made no progress for its idle timeout.
   void CheckIdleTimeout();
   void BeginStream();
+  void ForwardWholeEvents(const std::string& events);
   void ForwardEvents(std::string_view data);
   void EndBufferedResponse();
   void EndStream();
@@ -178,11 +193,15 @@
   TimePoint m_deadline{};
 
   std::optional<RequestDigest> m_digest;
+  /// Of the stream that has begun or is resumed; unset before.
+  std::optional<OriginHash> m_origin;
   RequestProgress m_progress;
   std::vector<UpstreamId> m_tried;
   std::optional<Attempt> m_attempt;
   std::optional<BufferedResponse> m_buffered_response;
   EventSplitter m_event_splitter;
+  bool m_holds_events = false;
+  std::string m_held_events;
   TimePoint m_first_event_at{};
   bool m_done = false;
 };
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -144,6 +144,7 @@
   if (m_done) {
     return;
   }
+  m_holds_events = false;
   CancelAttempt(AttemptHealth::kAbandoned);
   Finish("caller_gone", 0, "");
 }
@@ -232,6 +233,7 @@
   m_timer.Stop();
   const TimePoint now = BootTime();
   const bool served = std::string_view(outcome) == "served";
+  RecordStreamEnd(served);
   m_state->m_metrics.Count("nutmeg_route_requests",
                            std::string("outcome=\"") + outcome + "\"");
   m_state->m_metrics.Observe(
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -200,20 +200,37 @@
 }
 
 void RouteRelay::ForwardEvents(std::string_view data) {
+  if (m_state->m_pool.IsReplaced(m_attempt->m_upstream,
+                                 m_attempt->m_start_time_ms)) {
+    // The data may be that of another software version.
+    FailAttempt(AttemptFailure::kBroken, AttemptHealth::kBroken);
+    return;
+  }
   const int events_before = m_event_splitter.Events();
   const std::string events = m_event_splitter.Take(data);
   if (m_event_splitter.Events() > events_before) {
     m_attempt->m_last_progress_at = BootTime();
   }
   if (!events.empty()) {
-    BeginStream();
-    m_exchange->Write(events);
+    ForwardWholeEvents(events);
   }
   if (m_event_splitter.IsOverlong()) {
     FailAttempt(AttemptFailure::kBroken, AttemptHealth::kBroken);
   }
 }
 
+void RouteRelay::ForwardWholeEvents(const std::string& events) {
+  if (!m_progress.m_response_started && !m_holds_events) {
+    RecordOrigin();
+  }
+  if (m_holds_events) {
+    m_held_events += events;
+    return;
+  }
+  BeginStream();
+  m_exchange->Write(events);
+}
+
 void RouteRelay::CheckIdleTimeout() {
   if (m_done || !m_attempt || m_attempt->m_status == 0) {
     return;
@@ -316,6 +333,7 @@
 }
 
 void RouteRelay::EndStream() {
+  ForwardHeldEvents();
   BeginStream();
   if (!m_event_splitter.PartialEvent().empty()) {
     m_exchange->Write(m_event_splitter.PartialEvent());
@@ -327,6 +345,7 @@
 }
 
 void RouteRelay::EndAttempt(AttemptHealth health, TimePoint now) {
+  ForwardHeldEvents();
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
