--- a/src/nutmegctl/http_call.cpp
+++ b/src/nutmegctl/http_call.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <string_view>
 
 namespace nutmeghollow::ctl {
 namespace {
@@ -55,6 +56,16 @@
   return size * count;
 }
 
+/// Notes the empty line that ends a head.
+std::size_t NoteHeadEnd(char* line,
+                        std::size_t size,
+                        std::size_t count,
+                        void* head_ended) {
+  const std::string_view text(line, size * count);
+  *static_cast<bool*>(head_ended) = text == "\r\n" || text == "\n";
+  return size * count;
+}
+
 /// @return true when part of the request may have been sent.
 bool MayHaveBeenSent(CURL* handle, CURLcode code) {
   if (code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT) {
@@ -103,11 +114,16 @@
                    static_cast<long>(target.m_timeout.count()));
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, AppendBody);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &result.m_body);
+  bool head_ended = false;
+  curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, NoteHeadEnd);
+  curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head_ended);
   const CURLcode code = curl_easy_perform(curl);
-  result.m_response_received = code == CURLE_OK;
+  // libcurl reports no error when a connection is closed inside a head.
+  result.m_response_received = code == CURLE_OK && head_ended;
   if (!result.m_response_received) {
     result.m_may_have_been_sent = MayHaveBeenSent(curl, code);
-    result.m_error = curl_easy_strerror(code);
+    result.m_error = code == CURLE_OK ? "the response ended inside its head"
+                                      : curl_easy_strerror(code);
   }
   return result;
 }
