Refuse requests that a stopping instance would cut

Reported by another operator: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer.

Cause: a stopping instance took every request until it stopped listening, 4 s after the signal, and cut what was not done 7.3 s after it, however long the requests take.

Now it refuses at once, with 503 and Retry-After, a request that by the durations of its route would not be done before the cut: the mean and four mean deviations (RFC 6298), its time-out while none was served.

--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -470,6 +470,8 @@
     return;
   }
   m_drain_started_at = BootTime();
+  m_state.m_stops_at =
+      *m_drain_started_at + m_settings.m_gateway.m_stop_grace - kStopMargin;
   Log(LogLevel::kInfo, "drain_started",
       {{"cause", std::string(cause)},
        {"requests", static_cast<std::int64_t>(m_relays.size())}});
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -4,8 +4,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "libnet/http_client.h"
@@ -15,6 +18,7 @@
 #include "nutmegd/stream_records.h"
 #include "nutmeghollow/attempt_policy.h"
 #include "nutmeghollow/configuration_freshness.h"
+#include "nutmeghollow/duration_estimate.h"
 #include "nutmeghollow/metrics.h"
 #include "nutmeghollow/response_memory.h"
 #include "nutmeghollow/retry_allowance.h"
@@ -42,6 +46,12 @@
   /// callback is called once, with or without a permit.
   std::function<void(std::vector<LimitedProcess>, std::function<void()>)>
       m_ask_for_permit;
+  /// Time at which the requests that are not done are cut; unset unless this
+  /// instance drains.
+  std::optional<TimePoint> m_stops_at;
+  /// Durations of served requests, by the name of their route.
+  std::map<std::string, DurationEstimate> m_durations;
+
   /// Null until a configuration has been read.
   std::shared_ptr<const RoutingConfiguration> m_configuration;
   ConfigurationFreshness m_freshness;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -237,12 +237,28 @@
     timeout = std::min(timeout, *m_request.m_deadline);
   }
   m_deadline = now + std::max(timeout - kDeadlineMargin, Duration(1));
+  if (MayBeCutByDrain(now)) {
+    return {kStatusUnavailable, "the instance stops too soon"};
+  }
   if (!request.m_body.empty()) {
     m_body = std::make_shared<const std::string>(request.m_body);
   }
   return CheckKey(m_route, now);
 }
 
+bool RouteRelay::MayBeCutByDrain(TimePoint now) const {
+  if (!m_state->m_stops_at) {
+    return false;
+  }
+  const auto estimate = m_state->m_durations.find(m_route.m_name);
+  const Duration longest =
+      estimate == m_state->m_durations.end()
+          ? TimeLeft(now)
+          : std::min(TimeLeft(now),
+                     estimate->second.UpperBound().value_or(TimeLeft(now)));
+  return now + longest > *m_state->m_stops_at;
+}
+
 RouteRelay::Rejection RouteRelay::CheckKey(const HttpRoute& route,
                                            TimePoint now) {
   m_priority = route.m_priority;
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -72,6 +72,8 @@
   };
 
   Rejection CheckRequest(TimePoint now);
+  /// @return true when this instance may stop before the request is done.
+  bool MayBeCutByDrain(TimePoint now) const;
   /// Finds the customer of the request's API key.
   /// @return why the request may not be sent with this key.
   Rejection CheckKey(const HttpRoute& route, TimePoint now);
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -31,6 +31,9 @@
 /// Maximum random delay added to an upstream's remaining refusal time.
 constexpr double kRetryAfterJitterUs = 300e3;
 
+/// Maximum number of routes with an estimate of their durations.
+constexpr std::size_t kMaxDurationEstimates = 4096;
+
 /// @return true for statuses that imply that the request did not run.
 bool ImpliesNotRun(int status) {
   return status == kStatusTimeout || status == kStatusMisdirected ||
@@ -234,6 +237,12 @@
   const TimePoint now = BootTime();
   const bool served = std::string_view(outcome) == "served";
   RecordStreamEnd(served);
+  if (served) {
+    if (m_state->m_durations.size() >= kMaxDurationEstimates) {
+      m_state->m_durations.clear();  // Most are of routes that were removed.
+    }
+    m_state->m_durations[m_route.m_name].Note(now - m_arrived_at);
+  }
   m_state->m_metrics.Count("nutmeg_route_requests",
                            std::string("outcome=\"") + outcome + "\"");
   m_state->m_metrics.Observe(
