--- a/src/nutmegd/stream_records.cpp
+++ b/src/nutmegd/stream_records.cpp
@@ -27,12 +27,16 @@
 /// The same per instance of a large fleet, which shares the platform's rate.
 constexpr Duration kWritePeriodPerInstance = std::chrono::milliseconds(8);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(1000);
+/// Delay before a failed write is retried.
+constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(700);
 constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
 constexpr Duration kReadRetryDelay = std::chrono::milliseconds(300);
 /// Random delay per instance of the fleet before the origins are written.
 constexpr Duration kHistoryDelayPerInstance = std::chrono::milliseconds(10);
 /// Longest wait for another instance to write its row.
 constexpr Duration kMaxRecordWait = std::chrono::milliseconds(500);
+/// Time after which the streams of an earlier process can no longer be resumed.
+constexpr Duration kOldRowRetention = std::chrono::seconds(60);
 /// Reads after which a stream without a record is considered unknown. The
 /// second one comes after its instance, if it still runs, has written its row.
 constexpr int kMaxReads = 2;
@@ -75,15 +79,18 @@
                              std::function<std::set<ServiceId>()> resumable)
     : m_feed(std::move(feed)),
       m_pool(pool),
+      m_self(self.str()),
       m_key(self.str() + "~" + std::to_string(net::WallClockTime().value())),
       m_resumable(std::move(resumable)),
       m_timer(loop, [this] { Update(); }),
       m_write_timer(loop, [this] { WriteOwnRow(); }),
       m_read_timer(loop, [this] { Read(); }),
-      m_history_timer(loop, [this] {
-        m_history_due = true;
-        Read();
-      }) {
+      m_history_timer(loop,
+                      [this] {
+                        m_history_due = true;
+                        Read();
+                      }),
+      m_cleanup_timer(loop, [this] { RemoveOldRows(); }) {
   m_timer.StartRepeating(kUpdateInterval);
   Read();
 }
@@ -141,8 +148,8 @@
 
 void StreamRecords::ScheduleWrite() {
   if (!m_write_timer.Active() && !m_writing) {
-    m_write_timer.Start(
-        std::max(kWriteDelay, Period() - (BootTime() - m_written_at)));
+    const TimePoint due = std::max(m_written_at + Period(), m_retry_at);
+    m_write_timer.Start(std::max(kWriteDelay, due - BootTime()));
   }
 }
 
@@ -191,6 +198,7 @@
     m_written = value;
     Release(last - std::min(last, m_released));
   } else {
+    m_retry_at = BootTime() + kWriteRetryDelay;
     Log(LogLevel::kWarning, "stream_records_not_written",
         {{"reason", result.m_detail}});
   }
@@ -268,6 +276,9 @@
   for (const net::FeedRow& row : result.m_rows) {
     if (row.m_key != kHistoryKey) {
       rows.push_back(row.m_value);
+      if (!m_was_read && row.m_key.starts_with(m_self + "~")) {
+        m_old_rows.push_back(row.m_key);
+      }
       continue;
     }
     m_history_version = row.m_version;
@@ -277,6 +288,9 @@
       Log(LogLevel::kWarning, "origins_not_used", {{"value", row.m_value}});
     }
   }
+  if (!m_was_read && !m_old_rows.empty()) {
+    m_cleanup_timer.Start(kOldRowRetention);
+  }
   m_origins.NoteHistory(m_history, !m_was_read, BootTime());
   m_was_read = true;
   const std::size_t malformed = m_origins.ReplaceOthers(rows);
@@ -290,6 +304,20 @@
   FinishLookups(true);
 }
 
+void StreamRecords::RemoveOldRows() {
+  for (const std::string& key : std::exchange(m_old_rows, {})) {
+    net::FeedWrite write;
+    write.m_table = kStreamTable;
+    write.m_key = key;
+    m_feed.m_write(write, kWriteTimeout, [](const net::FeedResult& result) {
+      if (result.m_status != net::FeedStatus::kDone) {
+        Log(LogLevel::kWarning, "stream_records_not_removed",
+            {{"reason", result.m_detail}});
+      }
+    });
+  }
+}
+
 void StreamRecords::Find(StreamHash stream,
                          const ServiceId& service,
                          Callback callback) {
--- a/src/nutmegd/stream_records.h
+++ b/src/nutmegd/stream_records.h
@@ -84,11 +84,15 @@
   void FinishLookups(bool was_read);
   Duration Period() const;
   OriginsByService Serving() const;
+  /// Removes the rows of earlier processes of this instance.
+  void RemoveOldRows();
 
   net::RowFeed m_feed;
   const UpstreamPool* m_pool;
   StreamOrigins m_origins;
+  std::string m_self;
   std::string m_key;
+  std::vector<std::string> m_old_rows;  ///< Keys of earlier processes.
   int m_instances = 1;
   bool m_was_read = false;
   bool m_reading = false;
@@ -96,6 +100,7 @@
   bool m_writing_history = false;
   bool m_history_due = false;  ///< To be written after the next read.
   TimePoint m_written_at{};
+  TimePoint m_retry_at{};
   std::string m_written;
   std::vector<Held> m_held;    ///< In order of arrival.
   std::size_t m_released = 0;  ///< Number released since the start.
@@ -109,6 +114,7 @@
   net::Timer m_write_timer;
   net::Timer m_read_timer;
   net::Timer m_history_timer;
+  net::Timer m_cleanup_timer;
 };
 
 }  // namespace nutmeghollow
--- /dev/null
+++ b/src/nutmegd/stream_records_test.cpp
@@ -0,0 +1,178 @@
+// Tests of the records of streams with an in-memory table.
+#include "nutmegd/stream_records.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace nutmeghollow {
+namespace {
+
+using net::FeedStatus;
+using std::chrono::milliseconds;
+
+const ServiceId kService("engines");
+
+/// A table that responds at once, or does not respond while it is away.
+class MemoryTable {
+ public:
+  net::RowFeed Hooks() {
+    net::RowFeed feed;
+    feed.m_read_all = [this](const std::string&, Duration,
+                             const net::FeedCallback& callback) {
+      ++m_reads;
+      m_responses.push_back([this, callback] {
+        net::FeedResult result;
+        result.m_status = m_away ? FeedStatus::kUnknown : FeedStatus::kDone;
+        for (const auto& [key, value] : m_rows) {
+          result.m_rows.push_back({key, value, net::FeedVersion(1), false});
+        }
+        callback(std::move(result));
+      });
+    };
+    feed.m_write = [this](const net::FeedWrite& write, Duration,
+                          const net::FeedCallback& callback) {
+      ++m_writes;
+      m_responses.push_back([this, write, callback] {
+        net::FeedResult result;
+        result.m_status = m_away ? FeedStatus::kUnknown : FeedStatus::kDone;
+        if (!m_away && write.m_value) {
+          m_rows[write.m_key] = *write.m_value;
+        } else if (!m_away) {
+          m_rows.erase(write.m_key);
+        }
+        callback(std::move(result));
+      });
+    };
+    return feed;
+  }
+  void Respond() {
+    for (const auto& response : std::exchange(m_responses, {})) {
+      response();
+    }
+  }
+
+  bool m_away = false;
+  int m_reads = 0;
+  int m_writes = 0;
+  std::map<std::string, std::string> m_rows;
+  std::deque<std::function<void()>> m_responses;
+};
+
+class StreamRecordsTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    m_loop = ev_loop_new(0);
+    Register("a", "v1");
+  }
+  void TearDown() override {
+    m_records.reset();
+    ev_loop_destroy(m_loop);
+  }
+
+  void Register(const std::string& id, const std::string& version) {
+    RegisteredUpstream upstream;
+    upstream.m_id = UpstreamId(id);
+    upstream.m_service = kService;
+    upstream.m_version = SoftwareVersion(version);
+    m_pool.Put(upstream, net::BootTime());
+  }
+  OriginHash Origin(const std::string& id) {
+    return OriginOf(*m_pool.Find(UpstreamId(id)));
+  }
+  /// Starts a process of the instance; the one before has ended.
+  void Start() {
+    m_records.reset();
+    m_table.m_responses.clear();
+    RunFor(milliseconds(2));  // Another start time.
+    m_records = std::make_unique<StreamRecords>(
+        m_loop, InstanceId("i"), m_table.Hooks(), &m_pool,
+        [] { return std::set<ServiceId>{kService}; });
+    RunFor(milliseconds(300));
+  }
+  void RunFor(Duration duration) {
+    const TimePoint until = net::BootTime() + duration;
+    while (net::BootTime() < until) {
+      net::Timer end(m_loop, [this] { ev_break(m_loop, EVBREAK_ALL); });
+      end.Start(milliseconds(2));
+      ev_run(m_loop, 0);
+      m_table.Respond();
+    }
+  }
+  /// @return true when the first event was released within a time.
+  bool Record(std::uint64_t stream, OriginHash origin, Duration within) {
+    bool released = false;
+    m_records->Record({StreamHash(stream)}, origin, [&] { released = true; });
+    RunFor(within);
+    const bool in_time = released;
+    RunFor(milliseconds(600));
+    EXPECT_TRUE(released);
+    return in_time;
+  }
+  struct Lookup {
+    bool m_done = false;
+    std::optional<OriginHash> m_origin;
+    bool operator==(const Lookup&) const = default;
+  };
+  Lookup Find(std::uint64_t stream, Duration within) {
+    Lookup lookup;
+    m_records->Find(StreamHash(stream), kService,
+                    [&](std::optional<OriginHash> origin) {
+                      lookup = {true, origin};
+                    });
+    RunFor(within);
+    return lookup;
+  }
+  Lookup Known(OriginHash origin) { return {true, origin}; }
+  static Lookup Unknown() { return {true, std::nullopt}; }
+
+  struct ev_loop* m_loop = nullptr;
+  UpstreamPool m_pool;
+  MemoryTable m_table;
+  std::unique_ptr<StreamRecords> m_records;
+};
+
+TEST_F(StreamRecordsTest, NothingIsWrittenPerStreamWhileOneVersionServes) {
+  Start();
+  const int writes = m_table.m_writes;
+  for (std::uint64_t stream = 0; stream < 5; ++stream) {
+    EXPECT_TRUE(Record(stream, Origin("a"), Duration::zero()));
+  }
+  EXPECT_EQ(m_table.m_writes, writes);
+  Start();
+  EXPECT_EQ(Find(3, Duration::zero()), Known(Origin("a")));
+}
+
+TEST_F(StreamRecordsTest, AStreamIsReleasedWhenItsRecordIsWritten) {
+  Register("b", "v2");
+  Start();
+  EXPECT_FALSE(Record(1, Origin("a"), Duration::zero()));
+  Start();
+  EXPECT_EQ(Find(1, milliseconds(100)), Known(Origin("a")));
+  EXPECT_EQ(Find(2, milliseconds(900)), Unknown());
+}
+
+TEST_F(StreamRecordsTest, AStreamIsNotHeldForLongWhileTheTableIsAway) {
+  Register("b", "v2");
+  Start();
+  m_table.m_away = true;
+  EXPECT_FALSE(Record(1, Origin("a"), milliseconds(150)));
+  EXPECT_EQ(Find(1, Duration::zero()), Known(Origin("a")));
+  EXPECT_EQ(Find(2, milliseconds(100)), Unknown());
+}
+
+TEST_F(StreamRecordsTest, AVersionThatLeftBeforeTheStartIsStillPossible) {
+  Start();
+  Register("a", "v2");
+  Start();
+  Start();
+  EXPECT_EQ(Find(1, milliseconds(900)), Unknown());
+}
+
+}  // namespace
+}  // namespace nutmeghollow
