--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -34,8 +34,8 @@
   std::optional<LoadMessage> m_load;
   std::vector<StatedRate> m_rates;
   /// Messages about permits, see RateExchange.
-  std::optional<PermitAsk> m_ask;
-  std::optional<PermitResponse> m_response;
+  std::optional<PermitRequest> m_permit_request;
+  std::optional<PermitResponse> m_permit_response;
   /// The digest has none of the state above m_crashes; what was sent of it
   /// before stays valid.
   bool m_events_only = false;
--- a/src/include/nutmeghollow/rate_exchange.h
+++ b/src/include/nutmeghollow/rate_exchange.h
@@ -2,12 +2,12 @@
 /// Distributes the request rates that limited upstreams accept among the
 /// instances.
 ///
-/// One instance, the allocator, turns each rate into permits. An instance asks
-/// for a permit when it has a request for a limited upstream, and states which
-/// other ones would do. Since nobody else makes permits, the sum over the fleet
-/// stays within the rate however uneven the traffic is, and an instance that
-/// does not reach the allocator sends nothing to a limited upstream. While no
-/// upstream is limited, nothing is sent.
+/// One instance, the allocator, turns each rate into permits. An instance
+/// requests a permit when it has a request for a limited upstream, and states
+/// which other ones would do. Since nobody else makes permits, the sum over the
+/// fleet stays within the rate however uneven the traffic is, and an instance
+/// that does not reach the allocator sends nothing to a limited upstream. While
+/// no upstream is limited, nothing is sent.
 ///
 /// Messages may be lost. An allocator that does not respond is replaced by the
 /// next instance of an order that is the same everywhere.
@@ -24,10 +24,10 @@
 
 namespace nutmeghollow {
 
-/// Identifies an ask for a permit at the instance that sent it.
-using PermitAskId = Number<struct PermitAskTag, std::uint32_t>;
+/// Identifies a request for a permit at the instance that sent it.
+using PermitRequestId = Number<struct PermitRequestTag, std::uint32_t>;
 
-/// A process that a permit is asked for, with its rate.
+/// A process that a permit is requested for, with its rate.
 struct LimitedProcess {
   UpstreamProcess m_process;
   double m_rate = 0;  ///< Requests per second from all instances.
@@ -39,33 +39,34 @@
   Duration m_delay{};
 };
 
-/// Ask for one permit, for the first process of a list that has one left.
-struct PermitAsk {
-  PermitAskId m_id;
+/// Request for one permit, for the first process of a list that has one left.
+struct PermitRequest {
+  PermitRequestId m_id;
   std::vector<LimitedProcess> m_processes;  ///< In order of preference.
 };
 
-/// Response to an ask.
+/// Response to a request.
 struct PermitResponse {
-  PermitAskId m_id;
+  PermitRequestId m_id;
   std::optional<UpstreamProcess> m_granted;
   std::vector<PermitDelay> m_exhausted;  ///< Processes without a permit.
 };
 
-/// Maximum processes of an ask.
-inline constexpr std::size_t kMaxProcessesPerAsk = 12;
+/// Maximum processes of a request.
+inline constexpr std::size_t kMaxProcessesPerPermitRequest = 12;
 
 /// Settings of the exchange.
 struct RateExchangeParameters {
   /// Longest wait for a response. The request is then sent elsewhere.
   Duration m_response_timeout = std::chrono::milliseconds(60);
-  /// Asks in a row without a response after which the next allocator is used.
+  /// Requests in a row without a response after which the next allocator is
+  /// used.
   int m_max_missed_responses = 3;
   /// Time for which an allocator that did not respond is not used.
   Duration m_allocator_backoff = std::chrono::seconds(3);
-  /// Permits of this long are kept while nobody asks, and one more.
+  /// Permits of this long are kept while nobody requests them, and one more.
   Duration m_burst = std::chrono::milliseconds(500);
-  /// Permits of processes that nobody asked for are forgotten after this long.
+  /// Permits of processes that nobody requested are forgotten after this long.
   Duration m_bucket_expiry = std::chrono::seconds(10);
 };
 
@@ -74,7 +75,8 @@
  public:
   /// Messages to other instances.
   struct Hooks {
-    std::function<void(const InstanceId& to, const PermitAsk& ask)> m_send_ask;
+    std::function<void(const InstanceId& to, const PermitRequest& request)>
+        m_send_request;
     std::function<void(const InstanceId& to, const PermitResponse& response)>
         m_send_response;
   };
@@ -86,30 +88,33 @@
                Hooks hooks,
                RateExchangeParameters parameters = {});
 
-  /// Asks for a permit. It is added to the limits, with what is exhausted.
+  /// Requests a permit. It is added to the limits, with what is exhausted.
   /// @param processes in order of preference; not empty.
   /// @param done called once, after the response or the timeout, possibly
   /// before this function returns.
-  void Ask(std::vector<LimitedProcess> processes,
-           std::function<void()> done,
-           TimePoint now);
-  /// Ends asks that were not answered in time. Called every few milliseconds
-  /// while HasOpenAsks.
+  void Request(std::vector<LimitedProcess> processes,
+               std::function<void()> done,
+               TimePoint now);
+  /// Ends requests that were not answered in time. Called every few
+  /// milliseconds while HasOpenRequests.
   void CheckTimeouts(TimePoint now);
-  bool HasOpenAsks() const { return !m_open.empty(); }
+  bool HasOpenRequests() const { return !m_open.empty(); }
 
-  /// Handles an ask of another instance.
-  void HandleAsk(const InstanceId& from, const PermitAsk& ask, TimePoint now);
+  /// Handles a request of another instance.
+  void HandleRequest(const InstanceId& from,
+                     const PermitRequest& request,
+                     TimePoint now);
   /// Handles a response.
   void HandleResponse(const InstanceId& from,
                       const PermitResponse& response,
                       TimePoint now);
 
-  /// @return the instance that this one asks; empty before the first ask.
+  /// @return the instance that this one requests permits from; empty before the
+  /// first request.
   const InstanceId& Allocator() const { return m_allocator; }
 
  private:
-  struct OpenAsk {
+  struct OpenRequest {
     TimePoint m_sent_at{};
     std::function<void()> m_done;
   };
@@ -121,7 +126,7 @@
   };
 
   void ChooseAllocator(TimePoint now);
-  PermitResponse Respond(const PermitAsk& ask, TimePoint now);
+  PermitResponse Respond(const PermitRequest& request, TimePoint now);
   void Apply(const PermitResponse& response, TimePoint now);
   Bucket& Fill(const LimitedProcess& process, TimePoint now);
   /// @return part of each rate that this instance may hand out: less than one
@@ -137,8 +142,8 @@
   InstanceId m_allocator;
   std::map<InstanceId, TimePoint> m_failed_at;
   int m_missed_responses = 0;
-  std::uint32_t m_last_ask = 0;
-  std::map<PermitAskId, OpenAsk> m_open;
+  std::uint32_t m_last_request = 0;
+  std::map<PermitRequestId, OpenRequest> m_open;
   std::map<UpstreamProcess, Bucket> m_buckets;
 };
 
--- a/src/include/nutmeghollow/rate_limits.h
+++ b/src/include/nutmeghollow/rate_limits.h
@@ -32,7 +32,7 @@
   /// accumulate at idle instances and be used all at once.
   Duration m_permit_lifetime = std::chrono::milliseconds(1000);
   /// A limit ends when no instance received a response of the process for this
-  /// long. Until then permits let requests through that ask it again.
+  /// long. Until then permits let requests through, whose responses tell.
   Duration m_expiry = std::chrono::seconds(60);
   /// Statements are sent to other instances for this long.
   Duration m_report_duration = std::chrono::seconds(3);
@@ -75,9 +75,9 @@
   void AddPermit(const UpstreamProcess& process, TimePoint now);
   /// Records that there is no permit for a process until a time.
   void NoteExhausted(const UpstreamProcess& process, TimePoint until);
-  /// @return true when a permit may be asked for: there is no known reason why
+  /// @return true when a permit may be requested: there is no known reason why
   /// there should be none.
-  bool MayAsk(const UpstreamProcess& process, TimePoint now) const;
+  bool MayRequestPermit(const UpstreamProcess& process, TimePoint now) const;
   /// @return permits received per second, averaged over m_average_window.
   double ReceivedRate(const UpstreamProcess& process, TimePoint now) const;
   /// @return true when a request may be sent: the process has no limit, or
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -68,7 +68,7 @@
   rate @2 :Float32;
 }
 
-struct PermitAsk {
+struct PermitRequest {
   id @0 :UInt32;
   processes @1 :List(LimitedProcess);
 }
@@ -101,6 +101,6 @@
   load @7 :LoadMessage;
   rates @8 :List(StatedRate);
   # With newsOnly, as the load.
-  ask @9 :PermitAsk;
-  response @10 :PermitResponse;
+  permitRequest @9 :PermitRequest;
+  permitResponse @10 :PermitResponse;
 }
--- a/src/libnutmeg/digest.capnp.c++
+++ b/src/libnutmeg/digest.capnp.c++
@@ -696,22 +696,23 @@
   0, 3, i_eee97bb4d0fa543a, nullptr, nullptr, { &s_eee97bb4d0fa543a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<52> b_c49452602c8baa97 = {
+static const ::capnp::_::AlignedData<53> b_aa8344ef3ed21884 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    151, 170, 139,  44,  96,  82, 148, 196,
+    132,  24, 210,  62, 239,  68, 131, 170,
      13,   0,   0,   0,   1,   0,   1,   0,
     149, 123, 142, 162,  19, 111, 192, 212,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 186,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 218,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     100, 105, 103, 101, 115, 116,  46,  99,
      97, 112, 110, 112,  58,  80, 101, 114,
-    109, 105, 116,  65, 115, 107,   0,   0,
+    109, 105, 116,  82, 101, 113, 117, 101,
+    115, 116,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -750,16 +751,16 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_c49452602c8baa97 = b_c49452602c8baa97.words;
+::capnp::word const* const bp_aa8344ef3ed21884 = b_aa8344ef3ed21884.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_c49452602c8baa97[] = {
+static const ::capnp::_::RawSchema* const d_aa8344ef3ed21884[] = {
   &s_eee97bb4d0fa543a,
 };
-static const uint16_t m_c49452602c8baa97[] = {0, 1};
-static const uint16_t i_c49452602c8baa97[] = {0, 1};
-const ::capnp::_::RawSchema s_c49452602c8baa97 = {
-  0xc49452602c8baa97, b_c49452602c8baa97.words, 52, d_c49452602c8baa97, m_c49452602c8baa97,
-  1, 2, i_c49452602c8baa97, nullptr, nullptr, { &s_c49452602c8baa97, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_aa8344ef3ed21884[] = {0, 1};
+static const uint16_t i_aa8344ef3ed21884[] = {0, 1};
+const ::capnp::_::RawSchema s_aa8344ef3ed21884 = {
+  0xaa8344ef3ed21884, b_aa8344ef3ed21884.words, 53, d_aa8344ef3ed21884, m_aa8344ef3ed21884,
+  1, 2, i_aa8344ef3ed21884, nullptr, nullptr, { &s_aa8344ef3ed21884, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<64> b_ce39a2989d8a358e = {
@@ -950,7 +951,7 @@
   1, 5, i_d284b291a5d1e347, nullptr, nullptr, { &s_d284b291a5d1e347, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<206> b_93f571f6ff529ced = {
+static const ::capnp::_::AlignedData<207> b_93f571f6ff529ced = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     237, 156,  82, 255, 246, 113, 245, 147,
      13,   0,   0,   0,   1,   0,   2,   0,
@@ -1034,17 +1035,17 @@
       9,   0,   0,   0,   6,   0,   0,   0,
       0,   0,   1,   0,   9,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    165,   1,   0,   0,  34,   0,   0,   0,
+    165,   1,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    160,   1,   0,   0,   3,   0,   1,   0,
-    172,   1,   0,   0,   2,   0,   1,   0,
+    164,   1,   0,   0,   3,   0,   1,   0,
+    176,   1,   0,   0,   2,   0,   1,   0,
      10,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   1,   0,  10,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   1,   0,   0,  74,   0,   0,   0,
+    173,   1,   0,   0, 122,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    168,   1,   0,   0,   3,   0,   1,   0,
-    180,   1,   0,   0,   2,   0,   1,   0,
+    172,   1,   0,   0,   3,   0,   1,   0,
+    184,   1,   0,   0,   2,   0,   1,   0,
     114, 101,  97, 100, 121,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1140,16 +1141,17 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97, 115, 107,   0,   0,   0,   0,   0,
+    112, 101, 114, 109, 105, 116,  82, 101,
+    113, 117, 101, 115, 116,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    151, 170, 139,  44,  96,  82, 148, 196,
+    132,  24, 210,  62, 239,  68, 131, 170,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    114, 101, 115, 112, 111, 110, 115, 101,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 114, 109, 105, 116,  82, 101,
+    115, 112, 111, 110, 115, 101,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
      71, 227, 209, 165, 145, 178, 132, 210,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1162,18 +1164,18 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_93f571f6ff529ced[] = {
   &s_a70cea1bd06c00f2,
+  &s_aa8344ef3ed21884,
   &s_ac02745f8514baf5,
   &s_bbcfc078b78678ea,
-  &s_c49452602c8baa97,
   &s_cfe6c9674865c766,
   &s_d284b291a5d1e347,
   &s_d3f3adfd6bde9552,
   &s_fe7d5fdb0989358a,
 };
-static const uint16_t m_93f571f6ff529ced[] = {2, 9, 4, 6, 7, 5, 3, 8, 0, 10, 1};
+static const uint16_t m_93f571f6ff529ced[] = {2, 4, 6, 7, 5, 9, 10, 3, 8, 0, 1};
 static const uint16_t i_93f571f6ff529ced[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
 const ::capnp::_::RawSchema s_93f571f6ff529ced = {
-  0x93f571f6ff529ced, b_93f571f6ff529ced.words, 206, d_93f571f6ff529ced, m_93f571f6ff529ced,
+  0x93f571f6ff529ced, b_93f571f6ff529ced.words, 207, d_93f571f6ff529ced, m_93f571f6ff529ced,
   8, 11, i_93f571f6ff529ced, nullptr, nullptr, { &s_93f571f6ff529ced, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -1249,12 +1251,12 @@
 constexpr ::capnp::_::RawSchema const* LimitedProcess::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// PermitAsk
-constexpr uint16_t PermitAsk::_capnpPrivate::dataWordSize;
-constexpr uint16_t PermitAsk::_capnpPrivate::pointerCount;
+// PermitRequest
+constexpr uint16_t PermitRequest::_capnpPrivate::dataWordSize;
+constexpr uint16_t PermitRequest::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind PermitAsk::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* PermitAsk::_capnpPrivate::schema;
+constexpr ::capnp::Kind PermitRequest::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* PermitRequest::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // PermitDelay
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -24,7 +24,7 @@
 CAPNP_DECLARE_SCHEMA(fe7d5fdb0989358a);
 CAPNP_DECLARE_SCHEMA(a70cea1bd06c00f2);
 CAPNP_DECLARE_SCHEMA(eee97bb4d0fa543a);
-CAPNP_DECLARE_SCHEMA(c49452602c8baa97);
+CAPNP_DECLARE_SCHEMA(aa8344ef3ed21884);
 CAPNP_DECLARE_SCHEMA(ce39a2989d8a358e);
 CAPNP_DECLARE_SCHEMA(d284b291a5d1e347);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
@@ -155,15 +155,15 @@
   };
 };
 
-struct PermitAsk {
-  PermitAsk() = delete;
+struct PermitRequest {
+  PermitRequest() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c49452602c8baa97, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(aa8344ef3ed21884, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -947,9 +947,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PermitAsk::Reader {
+class PermitRequest::Reader {
 public:
-  typedef PermitAsk Reads;
+  typedef PermitRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -981,9 +981,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PermitAsk::Builder {
+class PermitRequest::Builder {
 public:
-  typedef PermitAsk Builds;
+  typedef PermitRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1017,9 +1017,9 @@
 };
 
 #if !CAPNP_LITE
-class PermitAsk::Pipeline {
+class PermitRequest::Pipeline {
 public:
-  typedef PermitAsk Pipelines;
+  typedef PermitRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1261,11 +1261,11 @@
   inline bool hasRates() const;
   inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader getRates() const;
 
-  inline bool hasAsk() const;
-  inline  ::nutmeghollow::wire::PermitAsk::Reader getAsk() const;
+  inline bool hasPermitRequest() const;
+  inline  ::nutmeghollow::wire::PermitRequest::Reader getPermitRequest() const;
 
-  inline bool hasResponse() const;
-  inline  ::nutmeghollow::wire::PermitResponse::Reader getResponse() const;
+  inline bool hasPermitResponse() const;
+  inline  ::nutmeghollow::wire::PermitResponse::Reader getPermitResponse() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1346,19 +1346,19 @@
   inline void adoptRates(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>> disownRates();
 
-  inline bool hasAsk();
-  inline  ::nutmeghollow::wire::PermitAsk::Builder getAsk();
-  inline void setAsk( ::nutmeghollow::wire::PermitAsk::Reader value);
-  inline  ::nutmeghollow::wire::PermitAsk::Builder initAsk();
-  inline void adoptAsk(::capnp::Orphan< ::nutmeghollow::wire::PermitAsk>&& value);
-  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitAsk> disownAsk();
+  inline bool hasPermitRequest();
+  inline  ::nutmeghollow::wire::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest( ::nutmeghollow::wire::PermitRequest::Reader value);
+  inline  ::nutmeghollow::wire::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan< ::nutmeghollow::wire::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitRequest> disownPermitRequest();
 
-  inline bool hasResponse();
-  inline  ::nutmeghollow::wire::PermitResponse::Builder getResponse();
-  inline void setResponse( ::nutmeghollow::wire::PermitResponse::Reader value);
-  inline  ::nutmeghollow::wire::PermitResponse::Builder initResponse();
-  inline void adoptResponse(::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value);
-  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> disownResponse();
+  inline bool hasPermitResponse();
+  inline  ::nutmeghollow::wire::PermitResponse::Builder getPermitResponse();
+  inline void setPermitResponse( ::nutmeghollow::wire::PermitResponse::Reader value);
+  inline  ::nutmeghollow::wire::PermitResponse::Builder initPermitResponse();
+  inline void adoptPermitResponse(::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> disownPermitResponse();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1379,8 +1379,8 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::nutmeghollow::wire::LoadMessage::Pipeline getLoad();
-  inline  ::nutmeghollow::wire::PermitAsk::Pipeline getAsk();
-  inline  ::nutmeghollow::wire::PermitResponse::Pipeline getResponse();
+  inline  ::nutmeghollow::wire::PermitRequest::Pipeline getPermitRequest();
+  inline  ::nutmeghollow::wire::PermitResponse::Pipeline getPermitResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1865,50 +1865,50 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PermitAsk::Reader::getId() const {
+inline  ::uint32_t PermitRequest::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PermitAsk::Builder::getId() {
+inline  ::uint32_t PermitRequest::Builder::getId() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PermitAsk::Builder::setId( ::uint32_t value) {
+inline void PermitRequest::Builder::setId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool PermitAsk::Reader::hasProcesses() const {
+inline bool PermitRequest::Reader::hasProcesses() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool PermitAsk::Builder::hasProcesses() {
+inline bool PermitRequest::Builder::hasProcesses() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader PermitAsk::Reader::getProcesses() const {
+inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader PermitRequest::Reader::getProcesses() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder PermitAsk::Builder::getProcesses() {
+inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder PermitRequest::Builder::getProcesses() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PermitAsk::Builder::setProcesses( ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void PermitRequest::Builder::setProcesses( ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder PermitAsk::Builder::initProcesses(unsigned int size) {
+inline  ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>::Builder PermitRequest::Builder::initProcesses(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void PermitAsk::Builder::adoptProcesses(
+inline void PermitRequest::Builder::adoptProcesses(
     ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>> PermitAsk::Builder::disownProcesses() {
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>> PermitRequest::Builder::disownProcesses() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::LimitedProcess,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -2296,80 +2296,80 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool Digest::Reader::hasAsk() const {
+inline bool Digest::Reader::hasPermitRequest() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool Digest::Builder::hasAsk() {
+inline bool Digest::Builder::hasPermitRequest() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::nutmeghollow::wire::PermitAsk::Reader Digest::Reader::getAsk() const {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::get(_reader.getPointerField(
+inline  ::nutmeghollow::wire::PermitRequest::Reader Digest::Reader::getPermitRequest() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::nutmeghollow::wire::PermitAsk::Builder Digest::Builder::getAsk() {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::get(_builder.getPointerField(
+inline  ::nutmeghollow::wire::PermitRequest::Builder Digest::Builder::getPermitRequest() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::nutmeghollow::wire::PermitAsk::Pipeline Digest::Pipeline::getAsk() {
-  return  ::nutmeghollow::wire::PermitAsk::Pipeline(_typeless.getPointerField(6));
+inline  ::nutmeghollow::wire::PermitRequest::Pipeline Digest::Pipeline::getPermitRequest() {
+  return  ::nutmeghollow::wire::PermitRequest::Pipeline(_typeless.getPointerField(6));
 }
 #endif  // !CAPNP_LITE
-inline void Digest::Builder::setAsk( ::nutmeghollow::wire::PermitAsk::Reader value) {
-  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::set(_builder.getPointerField(
+inline void Digest::Builder::setPermitRequest( ::nutmeghollow::wire::PermitRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::nutmeghollow::wire::PermitAsk::Builder Digest::Builder::initAsk() {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::init(_builder.getPointerField(
+inline  ::nutmeghollow::wire::PermitRequest::Builder Digest::Builder::initPermitRequest() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::adoptAsk(
-    ::capnp::Orphan< ::nutmeghollow::wire::PermitAsk>&& value) {
-  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::adopt(_builder.getPointerField(
+inline void Digest::Builder::adoptPermitRequest(
+    ::capnp::Orphan< ::nutmeghollow::wire::PermitRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::nutmeghollow::wire::PermitAsk> Digest::Builder::disownAsk() {
-  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitAsk>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::nutmeghollow::wire::PermitRequest> Digest::Builder::disownPermitRequest() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Digest::Reader::hasResponse() const {
+inline bool Digest::Reader::hasPermitResponse() const {
   return !_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool Digest::Builder::hasResponse() {
+inline bool Digest::Builder::hasPermitResponse() {
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::nutmeghollow::wire::PermitResponse::Reader Digest::Reader::getResponse() const {
+inline  ::nutmeghollow::wire::PermitResponse::Reader Digest::Reader::getPermitResponse() const {
   return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::getResponse() {
+inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::getPermitResponse() {
   return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::nutmeghollow::wire::PermitResponse::Pipeline Digest::Pipeline::getResponse() {
+inline  ::nutmeghollow::wire::PermitResponse::Pipeline Digest::Pipeline::getPermitResponse() {
   return  ::nutmeghollow::wire::PermitResponse::Pipeline(_typeless.getPointerField(7));
 }
 #endif  // !CAPNP_LITE
-inline void Digest::Builder::setResponse( ::nutmeghollow::wire::PermitResponse::Reader value) {
+inline void Digest::Builder::setPermitResponse( ::nutmeghollow::wire::PermitResponse::Reader value) {
   ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::initResponse() {
+inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::initPermitResponse() {
   return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::adoptResponse(
+inline void Digest::Builder::adoptPermitResponse(
     ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value) {
   ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> Digest::Builder::disownResponse() {
+inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> Digest::Builder::disownPermitResponse() {
   return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -137,12 +137,14 @@
   return stated;
 }
 
-void WriteAsk(wire::PermitAsk::Builder out, const PermitAsk& ask) {
-  out.setId(ask.m_id.value());
-  const auto count = std::min(ask.m_processes.size(), kMaxProcessesPerAsk);
+void WritePermitRequest(wire::PermitRequest::Builder out,
+                        const PermitRequest& request) {
+  out.setId(request.m_id.value());
+  const auto count =
+      std::min(request.m_processes.size(), kMaxProcessesPerPermitRequest);
   auto processes = out.initProcesses(static_cast<unsigned>(count));
   for (unsigned index = 0; index < count; ++index) {
-    const LimitedProcess& entry = ask.m_processes[index];
+    const LimitedProcess& entry = request.m_processes[index];
     processes[index].setUpstream(entry.m_process.m_upstream.value());
     processes[index].setBornMs(entry.m_process.m_start_time_ms);
     processes[index].setRate(static_cast<float>(entry.m_rate));
@@ -150,17 +152,17 @@
 }
 
 /// @return nothing when a rate is not a non-negative number.
-std::optional<PermitAsk> ReadAsk(wire::PermitAsk::Reader in) {
-  PermitAsk ask{PermitAskId(in.getId()), {}};
+std::optional<PermitRequest> ReadPermitRequest(wire::PermitRequest::Reader in) {
+  PermitRequest request{PermitRequestId(in.getId()), {}};
   for (const auto& entry : in.getProcesses()) {
     const double rate = entry.getRate();
     if (!std::isfinite(rate) || rate < 0) {
       return std::nullopt;
     }
-    ask.m_processes.push_back(
+    request.m_processes.push_back(
         {{UpstreamHash(entry.getUpstream()), entry.getBornMs()}, rate});
   }
-  return ask;
+  return request;
 }
 
 void WriteResponse(wire::PermitResponse::Builder out,
@@ -171,7 +173,8 @@
     out.setUpstream(response.m_granted->m_upstream.value());
     out.setBornMs(response.m_granted->m_start_time_ms);
   }
-  const auto count = std::min(response.m_exhausted.size(), kMaxProcessesPerAsk);
+  const auto count =
+      std::min(response.m_exhausted.size(), kMaxProcessesPerPermitRequest);
   auto exhausted = out.initExhausted(static_cast<unsigned>(count));
   for (unsigned index = 0; index < count; ++index) {
     const PermitDelay& entry = response.m_exhausted[index];
@@ -183,7 +186,7 @@
 }
 
 PermitResponse ReadResponse(wire::PermitResponse::Reader in) {
-  PermitResponse response{PermitAskId(in.getId()), std::nullopt, {}};
+  PermitResponse response{PermitRequestId(in.getId()), std::nullopt, {}};
   if (in.getGranted()) {
     response.m_granted = {UpstreamHash(in.getUpstream()), in.getBornMs()};
   }
@@ -236,11 +239,11 @@
   for (unsigned index = 0; index < rate_count; ++index) {
     WriteRate(rates[index], digest.m_rates[index], now);
   }
-  if (digest.m_ask) {
-    WriteAsk(root.initAsk(), *digest.m_ask);
+  if (digest.m_permit_request) {
+    WritePermitRequest(root.initPermitRequest(), *digest.m_permit_request);
   }
-  if (digest.m_response) {
-    WriteResponse(root.initResponse(), *digest.m_response);
+  if (digest.m_permit_response) {
+    WriteResponse(root.initPermitResponse(), *digest.m_permit_response);
   }
   root.setNewsOnly(digest.m_events_only);
   kj::VectorOutputStream stream;
@@ -285,11 +288,11 @@
         digest.m_rates.push_back(*stated);
       }
     }
-    if (root.hasAsk()) {
-      digest.m_ask = ReadAsk(root.getAsk());
+    if (root.hasPermitRequest()) {
+      digest.m_permit_request = ReadPermitRequest(root.getPermitRequest());
     }
-    if (root.hasResponse()) {
-      digest.m_response = ReadResponse(root.getResponse());
+    if (root.hasPermitResponse()) {
+      digest.m_permit_response = ReadResponse(root.getPermitResponse());
     }
   } catch (const kj::Exception&) {
     return std::nullopt;
--- a/src/libnutmeg/rate_exchange.cpp
+++ b/src/libnutmeg/rate_exchange.cpp
@@ -57,30 +57,31 @@
   }
 }
 
-void RateExchange::Ask(std::vector<LimitedProcess> processes,
-                       std::function<void()> done,
-                       TimePoint now) {
+void RateExchange::Request(std::vector<LimitedProcess> processes,
+                           std::function<void()> done,
+                           TimePoint now) {
   ChooseAllocator(now);
-  processes.resize(std::min(processes.size(), kMaxProcessesPerAsk));
-  PermitAsk ask{PermitAskId(++m_last_ask), std::move(processes)};
+  processes.resize(std::min(processes.size(), kMaxProcessesPerPermitRequest));
+  PermitRequest request{PermitRequestId(++m_last_request),
+                        std::move(processes)};
   if (m_allocator == m_self) {
-    Apply(Respond(ask, now), now);
+    Apply(Respond(request, now), now);
     done();
     return;
   }
-  m_open.emplace(ask.m_id, OpenAsk{now, std::move(done)});
-  m_hooks.m_send_ask(m_allocator, ask);
+  m_open.emplace(request.m_id, OpenRequest{now, std::move(done)});
+  m_hooks.m_send_request(m_allocator, request);
 }
 
 void RateExchange::CheckTimeouts(TimePoint now) {
   std::vector<std::function<void()>> late;
-  for (auto ask = m_open.begin(); ask != m_open.end();) {
-    if (now - ask->second.m_sent_at < m_parameters.m_response_timeout) {
-      ++ask;
+  for (auto request = m_open.begin(); request != m_open.end();) {
+    if (now - request->second.m_sent_at < m_parameters.m_response_timeout) {
+      ++request;
       continue;
     }
-    late.push_back(std::move(ask->second.m_done));
-    ask = m_open.erase(ask);
+    late.push_back(std::move(request->second.m_done));
+    request = m_open.erase(request);
   }
   if (late.empty()) {
     return;
@@ -95,13 +96,13 @@
   }
 }
 
-void RateExchange::HandleAsk(const InstanceId& from,
-                             const PermitAsk& ask,
-                             TimePoint now) {
+void RateExchange::HandleRequest(const InstanceId& from,
+                                 const PermitRequest& request,
+                                 TimePoint now) {
   ChooseAllocator(now);
   // Without a response the sender uses another allocator.
   if (m_allocator == m_self) {
-    m_hooks.m_send_response(from, Respond(ask, now));
+    m_hooks.m_send_response(from, Respond(request, now));
   }
 }
 
@@ -112,10 +113,10 @@
     m_missed_responses = 0;
   }
   Apply(response, now);
-  const auto ask = m_open.find(response.m_id);
-  if (ask != m_open.end()) {
-    const auto done = std::move(ask->second.m_done);
-    m_open.erase(ask);
+  const auto request = m_open.find(response.m_id);
+  if (request != m_open.end()) {
+    const auto done = std::move(request->second.m_done);
+    m_open.erase(request);
     done();
   }
 }
@@ -129,12 +130,13 @@
   }
 }
 
-PermitResponse RateExchange::Respond(const PermitAsk& ask, TimePoint now) {
+PermitResponse RateExchange::Respond(const PermitRequest& request,
+                                     TimePoint now) {
   std::erase_if(m_buckets, [&](const auto& entry) {
     return now - entry.second.m_filled_at >= m_parameters.m_bucket_expiry;
   });
-  PermitResponse response{ask.m_id, std::nullopt, {}};
-  for (const LimitedProcess& process : ask.m_processes) {
+  PermitResponse response{request.m_id, std::nullopt, {}};
+  for (const LimitedProcess& process : request.m_processes) {
     Bucket& bucket = Fill(process, now);
     if (bucket.m_permits >= 1.0) {
       bucket.m_permits -= 1.0;
--- a/src/libnutmeg/rate_exchange_test.cpp
+++ b/src/libnutmeg/rate_exchange_test.cpp
@@ -137,21 +137,21 @@
     instance->m_exchange = std::make_unique<RateExchange>(
         instance->m_id, &instance->m_directory, &instance->m_limits,
         RateExchange::Hooks{
-            [this, from](const InstanceId& to, const PermitAsk& ask) {
+            [this, from](const InstanceId& to, const PermitRequest& request) {
               FleetDigest digest;
-              digest.m_ask = ask;
+              digest.m_permit_request = request;
               Send(from, to, digest);
             },
             [this, from](const InstanceId& to, const PermitResponse& response) {
               FleetDigest digest;
-              digest.m_response = response;
+              digest.m_permit_response = response;
               Send(from, to, digest);
             }});
   }
 
   std::size_t AllocatorOf(std::size_t index) {
     Instance& instance = *m_instances[index];
-    instance.m_exchange->Ask(
+    instance.m_exchange->Request(
         {{UpstreamProcess{UpstreamHash(99), 1}, 1.0}}, [] {}, At(m_now_ms));
     return m_index[instance.m_exchange->Allocator()];
   }
@@ -187,11 +187,11 @@
       const auto digest = DecodeDigest(message.m_payload, At(m_now_ms));
       RateExchange& exchange = *m_instances[message.m_to]->m_exchange;
       const InstanceId& from = m_instances[message.m_from]->m_id;
-      if (digest->m_ask) {
-        exchange.HandleAsk(from, *digest->m_ask, At(m_now_ms));
+      if (digest->m_permit_request) {
+        exchange.HandleRequest(from, *digest->m_permit_request, At(m_now_ms));
       }
-      if (digest->m_response) {
-        exchange.HandleResponse(from, *digest->m_response, At(m_now_ms));
+      if (digest->m_permit_response) {
+        exchange.HandleResponse(from, *digest->m_permit_response, At(m_now_ms));
       }
     }
   }
@@ -246,8 +246,9 @@
     };
     if (instance->m_limits.MaySend(process, At(m_now_ms))) {
       send();
-    } else if (instance->m_limits.MayAsk(process, At(m_now_ms))) {
-      instance->m_exchange->Ask({{process, m_case.m_rate}}, send, At(m_now_ms));
+    } else if (instance->m_limits.MayRequestPermit(process, At(m_now_ms))) {
+      instance->m_exchange->Request({{process, m_case.m_rate}}, send,
+                                    At(m_now_ms));
     }
   }
 
--- a/src/libnutmeg/rate_limits.cpp
+++ b/src/libnutmeg/rate_limits.cpp
@@ -96,7 +96,8 @@
   }
 }
 
-bool RateLimits::MayAsk(const UpstreamProcess& process, TimePoint now) const {
+bool RateLimits::MayRequestPermit(const UpstreamProcess& process,
+                                  TimePoint now) const {
   const auto found = m_entries.find(process);
   return found == m_entries.end() || now >= found->second.m_exhausted_until;
 }
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -360,7 +360,7 @@
   std::vector<const Candidate*> preferred;
   for (const Candidate& candidate : evaluation.m_candidates) {
     if (candidate.m_needs_permit &&
-        m_limits.MayAsk(ProcessOf(*candidate.m_upstream), now) &&
+        m_limits.MayRequestPermit(ProcessOf(*candidate.m_upstream), now) &&
         (best == nullptr || IsBetter(candidate, *best))) {
       preferred.push_back(&candidate);
     }
--- a/src/libnutmeg/upstream_limits_test.cpp
+++ b/src/libnutmeg/upstream_limits_test.cpp
@@ -106,7 +106,7 @@
 
 TEST_P(UpstreamLimitsPrefix, PermitsAreLeftToLongSharedPrefixes) {
   UpstreamPool pool = MakePool(2);
-  // Both lengths are asked for, so that the mean is between them.
+  // Requests of both lengths, so that the mean is between them.
   for (std::uint64_t chat = 0; chat < 40; ++chat) {
     const auto prompt = Prompt(chat, chat % 2 == 0 ? 10000 : 1000);
     pool.Choose(MakeQuery(&prompt), At({}));
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -171,7 +171,7 @@
   if (!too_few) {
     return true;
   }
-  // More than was received, since an instance that asks for less gets less.
+  // More than was received, since an instance that requests fewer gets fewer.
   const double capacity = kPermitGrowth * *rate + kMinPermitRate;
   return RendezvousScore(m_seed, m_choice_count, 1.0) <
          demand.ServedShare(upstream_query.m_priority, capacity, now);
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -40,7 +40,7 @@
 constexpr Duration kLostPeerTimeout = std::chrono::seconds(12);
 
 /// Interval between checks for permits that were not answered in time.
-constexpr Duration kAskCheckInterval = std::chrono::milliseconds(10);
+constexpr Duration kPermitCheckInterval = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -75,19 +75,19 @@
           m_self,
           m_directory,
           &m_pool->Limits(),
-          {.m_send_ask =
-               [this](const InstanceId& to, const PermitAsk& ask) {
+          {.m_send_request =
+               [this](const InstanceId& to, const PermitRequest& request) {
                  FleetDigest digest;
-                 digest.m_ask = ask;
+                 digest.m_permit_request = request;
                  SendRates(to, std::move(digest));
                },
            .m_send_response =
                [this](const InstanceId& to, const PermitResponse& response) {
                  FleetDigest digest;
-                 digest.m_response = response;
+                 digest.m_permit_response = response;
                  SendRates(to, std::move(digest));
                }}),
-      m_ask_timer(loop, [this] { CheckAsks(); }) {
+      m_permit_timer(loop, [this] { CheckPermitTimeouts(); }) {
   m_timer.Start(kMinPeriod);
   m_load_timer.StartRepeating(kLoadPeriod);
 }
@@ -222,27 +222,27 @@
                     EncodeDigest(digest, BootTime()));
 }
 
-void FleetLink::AskForPermit(std::vector<LimitedProcess> processes,
-                             std::function<void()> done) {
+void FleetLink::RequestPermit(std::vector<LimitedProcess> processes,
+                              std::function<void()> done) {
   const InstanceId allocator = m_rates.Allocator();
   if (EntryInstance* self = m_directory->Find(m_self)) {
     self->m_ready = m_hooks.m_ready();
   }
-  m_rates.Ask(std::move(processes), std::move(done), BootTime());
+  m_rates.Request(std::move(processes), std::move(done), BootTime());
   if (m_rates.Allocator() != allocator) {
     Log(LogLevel::kInfo, "rate_allocator_chosen",
         {{"allocator", m_rates.Allocator().str()},
          {"before", allocator.str()}});
   }
-  if (m_rates.HasOpenAsks() && !m_ask_timer.Active()) {
-    m_ask_timer.Start(kAskCheckInterval);
+  if (m_rates.HasOpenRequests() && !m_permit_timer.Active()) {
+    m_permit_timer.Start(kPermitCheckInterval);
   }
 }
 
-void FleetLink::CheckAsks() {
+void FleetLink::CheckPermitTimeouts() {
   m_rates.CheckTimeouts(BootTime());
-  if (m_rates.HasOpenAsks() && !m_ask_timer.Active()) {
-    m_ask_timer.Start(kAskCheckInterval);
+  if (m_rates.HasOpenRequests() && !m_permit_timer.Active()) {
+    m_permit_timer.Start(kPermitCheckInterval);
   }
 }
 
@@ -302,11 +302,11 @@
   for (const StatedRate& stated : digest->m_rates) {
     m_pool->Limits().Merge(stated);
   }
-  if (digest->m_ask) {
-    m_rates.HandleAsk(datagram.m_from, *digest->m_ask, now);
+  if (digest->m_permit_request) {
+    m_rates.HandleRequest(datagram.m_from, *digest->m_permit_request, now);
   }
-  if (digest->m_response) {
-    m_rates.HandleResponse(datagram.m_from, *digest->m_response, now);
+  if (digest->m_permit_response) {
+    m_rates.HandleResponse(datagram.m_from, *digest->m_permit_response, now);
   }
   if (digest->m_load &&
       !m_loads.Handle(datagram.m_from, *digest->m_load, now)) {
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -75,11 +75,11 @@
   /// Sends reports of requests that crash upstreams and of upstreams that are
   /// leaving, if there are any.
   void SendEvents();
-  /// Asks for a permit to send a request to a limited upstream.
+  /// Requests a permit to send a request to a limited upstream.
   /// @param processes in order of preference; not empty.
   /// @param done called once, possibly before this function returns.
-  void AskForPermit(std::vector<LimitedProcess> processes,
-                    std::function<void()> done);
+  void RequestPermit(std::vector<LimitedProcess> processes,
+                     std::function<void()> done);
   /// @param metrics must not be rendered after this object is gone.
   void RegisterGauges(MetricsRegistry* metrics);
   /// @return instances from which nothing was received for so long that their
@@ -99,7 +99,7 @@
   void SendLoad(const InstanceId& to, const LoadMessage& message);
   /// Adds the rates that upstreams stated, and sends the digest.
   void SendRates(const InstanceId& to, FleetDigest digest);
-  void CheckAsks();
+  void CheckPermitTimeouts();
   void StartLoadRound();
   FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
@@ -121,7 +121,7 @@
   net::Timer m_load_timer;
   LoadExchange m_loads;
   RateExchange m_rates;
-  net::Timer m_ask_timer;
+  net::Timer m_permit_timer;
   std::map<InstanceId, Peer> m_peers;
   std::optional<net::FleetKeys> m_keys;
   std::unique_ptr<net::PeerTransport> m_transport;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -248,9 +248,9 @@
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
   m_state.m_streams = &m_streams;
-  m_state.m_ask_for_permit = [this](std::vector<LimitedProcess> processes,
+  m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
                                     std::function<void()> done) {
-    m_fleet.AskForPermit(std::move(processes), std::move(done));
+    m_fleet.RequestPermit(std::move(processes), std::move(done));
   };
   m_state.m_protocol = std::move(protocol);
   m_peer_feed_server.Add(m_state.m_protocol.m_configuration_table,
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -42,10 +42,10 @@
   const Settings* m_settings = nullptr;
   AttemptPolicyParameters m_attempt_parameters;
 
-  /// Asks for a permit to send a request to one of the limited upstreams. The
+  /// Requests a permit to send a request to one of the limited upstreams. The
   /// callback is called once, with or without a permit.
   std::function<void(std::vector<LimitedProcess>, std::function<void()>)>
-      m_ask_for_permit;
+      m_request_permit;
   /// Time at which the requests that are not done are cut; unset unless this
   /// instance drains.
   std::optional<TimePoint> m_stops_at;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -358,7 +358,7 @@
     return;
   }
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
-  m_state->m_ask_for_permit(std::move(wanted), [weak] {
+  m_state->m_request_permit(std::move(wanted), [weak] {
     const auto self = weak.lock();
     if (self == nullptr || self->m_done) {
       return;
@@ -517,9 +517,8 @@
   m_tried.push_back(upstream);
   if (m_state->m_pool.Limits().IsLimited(
           {HashOf(upstream), registration->m_start_time_ms})) {
-    m_state->m_metrics.Count("nutmeg_route_sent_to_limited",
-                             "upstream=\"" + upstream.str() + "\"");
-    Log(LogLevel::kInfo, "sent_to_limited",
+    m_state->m_metrics.Count("nutmeg_route_sent_to_limited");
+    Log(LogLevel::kDebug, "sent_to_limited",
         {{"upstream", upstream.str()}, {"request", m_request.m_id.str()}});
   }
   m_state->m_pool.NoteSent(upstream, Prompt(), now);
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -95,8 +95,8 @@
   void RecordStreamEnd(bool complete);
   /// @return ids under which the stream may be resumed.
   std::vector<StreamHash> StreamIds() const;
-  /// Chooses an upstream and sends the request to it, or ends the request. Asks
-  /// for a permit before when the best upstream limits its request rate.
+  /// Chooses an upstream and sends the request to it, or ends the request. A
+  /// permit is requested before when the best upstream limits its request rate.
   void Dispatch(TimePoint now);
   UpstreamQuery MakeQuery() const;
   void ChooseAndSend(UpstreamQuery upstream_query, TimePoint now);
