Do not hold back the most urgent requests at limited upstreams

platform.stated_rates failed once in five runs: 6 requests served where 18 are bound. Admission estimated what there is from the permits received, and admitted that many; when few had been received, few were tried, so few were received. The most urgent requests are always tried now, and the estimate decides only what the less urgent ones leave to them.

--- a/src/include/nutmeghollow/priority_demand.h
+++ b/src/include/nutmeghollow/priority_demand.h
@@ -16,9 +16,9 @@
   /// Counts a request. @param priority rank; 0 is the most urgent.
   void Note(int priority, TimePoint now);
   /// @param capacity requests per second that can be served.
-  /// @return the share of the requests of a priority to serve, 0 to 1. More
-  /// urgent requests come first, but no priority gets less than a quarter of
-  /// what it would without priorities.
+  /// @return the share of the requests of a priority to try to serve, 0 to 1.
+  /// All of the most urgent ones; of the others what these leave, but no
+  /// priority gets less than a quarter of what it would without priorities.
   double ServedShare(int priority, double capacity, TimePoint now) const;
 
  private:
--- a/src/libnutmeg/priority_demand.cpp
+++ b/src/libnutmeg/priority_demand.cpp
@@ -49,7 +49,9 @@
     more_urgent += other < priority ? rate : 0;
   }
   const double own = Rate(priority, now);
-  if (own <= 0 || total <= capacity) {
+  // The most urgent are not held back: what they cannot use is known only when
+  // they try.
+  if (own <= 0 || more_urgent <= 0 || total <= capacity) {
     return 1.0;
   }
   const double least = kMinRelativeShare * capacity / total;
