--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -17,6 +17,7 @@
 #include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/load_exchange.h"
 #include "nutmeghollow/rate_exchange.h"
+#include "nutmeghollow/stream_origins.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
 
@@ -36,6 +37,9 @@
   /// Messages about permits, see RateExchange.
   std::optional<PermitRequest> m_permit_request;
   std::optional<PermitResponse> m_permit_response;
+  std::optional<StreamReport> m_stream_report;
+  /// Id of a report of the receiver whose streams are recorded; 0 for none.
+  std::uint32_t m_recorded_report = 0;
   /// The digest has none of the state above m_crashes; what was sent of it
   /// before stays valid.
   bool m_events_only = false;
--- a/src/include/nutmeghollow/rate_exchange.h
+++ b/src/include/nutmeghollow/rate_exchange.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <vector>
 
+#include "nutmeghollow/coordinator_choice.h"
 #include "nutmeghollow/entry_directory.h"
 #include "nutmeghollow/rate_limits.h"
 #include "nutmeghollow/types.h"
@@ -59,11 +60,6 @@
 struct RateExchangeParameters {
   /// Longest wait for a response. The request is then sent elsewhere.
   Duration m_response_timeout = std::chrono::milliseconds(60);
-  /// Requests in a row without a response after which the next allocator is
-  /// used.
-  int m_max_missed_responses = 3;
-  /// Time for which an allocator that did not respond is not used.
-  Duration m_allocator_backoff = std::chrono::seconds(3);
   /// Permits of this long are kept while nobody requests them, and one more.
   Duration m_burst = std::chrono::milliseconds(500);
   /// Permits of processes that nobody requested are forgotten after this long.
@@ -111,7 +107,7 @@
 
   /// @return the instance that this one requests permits from; empty before the
   /// first request.
-  const InstanceId& Allocator() const { return m_allocator; }
+  const InstanceId& Allocator() const { return m_allocator.Current(); }
 
  private:
   struct OpenRequest {
@@ -125,23 +121,21 @@
     TimePoint m_filled_at{};
   };
 
-  void ChooseAllocator(TimePoint now);
+  /// Chooses the allocator again. @return true when it is this instance.
+  bool IsAllocator(TimePoint now);
   PermitResponse Respond(const PermitRequest& request, TimePoint now);
   void Apply(const PermitResponse& response, TimePoint now);
   Bucket& Fill(const LimitedProcess& process, TimePoint now);
   /// @return part of each rate that this instance may hand out: less than one
   /// when another allocator may exist.
   double OwnShare(TimePoint now) const;
-  bool HasFailed(const InstanceId& id, TimePoint now) const;
 
   InstanceId m_self;
   const EntryDirectory* m_directory;
   RateLimits* m_limits;
   Hooks m_hooks;
   RateExchangeParameters m_parameters;
-  InstanceId m_allocator;
-  std::map<InstanceId, TimePoint> m_failed_at;
-  int m_missed_responses = 0;
+  CoordinatorChoice m_allocator;
   std::uint32_t m_last_request = 0;
   std::map<PermitRequestId, OpenRequest> m_open;
   std::map<UpstreamProcess, Bucket> m_buckets;
--- a/src/include/nutmeghollow/stream_origins.h
+++ b/src/include/nutmeghollow/stream_origins.h
@@ -11,12 +11,14 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
@@ -29,6 +31,24 @@
 /// @return the compact id of the stream that an attempt began.
 StreamHash StreamHashOf(const PublicRequestId& attempt);
 
+/// The origin of a stream.
+struct StreamRecord {
+  StreamHash m_stream;
+  OriginHash m_origin;
+};
+
+/// Streams that an instance reports to the one that records them.
+struct StreamReport {
+  std::uint32_t m_id = 0;  ///< The confirmation repeats it.
+  std::vector<StreamRecord> m_records;
+};
+
+/// Maximum records of a report, so that it fits into one datagram.
+inline constexpr std::size_t kMaxRecordsPerReport = 50;
+
+/// @return records as the value of a row.
+std::string EncodeRecords(const std::vector<StreamRecord>& records);
+
 /// Settings of the records of streams.
 struct StreamOriginsParameters {
   /// A stream that broke off can be resumed for this long.
@@ -38,8 +58,6 @@
   /// Longest time that a stream of a process that ended before this one started
   /// is resumed after the start of this one.
   Duration m_restart_window = std::chrono::seconds(20);
-  /// Maximum number of streams of an instance that are recorded.
-  std::size_t m_limit = 3000;
 };
 
 /// Origins of the streams that this instance relays or has read about.
@@ -66,8 +84,10 @@
   /// @return true while a service has more than one possible origin.
   bool NeedsRecords(TimePoint now) const;
 
-  /// @return the streams of this instance as the value of a row.
-  std::string EncodeOwn(TimePoint now);
+  /// @return the streams of this instance that are in progress.
+  std::vector<StreamRecord> InProgress() const;
+  /// Removes streams that broke off too long ago to be resumed.
+  void RemoveExpired(TimePoint now);
   /// Replaces the streams of other processes by the values of their rows.
   /// @return number of rows that are malformed; they are not used.
   std::size_t ReplaceOthers(const std::vector<std::string>& rows);
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -87,6 +87,17 @@
   exhausted @4 :List(PermitDelay);
 }
 
+struct StreamRecord {
+  stream @0 :UInt64;
+  origin @1 :UInt64;
+}
+
+# Streams whose first event waits until they are recorded.
+struct StreamReport {
+  id @0 :UInt32;
+  records @1 :List(StreamRecord);
+}
+
 struct Digest {
   ready @0 :Bool;
   revision @1 :UInt64;
@@ -103,4 +114,7 @@
   # With newsOnly, as the load.
   permitRequest @9 :PermitRequest;
   permitResponse @10 :PermitResponse;
+  streamReport @11 :StreamReport;
+  # Id of a report whose streams are recorded; 0 for none.
+  recordedReport @12 :UInt32;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(aa8344ef3ed21884);
 CAPNP_DECLARE_SCHEMA(ce39a2989d8a358e);
 CAPNP_DECLARE_SCHEMA(d284b291a5d1e347);
+CAPNP_DECLARE_SCHEMA(e973835542201c00);
+CAPNP_DECLARE_SCHEMA(a2e553e46a942339);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
 
 }  // namespace schemas
@@ -200,6 +202,36 @@
   };
 };
 
+struct StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e973835542201c00, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamReport {
+  StreamReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a2e553e46a942339, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -208,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1220,6 +1252,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamRecord::Reader {
+public:
+  typedef StreamRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline  ::uint64_t getOrigin() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamRecord::Builder {
+public:
+  typedef StreamRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline  ::uint64_t getOrigin();
+  inline void setOrigin( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamRecord::Pipeline {
+public:
+  typedef StreamRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamReport::Reader {
+public:
+  typedef StreamReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamReport::Builder {
+public:
+  typedef StreamReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamReport::Pipeline {
+public:
+  typedef StreamReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
@@ -1267,6 +1466,11 @@
   inline bool hasPermitResponse() const;
   inline  ::nutmeghollow::wire::PermitResponse::Reader getPermitResponse() const;
 
+  inline bool hasStreamReport() const;
+  inline  ::nutmeghollow::wire::StreamReport::Reader getStreamReport() const;
+
+  inline  ::uint32_t getRecordedReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1360,6 +1564,16 @@
   inline void adoptPermitResponse(::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value);
   inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> disownPermitResponse();
 
+  inline bool hasStreamReport();
+  inline  ::nutmeghollow::wire::StreamReport::Builder getStreamReport();
+  inline void setStreamReport( ::nutmeghollow::wire::StreamReport::Reader value);
+  inline  ::nutmeghollow::wire::StreamReport::Builder initStreamReport();
+  inline void adoptStreamReport(::capnp::Orphan< ::nutmeghollow::wire::StreamReport>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::StreamReport> disownStreamReport();
+
+  inline  ::uint32_t getRecordedReport();
+  inline void setRecordedReport( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1381,6 +1595,7 @@
   inline  ::nutmeghollow::wire::LoadMessage::Pipeline getLoad();
   inline  ::nutmeghollow::wire::PermitRequest::Pipeline getPermitRequest();
   inline  ::nutmeghollow::wire::PermitResponse::Pipeline getPermitResponse();
+  inline  ::nutmeghollow::wire::StreamReport::Pipeline getStreamReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2045,6 +2260,82 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StreamRecord::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamRecord::Reader::getOrigin() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamRecord::Builder::getOrigin() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamRecord::Builder::setOrigin( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamReport::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamReport::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamReport::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamReport::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamReport::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader StreamReport::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamReport::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamReport::Builder::setRecords( ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>::Builder StreamReport::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamReport::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>> StreamReport::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StreamRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Digest::Reader::getReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2374,6 +2665,59 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Digest::Reader::hasStreamReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasStreamReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmeghollow::wire::StreamReport::Reader Digest::Reader::getStreamReport() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::StreamReport>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::nutmeghollow::wire::StreamReport::Builder Digest::Builder::getStreamReport() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::StreamReport>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmeghollow::wire::StreamReport::Pipeline Digest::Pipeline::getStreamReport() {
+  return  ::nutmeghollow::wire::StreamReport::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setStreamReport( ::nutmeghollow::wire::StreamReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::StreamReport>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmeghollow::wire::StreamReport::Builder Digest::Builder::initStreamReport() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::StreamReport>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptStreamReport(
+    ::capnp::Orphan< ::nutmeghollow::wire::StreamReport>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::StreamReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmeghollow::wire::StreamReport> Digest::Builder::disownStreamReport() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::StreamReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Digest::Reader::getRecordedReport() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Digest::Builder::getRecordedReport() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setRecordedReport( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -198,6 +198,26 @@
   return response;
 }
 
+void WriteStreamReport(wire::StreamReport::Builder out,
+                       const StreamReport& report) {
+  out.setId(report.m_id);
+  const auto count = std::min(report.m_records.size(), kMaxRecordsPerReport);
+  auto records = out.initRecords(static_cast<unsigned>(count));
+  for (unsigned index = 0; index < count; ++index) {
+    records[index].setStream(report.m_records[index].m_stream.value());
+    records[index].setOrigin(report.m_records[index].m_origin.value());
+  }
+}
+
+StreamReport ReadStreamReport(wire::StreamReport::Reader in) {
+  StreamReport report{in.getId(), {}};
+  for (const auto& record : in.getRecords()) {
+    report.m_records.push_back(
+        {StreamHash(record.getStream()), OriginHash(record.getOrigin())});
+  }
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetDigest& digest, TimePoint now) {
@@ -245,6 +265,10 @@
   if (digest.m_permit_response) {
     WriteResponse(root.initPermitResponse(), *digest.m_permit_response);
   }
+  if (digest.m_stream_report) {
+    WriteStreamReport(root.initStreamReport(), *digest.m_stream_report);
+  }
+  root.setRecordedReport(digest.m_recorded_report);
   root.setNewsOnly(digest.m_events_only);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -291,6 +315,10 @@
     if (root.hasPermitRequest()) {
       digest.m_permit_request = ReadPermitRequest(root.getPermitRequest());
     }
+    if (root.hasStreamReport()) {
+      digest.m_stream_report = ReadStreamReport(root.getStreamReport());
+    }
+    digest.m_recorded_report = root.getRecordedReport();
     if (root.hasPermitResponse()) {
       digest.m_permit_response = ReadResponse(root.getPermitResponse());
     }
--- a/src/libnutmeg/rate_exchange.cpp
+++ b/src/libnutmeg/rate_exchange.cpp
@@ -2,11 +2,8 @@
 
 #include <algorithm>
 #include <optional>
-#include <tuple>
 #include <utility>
 
-#include "nutmeghollow/hashing.h"
-
 namespace nutmeghollow {
 namespace {
 
@@ -31,46 +28,30 @@
       m_directory(directory),
       m_limits(limits),
       m_hooks(std::move(hooks)),
-      m_parameters(parameters) {}
-
-bool RateExchange::HasFailed(const InstanceId& id, TimePoint now) const {
-  const auto failed = m_failed_at.find(id);
-  return failed != m_failed_at.end() &&
-         now - failed->second < m_parameters.m_allocator_backoff;
-}
+      m_parameters(parameters),
+      m_allocator(m_self, directory) {}
 
-void RateExchange::ChooseAllocator(TimePoint now) {
-  using Rank = std::tuple<bool, double, std::uint64_t, InstanceId>;
-  std::optional<Rank> best;
-  for (const auto& [id, instance] : m_directory->Instances()) {
-    if (id == m_self || (instance.m_alive && !HasFailed(id, now))) {
-      const Rank rank{!instance.m_ready, -instance.m_link_mbps,
-                      HashText(id.str()), id};
-      best = best ? std::min(*best, rank) : rank;
-    }
-  }
-  const InstanceId chosen = best ? std::get<InstanceId>(*best) : m_self;
-  if (chosen != m_allocator) {
-    m_allocator = chosen;
-    m_missed_responses = 0;
+bool RateExchange::IsAllocator(TimePoint now) {
+  const InstanceId before = m_allocator.Current();
+  if (m_allocator.Choose(now) != before) {
     m_buckets.clear();
   }
+  return m_allocator.Current() == m_self;
 }
 
 void RateExchange::Request(std::vector<LimitedProcess> processes,
                            std::function<void()> done,
                            TimePoint now) {
-  ChooseAllocator(now);
   processes.resize(std::min(processes.size(), kMaxProcessesPerPermitRequest));
   PermitRequest request{PermitRequestId(++m_last_request),
                         std::move(processes)};
-  if (m_allocator == m_self) {
+  if (IsAllocator(now)) {
     Apply(Respond(request, now), now);
     done();
     return;
   }
   m_open.emplace(request.m_id, OpenRequest{now, std::move(done)});
-  m_hooks.m_send_request(m_allocator, request);
+  m_hooks.m_send_request(m_allocator.Current(), request);
 }
 
 void RateExchange::CheckTimeouts(TimePoint now) {
@@ -86,11 +67,7 @@
   if (late.empty()) {
     return;
   }
-  ++m_missed_responses;
-  if (m_missed_responses >= m_parameters.m_max_missed_responses) {
-    m_failed_at[m_allocator] = now;
-    m_missed_responses = 0;
-  }
+  m_allocator.NoteTimeout(now);
   for (const auto& done : late) {
     done();
   }
@@ -99,9 +76,8 @@
 void RateExchange::HandleRequest(const InstanceId& from,
                                  const PermitRequest& request,
                                  TimePoint now) {
-  ChooseAllocator(now);
   // Without a response the sender uses another allocator.
-  if (m_allocator == m_self) {
+  if (IsAllocator(now)) {
     m_hooks.m_send_response(from, Respond(request, now));
   }
 }
@@ -109,9 +85,7 @@
 void RateExchange::HandleResponse(const InstanceId& from,
                                   const PermitResponse& response,
                                   TimePoint now) {
-  if (from == m_allocator) {
-    m_missed_responses = 0;
-  }
+  m_allocator.NoteResponse(from);
   Apply(response, now);
   const auto request = m_open.find(response.m_id);
   if (request != m_open.end()) {
@@ -172,13 +146,11 @@
 
 double RateExchange::OwnShare(TimePoint now) const {
   double alive = 0;
-  bool contested = false;
   for (const auto& [id, instance] : m_directory->Instances()) {
     alive += id == m_self || instance.m_alive ? 1 : 0;
-    contested |= id != m_self && instance.m_alive && HasFailed(id, now);
   }
   const double size = std::max(1.0, static_cast<double>(m_directory->size()));
-  if (contested) {
+  if (m_allocator.IsContested(now)) {
     return 1.0 / size;
   }
   return alive / size >= kMajority ? 1.0 : alive / size;
--- a/src/libnutmeg/stream_origins.cpp
+++ b/src/libnutmeg/stream_origins.cpp
@@ -1,7 +1,6 @@
 #include "nutmeghollow/stream_origins.h"
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 #include <vector>
 
@@ -31,6 +30,15 @@
 
 }  // namespace
 
+std::string EncodeRecords(const std::vector<StreamRecord>& records) {
+  std::string value;
+  for (const StreamRecord& record : records) {
+    AppendNumber(&value, record.m_stream.value());
+    AppendNumber(&value, record.m_origin.value());
+  }
+  return value;
+}
+
 StreamHash StreamHashOf(const PublicRequestId& attempt) {
   return StreamHash(HashText(attempt.str()));
 }
@@ -100,24 +108,22 @@
                      [](const auto& entry) { return entry.second.size() > 1; });
 }
 
-std::string StreamOrigins::EncodeOwn(TimePoint now) {
+std::vector<StreamRecord> StreamOrigins::InProgress() const {
+  std::vector<StreamRecord> records;
+  for (const auto& [stream, entry] : m_own) {
+    if (entry.m_ended_at == TimePoint()) {
+      records.push_back({stream, entry.m_origin});
+    }
+  }
+  return records;
+}
+
+void StreamOrigins::RemoveExpired(TimePoint now) {
   std::erase_if(m_own, [&](const auto& entry) {
     const TimePoint ended_at = entry.second.m_ended_at;
     return ended_at != TimePoint() &&
            now - ended_at >= m_parameters.m_retention;
   });
-  std::vector<std::pair<StreamHash, OriginHash>> records;
-  for (const auto& [stream, entry] : m_own) {
-    records.emplace_back(stream, entry.m_origin);
-  }
-  std::sort(records.begin(), records.end());
-  records.resize(std::min(records.size(), m_parameters.m_limit));
-  std::string value;
-  for (const auto& [stream, origin] : records) {
-    AppendNumber(&value, stream.value());
-    AppendNumber(&value, origin.value());
-  }
-  return value;
 }
 
 std::size_t StreamOrigins::ReplaceOthers(const std::vector<std::string>& rows) {
--- a/src/libnutmeg/stream_origins_test.cpp
+++ b/src/libnutmeg/stream_origins_test.cpp
@@ -74,7 +74,8 @@
   before.Begin(kStream, kOld);
   before.Begin(StreamHash(8), kNew);
   StreamOrigins after;
-  EXPECT_EQ(after.ReplaceOthers({before.EncodeOwn(At(0)), "odd"}), 1U);
+  EXPECT_EQ(after.ReplaceOthers({EncodeRecords(before.InProgress()), "odd"}),
+            1U);
   EXPECT_EQ(after.Find(kStream), kOld);
   EXPECT_EQ(after.Find(StreamHash(8)), kNew);
   EXPECT_FALSE(after.Find(StreamHash(9)));
@@ -84,8 +85,11 @@
   StreamOrigins origins;
   origins.Begin(kStream, kOld);
   origins.End(kStream, false, At(0));
-  EXPECT_FALSE(origins.EncodeOwn(At(29)).empty());
-  EXPECT_TRUE(origins.EncodeOwn(At(30)).empty());
+  EXPECT_TRUE(origins.InProgress().empty());
+  origins.RemoveExpired(At(29));
+  EXPECT_EQ(origins.Find(kStream), kOld);
+  origins.RemoveExpired(At(30));
+  EXPECT_FALSE(origins.Find(kStream));
   origins.Begin(kStream, kOld);
   origins.End(kStream, true, At(31));
   EXPECT_FALSE(origins.Find(kStream));
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -79,13 +79,13 @@
                [this](const InstanceId& to, const PermitRequest& request) {
                  FleetDigest digest;
                  digest.m_permit_request = request;
-                 SendRates(to, std::move(digest));
+                 SendMessage(to, std::move(digest));
                },
            .m_send_response =
                [this](const InstanceId& to, const PermitResponse& response) {
                  FleetDigest digest;
                  digest.m_permit_response = response;
-                 SendRates(to, std::move(digest));
+                 SendMessage(to, std::move(digest));
                }}),
       m_permit_timer(loop, [this] { CheckPermitTimeouts(); }) {
   m_timer.Start(kMinPeriod);
@@ -211,7 +211,7 @@
                     EncodeDigest(digest, BootTime()));
 }
 
-void FleetLink::SendRates(const InstanceId& to, FleetDigest digest) {
+void FleetLink::SendMessage(const InstanceId& to, FleetDigest digest) {
   const auto peer = m_peers.find(to);
   if (m_transport == nullptr || peer == m_peers.end()) {
     return;
@@ -222,6 +222,19 @@
                     EncodeDigest(digest, BootTime()));
 }
 
+void FleetLink::SendStreamReport(const InstanceId& to,
+                                 const StreamReport& report) {
+  FleetDigest digest;
+  digest.m_stream_report = report;
+  SendMessage(to, std::move(digest));
+}
+
+void FleetLink::SendRecorded(const InstanceId& to, std::uint32_t report) {
+  FleetDigest digest;
+  digest.m_recorded_report = report;
+  SendMessage(to, std::move(digest));
+}
+
 void FleetLink::RequestPermit(std::vector<LimitedProcess> processes,
                               std::function<void()> done) {
   const InstanceId allocator = m_rates.Allocator();
@@ -308,6 +321,12 @@
   if (digest->m_permit_response) {
     m_rates.HandleResponse(datagram.m_from, *digest->m_permit_response, now);
   }
+  if (digest->m_stream_report) {
+    m_hooks.m_on_stream_report(datagram.m_from, *digest->m_stream_report);
+  }
+  if (digest->m_recorded_report != 0) {
+    m_hooks.m_on_recorded(datagram.m_from, digest->m_recorded_report);
+  }
   if (digest->m_load &&
       !m_loads.Handle(datagram.m_from, *digest->m_load, now)) {
     Log(LogLevel::kWarning, "load_message_not_used",
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -35,6 +35,12 @@
   std::function<bool()> m_ready;
   /// @return the revision in force at this instance.
   std::function<Revision()> m_revision;
+  /// Called with streams to record for another instance.
+  std::function<void(const InstanceId& from, const StreamReport& report)>
+      m_on_stream_report;
+  /// Called when another instance has recorded a report of this one.
+  std::function<void(const InstanceId& from, std::uint32_t report)>
+      m_on_recorded;
 };
 
 /// Sends and receives digests, and detects which instances are alive.
@@ -75,6 +81,9 @@
   /// Sends reports of requests that crash upstreams and of upstreams that are
   /// leaving, if there are any.
   void SendEvents();
+  void SendStreamReport(const InstanceId& to, const StreamReport& report);
+  /// Confirms that the streams of a report are recorded.
+  void SendRecorded(const InstanceId& to, std::uint32_t report);
   /// Requests a permit to send a request to a limited upstream.
   /// @param processes in order of preference; not empty.
   /// @param done called once, possibly before this function returns.
@@ -98,7 +107,7 @@
   void SendToPeers(const FleetDigest& digest);
   void SendLoad(const InstanceId& to, const LoadMessage& message);
   /// Adds the rates that upstreams stated, and sends the digest.
-  void SendRates(const InstanceId& to, FleetDigest digest);
+  void SendMessage(const InstanceId& to, FleetDigest digest);
   void CheckPermitTimeouts();
   void StartLoadRound();
   FleetDigest OwnState() const;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -173,8 +173,17 @@
       m_streams(loop,
                 settings.m_instance.m_id,
                 m_feed,
+                &m_directory,
                 &m_state.m_pool,
-                [this] { return ResumableServices(); }),
+                {.m_resumable = [this] { return ResumableServices(); },
+                 .m_send_report =
+                     [this](const InstanceId& to, const StreamReport& report) {
+                       m_fleet.SendStreamReport(to, report);
+                     },
+                 .m_send_recorded =
+                     [this](const InstanceId& to, std::uint32_t report) {
+                       m_fleet.SendRecorded(to, report);
+                     }}),
       m_fleet(loop,
               settings.m_instance.m_id,
               settings.m_instance.m_peer_address,
@@ -189,6 +198,14 @@
                      return m_state.m_configuration == nullptr
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
+                   },
+               .m_on_stream_report =
+                   [this](const InstanceId& from, const StreamReport& report) {
+                     m_streams.HandleReport(from, report);
+                   },
+               .m_on_recorded =
+                   [this](const InstanceId& from, std::uint32_t report) {
+                     m_streams.HandleRecorded(from, report);
                    }}),
       m_instance_rows(loop,
                       &m_settings,
@@ -197,7 +214,6 @@
                       &m_fleet,
                       [this](int instances) {
                         m_state.m_allowance.SetInstances(instances);
-                        m_streams.SetInstances(instances);
                       }),
       m_peer_feed_server(loop,
                          settings.m_instance.m_peer_address,
--- a/src/nutmegd/stream_records.cpp
+++ b/src/nutmegd/stream_records.cpp
@@ -16,29 +16,33 @@
 
 /// Key of the row with the origins of each service. No instance has this name.
 constexpr const char* kHistoryKey = "~origins";
-constexpr Duration kUpdateInterval = std::chrono::milliseconds(100);
-/// Time between two writes of a process in a small fleet.
-constexpr Duration kMinWritePeriod = std::chrono::milliseconds(100);
-/// Wait for further streams before a write.
-constexpr Duration kWriteDelay = std::chrono::milliseconds(10);
-/// Longest time that the first event of a stream is held for its record. After
-/// that, being late weighs more.
-constexpr Duration kMaxHold = std::chrono::milliseconds(250);
-/// The same per instance of a large fleet, which shares the platform's rate.
-constexpr Duration kWritePeriodPerInstance = std::chrono::milliseconds(8);
+constexpr Duration kUpdateInterval = std::chrono::milliseconds(50);
+/// Wait for further streams before they are reported.
+constexpr Duration kReportDelay = std::chrono::milliseconds(5);
+/// Time after which a report that was not confirmed is recorded by this
+/// instance itself.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(120);
+/// Time between two writes.
+constexpr Duration kWritePeriod = std::chrono::milliseconds(50);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(1000);
 /// Delay before a failed write is retried.
 constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(700);
+/// Longest time that the first event of a stream is held for its record. After
+/// that, being late weighs more.
+constexpr Duration kMaxHold = std::chrono::milliseconds(250);
+/// Time for which streams are added to one row.
+constexpr Duration kRowPeriod = std::chrono::seconds(5);
+/// Streams of a row, so that its value stays below the platform's limit.
+constexpr std::size_t kMaxRowRecords = 2500;
+/// Time after which the streams of a row can no longer be resumed.
+constexpr Duration kRowRetention = std::chrono::seconds(60);
 constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
 constexpr Duration kReadRetryDelay = std::chrono::milliseconds(300);
 /// Random delay per instance of the fleet before the origins are written.
 constexpr Duration kHistoryDelayPerInstance = std::chrono::milliseconds(10);
-/// Longest wait for another instance to write its row.
-constexpr Duration kMaxRecordWait = std::chrono::milliseconds(500);
-/// Time after which the streams of an earlier process can no longer be resumed.
-constexpr Duration kOldRowRetention = std::chrono::seconds(60);
-/// Reads after which a stream without a record is considered unknown. The
-/// second one comes after its instance, if it still runs, has written its row.
+/// Wait for streams that another instance is about to record.
+constexpr Duration kRecordWait = std::chrono::milliseconds(300);
+/// Reads after which a stream without a record is considered unknown.
 constexpr int kMaxReads = 2;
 
 json ToJson(const std::map<ServiceId, std::set<OriginHash>>& origins) {
@@ -75,33 +79,32 @@
 StreamRecords::StreamRecords(struct ev_loop* loop,
                              const InstanceId& self,
                              net::RowFeed feed,
+                             const EntryDirectory* directory,
                              const UpstreamPool* pool,
-                             std::function<std::set<ServiceId>()> resumable)
+                             StreamRecordsHooks hooks)
     : m_feed(std::move(feed)),
+      m_directory(directory),
       m_pool(pool),
-      m_self(self.str()),
-      m_key(self.str() + "~" + std::to_string(net::WallClockTime().value())),
-      m_resumable(std::move(resumable)),
+      m_hooks(std::move(hooks)),
+      m_recorder(self, directory),
+      m_self(self),
+      m_process_key(self.str() + "~" +
+                    std::to_string(net::WallClockTime().value()) + "~"),
       m_timer(loop, [this] { Update(); }),
-      m_write_timer(loop, [this] { WriteOwnRow(); }),
+      m_report_timer(loop, [this] { SendReports(); }),
+      m_write_timer(loop, [this] { WriteRow(); }),
       m_read_timer(loop, [this] { Read(); }),
-      m_history_timer(loop,
-                      [this] {
-                        m_history_due = true;
-                        Read();
-                      }),
-      m_cleanup_timer(loop, [this] { RemoveOldRows(); }) {
+      m_history_timer(loop, [this] {
+        m_history_due = true;
+        Read();
+      }) {
   m_timer.StartRepeating(kUpdateInterval);
   Read();
 }
 
-Duration StreamRecords::Period() const {
-  return std::max(kMinWritePeriod, kWritePeriodPerInstance * m_instances);
-}
-
 StreamRecords::OriginsByService StreamRecords::Serving() const {
   OriginsByService serving;
-  const std::set<ServiceId> resumable = m_resumable();
+  const std::set<ServiceId> resumable = m_hooks.m_resumable();
   for (const UpstreamId& id : m_pool->Ids()) {
     const RegisteredUpstream* upstream = m_pool->Find(id);
     if (resumable.contains(upstream->m_service)) {
@@ -114,99 +117,217 @@
 void StreamRecords::Update() {
   const TimePoint now = BootTime();
   m_origins.NoteServing(Serving(), now);
+  m_origins.RemoveExpired(now);
   if (m_was_read && !m_history_timer.Active() && !m_history_due &&
       m_origins.Possible(now) != m_history) {
     // Of many instances that notice a new origin, the first writes it, and the
     // others read that before they would.
+    const auto instances = static_cast<Duration::rep>(m_directory->size());
     std::uniform_int_distribution<Duration::rep> delay(
-        0, kHistoryDelayPerInstance.count() * m_instances);
+        0, kHistoryDelayPerInstance.count() * instances);
     m_history_timer.Start(Duration(delay(m_random)));
   }
-  if (m_origins.NeedsRecords(now) || !m_written.empty()) {
-    ScheduleWrite();
+  const bool needed = m_origins.NeedsRecords(now);
+  if (needed && !m_recorded_in_progress) {
+    RecordInProgress();
+  }
+  m_recorded_in_progress = needed;
+  CheckReports(now);
+  CloseRow(now);
+}
+
+void StreamRecords::RecordInProgress() {
+  const std::vector<StreamRecord> records = m_origins.InProgress();
+  if (records.empty()) {
+    return;
   }
-  const auto late = std::find_if(
-      m_held.begin(), m_held.end(),
-      [now](const Held& held) { return now - held.m_since < kMaxHold; });
-  Release(static_cast<std::size_t>(late - m_held.begin()));
+  m_unsent.m_records.insert(m_unsent.m_records.end(), records.begin(),
+                            records.end());
+  m_report_timer.Start(kReportDelay);
 }
 
 void StreamRecords::Record(const std::vector<StreamHash>& ids,
                            OriginHash origin,
                            std::function<void()> done) {
-  const TimePoint now = BootTime();
   for (const StreamHash id : ids) {
     m_origins.Begin(id, origin);
   }
-  if (!m_origins.NeedsRecords(now)) {
+  if (!m_origins.NeedsRecords(BootTime())) {
     done();
     return;
   }
-  m_held.push_back({now, std::move(done)});
-  ScheduleWrite();
+  for (const StreamHash id : ids) {
+    m_unsent.m_records.push_back({id, origin});
+  }
+  m_unsent.m_done.push_back(std::move(done));
+  if (!m_report_timer.Active()) {
+    m_report_timer.Start(kReportDelay);
+  }
 }
 
-void StreamRecords::ScheduleWrite() {
-  if (!m_write_timer.Active() && !m_writing) {
-    const TimePoint due = std::max(m_written_at + Period(), m_retry_at);
-    m_write_timer.Start(std::max(kWriteDelay, due - BootTime()));
+void StreamRecords::SendReports() {
+  const TimePoint now = BootTime();
+  Batch batch = std::exchange(m_unsent, {});
+  batch.m_sent_at = now;
+  if (m_recorder.Choose(now) == m_self) {
+    Enqueue(std::move(batch));
+    return;
+  }
+  // The last message of a batch releases its streams: they are sent in order,
+  // and a lost one is noticed by its own missing confirmation.
+  while (batch.m_records.size() > kMaxRecordsPerReport) {
+    Batch part;
+    part.m_sent_at = now;
+    const auto end = batch.m_records.begin() +
+                     static_cast<std::ptrdiff_t>(kMaxRecordsPerReport);
+    part.m_records.assign(batch.m_records.begin(), end);
+    batch.m_records.erase(batch.m_records.begin(), end);
+    m_hooks.m_send_report(m_recorder.Current(),
+                          {++m_last_report, part.m_records});
+    m_reported.emplace(m_last_report, std::move(part));
   }
+  m_hooks.m_send_report(m_recorder.Current(),
+                        {++m_last_report, batch.m_records});
+  m_reported.emplace(m_last_report, std::move(batch));
 }
 
-void StreamRecords::Release(std::size_t count) {
+void StreamRecords::CheckReports(TimePoint now) {
+  std::vector<Batch> late;
+  for (auto report = m_reported.begin(); report != m_reported.end();) {
+    if (now - report->second.m_sent_at < kReportTimeout) {
+      ++report;
+      continue;
+    }
+    late.push_back(std::move(report->second));
+    report = m_reported.erase(report);
+  }
+  if (!late.empty()) {
+    m_recorder.NoteTimeout(now);
+  }
+  for (Batch& batch : late) {
+    Enqueue(std::move(batch));
+  }
   std::vector<std::function<void()>> released;
-  for (std::size_t index = 0; index < count; ++index) {
-    released.push_back(std::move(m_held[index].m_done));
+  for (Batch* batch : {&m_queued, &m_written}) {
+    if (!batch->m_done.empty() && now - batch->m_sent_at >= kMaxHold) {
+      std::move(batch->m_done.begin(), batch->m_done.end(),
+                std::back_inserter(released));
+      batch->m_done.clear();
+    }
   }
-  m_released += count;
-  m_held.erase(m_held.begin(),
-               m_held.begin() + static_cast<std::ptrdiff_t>(count));
   for (const auto& done : released) {
     done();
   }
 }
 
-void StreamRecords::WriteOwnRow() {
-  const TimePoint now = BootTime();
-  const std::string value =
-      m_origins.NeedsRecords(now) ? m_origins.EncodeOwn(now) : std::string();
-  const std::size_t held = m_held.size();
-  if (value == m_written) {
-    Release(held);
+void StreamRecords::HandleReport(const InstanceId& from,
+                                 const StreamReport& report) {
+  Batch batch;
+  batch.m_records = report.m_records;
+  batch.m_sent_at = BootTime();
+  batch.m_done.emplace_back(
+      [this, from, id = report.m_id] { m_hooks.m_send_recorded(from, id); });
+  Enqueue(std::move(batch));
+}
+
+void StreamRecords::HandleRecorded(const InstanceId& from,
+                                   std::uint32_t report) {
+  m_recorder.NoteResponse(from);
+  const auto found = m_reported.find(report);
+  if (found == m_reported.end()) {
     return;
   }
+  const Batch batch = std::move(found->second);
+  m_reported.erase(found);
+  for (const auto& done : batch.m_done) {
+    done();
+  }
+}
+
+void StreamRecords::Enqueue(Batch batch) {
+  if (m_queued.m_records.empty()) {
+    m_queued.m_sent_at = batch.m_sent_at;
+  }
+  m_queued.m_records.insert(m_queued.m_records.end(), batch.m_records.begin(),
+                            batch.m_records.end());
+  std::move(batch.m_done.begin(), batch.m_done.end(),
+            std::back_inserter(m_queued.m_done));
+  ScheduleWrite();
+}
+
+void StreamRecords::ScheduleWrite() {
+  if (!m_writing && !m_write_timer.Active() && !m_queued.m_records.empty()) {
+    m_write_timer.Start(
+        std::max(m_written_at + kWritePeriod - BootTime(), Duration::zero()));
+  }
+}
+
+void StreamRecords::WriteRow() {
+  const TimePoint now = BootTime();
+  CloseRow(now);
+  if (m_row.empty()) {
+    m_row_started_at = now;
+  }
+  m_written = std::exchange(m_queued, {});
+  m_row.insert(m_row.end(), m_written.m_records.begin(),
+               m_written.m_records.end());
   m_writing = true;
   m_written_at = now;
   net::FeedWrite write;
   write.m_table = kStreamTable;
-  write.m_key = m_key;
-  if (!value.empty()) {
-    write.m_value = value;
-  }
-  m_feed.m_write(
-      write, kWriteTimeout,
-      [this, value, last = m_released + held](const net::FeedResult& result) {
-        HandleWritten(value, last, result);
-      });
+  write.m_key = m_process_key + std::to_string(m_row_number);
+  write.m_value = EncodeRecords(m_row);
+  m_feed.m_write(write, kWriteTimeout, [this](const net::FeedResult& result) {
+    HandleWritten(result);
+  });
 }
 
-void StreamRecords::HandleWritten(const std::string& value,
-                                  std::size_t last,
-                                  const net::FeedResult& result) {
+void StreamRecords::HandleWritten(const net::FeedResult& result) {
   m_writing = false;
   if (result.m_status == net::FeedStatus::kDone) {
-    m_written = value;
-    Release(last - std::min(last, m_released));
-  } else {
-    m_retry_at = BootTime() + kWriteRetryDelay;
-    Log(LogLevel::kWarning, "stream_records_not_written",
-        {{"reason", result.m_detail}});
-  }
-  if (!m_held.empty()) {
+    for (const auto& done : std::exchange(m_written, {}).m_done) {
+      done();
+    }
     ScheduleWrite();
+    return;
+  }
+  Log(LogLevel::kWarning, "stream_records_not_written",
+      {{"reason", result.m_detail}});
+  // The row has them already; it is written again with what has come since.
+  Batch failed = std::exchange(m_written, {});
+  m_row.resize(m_row.size() - std::min(m_row.size(), failed.m_records.size()));
+  Enqueue(std::move(failed));
+  m_write_timer.Start(kWriteRetryDelay);
+}
+
+void StreamRecords::CloseRow(TimePoint now) {
+  const bool full = m_row.size() >= kMaxRowRecords;
+  if (!m_writing && !m_row.empty() &&
+      (full || now - m_row_started_at >= kRowPeriod)) {
+    m_closed_rows.push_back(
+        {m_process_key + std::to_string(m_row_number), now});
+    ++m_row_number;
+    m_row.clear();
+  }
+  while (!m_closed_rows.empty() &&
+         now - m_closed_rows.front().m_closed_at >= kRowRetention) {
+    RemoveRow(m_closed_rows.front().m_key);
+    m_closed_rows.erase(m_closed_rows.begin());
   }
 }
 
+void StreamRecords::RemoveRow(const std::string& key) {
+  net::FeedWrite write;
+  write.m_table = kStreamTable;
+  write.m_key = key;
+  m_feed.m_write(write, kWriteTimeout, [](const net::FeedResult& result) {
+    if (result.m_status != net::FeedStatus::kDone) {
+      Log(LogLevel::kWarning, "stream_records_not_removed",
+          {{"reason", result.m_detail}});
+    }
+  });
+}
+
 void StreamRecords::WriteHistory() {
   const OriginsByService possible = m_origins.Possible(BootTime());
   if (m_writing_history || possible == m_history) {
@@ -276,8 +397,8 @@
   for (const net::FeedRow& row : result.m_rows) {
     if (row.m_key != kHistoryKey) {
       rows.push_back(row.m_value);
-      if (!m_was_read && row.m_key.starts_with(m_self + "~")) {
-        m_old_rows.push_back(row.m_key);
+      if (!m_was_read && row.m_key.starts_with(m_self.str() + "~")) {
+        m_closed_rows.push_back({row.m_key, BootTime()});
       }
       continue;
     }
@@ -288,9 +409,6 @@
       Log(LogLevel::kWarning, "origins_not_used", {{"value", row.m_value}});
     }
   }
-  if (!m_was_read && !m_old_rows.empty()) {
-    m_cleanup_timer.Start(kOldRowRetention);
-  }
   m_origins.NoteHistory(m_history, !m_was_read, BootTime());
   m_was_read = true;
   const std::size_t malformed = m_origins.ReplaceOthers(rows);
@@ -304,20 +422,6 @@
   FinishLookups(true);
 }
 
-void StreamRecords::RemoveOldRows() {
-  for (const std::string& key : std::exchange(m_old_rows, {})) {
-    net::FeedWrite write;
-    write.m_table = kStreamTable;
-    write.m_key = key;
-    m_feed.m_write(write, kWriteTimeout, [](const net::FeedResult& result) {
-      if (result.m_status != net::FeedStatus::kDone) {
-        Log(LogLevel::kWarning, "stream_records_not_removed",
-            {{"reason", result.m_detail}});
-      }
-    });
-  }
-}
-
 void StreamRecords::Find(StreamHash stream,
                          const ServiceId& service,
                          Callback callback) {
@@ -346,7 +450,7 @@
                             : m_origins.OnlyPossible(lookup.m_service, now));
       continue;
     }
-    lookup.m_due = now + std::min(Period() + kUpdateInterval, kMaxRecordWait);
+    lookup.m_due = now + kRecordWait;
     m_waiting.push_back(std::move(lookup));
   }
   StartReadTimer();
--- a/src/nutmegd/stream_records.h
+++ b/src/nutmegd/stream_records.h
@@ -1,7 +1,11 @@
 /// @file
 /// Keeps the origins of streams in the platform's tables, where they outlive
-/// the instances: one row for each process with the streams that it relays, and
-/// one row with the origins of each service.
+/// the instances.
+///
+/// The instances report the streams that begin to one of them, the recorder,
+/// which writes them in batches, so that the rate of writes does not grow with
+/// the fleet. Its rows hold the streams of some seconds each. One more row has
+/// the origins of each service.
 #pragma once
 
 #include <ev.h>
@@ -16,6 +20,7 @@
 
 #include "libnet/event_loop.h"
 #include "libnet/row_feed.h"
+#include "nutmeghollow/coordinator_choice.h"
 #include "nutmeghollow/stream_origins.h"
 #include "nutmeghollow/upstream_pool.h"
 
@@ -24,35 +29,49 @@
 /// Name of the table.
 inline constexpr const char* kStreamTable = "nutmeg_streams";
 
-/// Maintains the rows of this process, and looks up streams of others.
+/// What the records need from the rest of an instance.
+struct StreamRecordsHooks {
+  /// @return the services whose streams may be resumed.
+  std::function<std::set<ServiceId>()> m_resumable;
+  std::function<void(const InstanceId& to, const StreamReport& report)>
+      m_send_report;
+  /// Confirms that a report of another instance is recorded.
+  std::function<void(const InstanceId& to, std::uint32_t report)>
+      m_send_recorded;
+};
+
+/// Records the streams of this instance, and looks up those of others.
 class StreamRecords {
  public:
   using Callback = std::function<void(std::optional<OriginHash>)>;
 
-  /// @param pool must outlive this object.
-  /// @param resumable returns the services whose streams may be resumed.
+  /// @param directory and @param pool must outlive this object.
   StreamRecords(struct ev_loop* loop,
                 const InstanceId& self,
                 net::RowFeed feed,
+                const EntryDirectory* directory,
                 const UpstreamPool* pool,
-                std::function<std::set<ServiceId>()> resumable);
+                StreamRecordsHooks hooks);
 
   StreamOrigins& Origins() { return m_origins; }
   /// Records the origin of a stream.
   /// @param ids of the attempts that a caller may name when it resumes it.
-  /// @param done called once, when the record would outlive this process or
+  /// @param done called once, when the record would outlive all instances or
   /// after a short time, possibly before this function returns. The stream's
   /// first event is held until then.
   void Record(const std::vector<StreamHash>& ids,
               OriginHash origin,
               std::function<void()> done);
-  /// Sets the size of the fleet, on which the period of writes depends.
-  void SetInstances(int instances) { m_instances = instances; }
   /// Finds the origin of a stream, in the platform's table if need be.
   /// @param callback called once, possibly before this function returns; with
   /// nothing when the origin cannot be known.
   void Find(StreamHash stream, const ServiceId& service, Callback callback);
 
+  /// Records the streams of another instance.
+  void HandleReport(const InstanceId& from, const StreamReport& report);
+  /// Handles a confirmation of a report of this instance.
+  void HandleRecorded(const InstanceId& from, std::uint32_t report);
+
  private:
   struct Lookup {
     StreamHash m_stream;
@@ -61,60 +80,75 @@
     int m_reads = 0;
     TimePoint m_due{};  ///< Earliest time of the next read.
   };
-  using OriginsByService = std::map<ServiceId, std::set<OriginHash>>;
-
-  /// Waits for the own row to be written.
-  struct Held {
-    TimePoint m_since{};
-    std::function<void()> m_done;
+  /// Records that are reported or written together.
+  struct Batch {
+    std::vector<StreamRecord> m_records;
+    /// Called when the records are written.
+    std::vector<std::function<void()>> m_done;
+    TimePoint m_sent_at{};
   };
+  /// A row that is no longer written to.
+  struct ClosedRow {
+    std::string m_key;
+    TimePoint m_closed_at{};
+  };
+  using OriginsByService = std::map<ServiceId, std::set<OriginHash>>;
 
   void Update();
+  void RecordInProgress();
+  void SendReports();
+  void CheckReports(TimePoint now);
+  void Enqueue(Batch batch);
   void ScheduleWrite();
-  void WriteOwnRow();
-  /// @param last number of records, since the start, that the row includes.
-  void HandleWritten(const std::string& value,
-                     std::size_t last,
-                     const net::FeedResult& result);
-  void Release(std::size_t count);
+  void WriteRow();
+  void HandleWritten(const net::FeedResult& result);
+  void CloseRow(TimePoint now);
+  void RemoveRow(const std::string& key);
   void WriteHistory();
-  void StartReadTimer();
   void Read();
+  void StartReadTimer();
   void HandleRows(const net::FeedResult& result);
   void FinishLookups(bool was_read);
-  Duration Period() const;
   OriginsByService Serving() const;
-  /// Removes the rows of earlier processes of this instance.
-  void RemoveOldRows();
 
   net::RowFeed m_feed;
+  const EntryDirectory* m_directory;
   const UpstreamPool* m_pool;
+  StreamRecordsHooks m_hooks;
   StreamOrigins m_origins;
-  std::string m_self;
-  std::string m_key;
-  std::vector<std::string> m_old_rows;  ///< Keys of earlier processes.
-  int m_instances = 1;
+  CoordinatorChoice m_recorder;
+  InstanceId m_self;
+  std::string m_process_key;  ///< First part of the keys of this process.
+  std::mt19937_64 m_random{std::random_device()()};
+
+  Batch m_unsent;  ///< Streams of this instance that are not reported yet.
+  std::map<std::uint32_t, Batch> m_reported;  ///< By the id of the report.
+  std::uint32_t m_last_report = 0;
+  bool m_recorded_in_progress = false;
+
+  Batch m_queued;   ///< To be written.
+  Batch m_written;  ///< By the write in progress.
+  std::vector<StreamRecord> m_row;
+  int m_row_number = 0;
+  TimePoint m_row_started_at{};
+  TimePoint m_written_at{};
+  bool m_writing = false;
+  std::vector<ClosedRow> m_closed_rows;
+
   bool m_was_read = false;
   bool m_reading = false;
-  bool m_writing = false;
   bool m_writing_history = false;
   bool m_history_due = false;  ///< To be written after the next read.
-  TimePoint m_written_at{};
-  TimePoint m_retry_at{};
-  std::string m_written;
-  std::vector<Held> m_held;    ///< In order of arrival.
-  std::size_t m_released = 0;  ///< Number released since the start.
   OriginsByService m_history;  ///< As in the table.
   net::FeedVersion m_history_version;
   std::vector<Lookup> m_lookups;  ///< Answered by the read in progress.
   std::vector<Lookup> m_waiting;  ///< For a later read.
-  std::function<std::set<ServiceId>()> m_resumable;
-  std::mt19937_64 m_random{std::random_device()()};
+
   net::Timer m_timer;
+  net::Timer m_report_timer;
   net::Timer m_write_timer;
   net::Timer m_read_timer;
   net::Timer m_history_timer;
-  net::Timer m_cleanup_timer;
 };
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/stream_records_test.cpp
+++ b/src/nutmegd/stream_records_test.cpp
@@ -91,8 +91,15 @@
     m_table.m_responses.clear();
     RunFor(milliseconds(2));  // Another start time.
     m_records = std::make_unique<StreamRecords>(
-        m_loop, InstanceId("i"), m_table.Hooks(), &m_pool,
-        [] { return std::set<ServiceId>{kService}; });
+        m_loop, InstanceId("i"), m_table.Hooks(), &m_directory, &m_pool,
+        StreamRecordsHooks{
+            [] { return std::set<ServiceId>{kService}; },
+            [this](const InstanceId&, const StreamReport& report) {
+              m_reports.push_back(report);
+            },
+            [this](const InstanceId&, std::uint32_t report) {
+              m_recorded.push_back(report);
+            }});
     RunFor(milliseconds(300));
   }
   void RunFor(Duration duration) {
@@ -133,6 +140,9 @@
 
   struct ev_loop* m_loop = nullptr;
   UpstreamPool m_pool;
+  EntryDirectory m_directory;
+  std::vector<StreamReport> m_reports;
+  std::vector<std::uint32_t> m_recorded;
   MemoryTable m_table;
   std::unique_ptr<StreamRecords> m_records;
 };
@@ -174,5 +184,39 @@
   EXPECT_EQ(Find(1, milliseconds(900)), Unknown());
 }
 
+TEST_F(StreamRecordsTest, TheRecorderConfirmsWhatItHasWritten) {
+  Register("b", "v2");
+  Start();
+  m_records->HandleReport(InstanceId("other"),
+                          {7, {{StreamHash(1), Origin("b")}}});
+  EXPECT_TRUE(m_recorded.empty());
+  RunFor(milliseconds(150));
+  EXPECT_EQ(m_recorded, std::vector<std::uint32_t>{7});
+  Start();
+  EXPECT_EQ(Find(1, milliseconds(100)), Known(Origin("b")));
+}
+
+TEST_F(StreamRecordsTest, AStreamIsReleasedByTheConfirmation) {
+  Register("b", "v2");
+  m_directory.Put({.m_id = InstanceId("r"), .m_ready = true, .m_link_mbps = 9});
+  Start();
+  bool released = false;
+  m_records->Record({StreamHash(1)}, Origin("a"), [&] { released = true; });
+  RunFor(milliseconds(50));
+  ASSERT_EQ(m_reports.size(), 1U);
+  EXPECT_FALSE(released);
+  m_records->HandleRecorded(InstanceId("r"), m_reports[0].m_id);
+  EXPECT_TRUE(released);
+}
+
+TEST_F(StreamRecordsTest, AnInstanceRecordsWhatARecorderDoesNotConfirm) {
+  Register("b", "v2");
+  m_directory.Put({.m_id = InstanceId("r"), .m_ready = true, .m_link_mbps = 9});
+  Start();
+  EXPECT_TRUE(Record(1, Origin("a"), milliseconds(400)));
+  Start();
+  EXPECT_EQ(Find(1, milliseconds(100)), Known(Origin("a")));
+}
+
 }  // namespace
 }  // namespace nutmeghollow
