--- a/src/nutmegctl/http_call_test.cpp
+++ b/src/nutmegctl/http_call_test.cpp
@@ -20,8 +20,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(m_listener, reinterpret_cast<sockaddr*>(&address), size);
-    listen(m_listener, 1);
+    EXPECT_EQ(bind(m_listener, reinterpret_cast<sockaddr*>(&address), size), 0);
+    EXPECT_EQ(listen(m_listener, 1), 0);
     getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
     m_thread = std::thread([this] { Serve(); });
