--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -33,7 +33,7 @@
 REGION = "nl-midden"
 BOUNDS = {"graceS": 8, "revokeMs": 5000, "retryBudgetRatio": 0.2,
           "budgetSlack": 54, "budgetWindowS": 10, "drainMs": 2000,
-          "configApplyMs": 2000}
+          "configApplyMs": 2000, "stableWindowMs": 3000}
 READY_SECONDS = 15
 # A case that takes longer could not run.
 CASE_SECONDS = 100
@@ -173,7 +173,8 @@
             if time.monotonic() > end:
                 raise RuntimeError("the fleet is not ready")
             time.sleep(0.1)
-        time.sleep(1.0)
+        # From here on the machines are in touch (RULES.md).
+        time.sleep(BOUNDS["stableWindowMs"] / 1000 + 0.5)
 
     def stop(self):
         for machine in self.m_machines:
