Log why a failed attempt is not repeated

New line retry_not_permitted with the figures that decide; attempt_ended has the time left and the events received. No decision changes.

--- a/src/include/nutmeghollow/retry_allowance.h
+++ b/src/include/nutmeghollow/retry_allowance.h
@@ -2,6 +2,7 @@
 /// This instance's share of the fleet's retry allowance.
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <map>
 
@@ -19,6 +20,13 @@
   double m_used_fraction = 0.8;
 };
 
+/// Requests and retries of a service in the current window.
+struct RetryUse {
+  std::size_t m_requests = 0;
+  std::size_t m_retries = 0;
+  double m_allowed = 0;  ///< Retries, including those made.
+};
+
 /// Counts requests and retries of each service in a sliding window.
 class RetryAllowance {
  public:
@@ -34,6 +42,8 @@
   void NoteRequest(const ServiceId& service, TimePoint now);
   /// Takes one retry. @return false when none is left.
   bool Take(const ServiceId& service, TimePoint now);
+  /// @return the figures that decide whether Take returns true.
+  RetryUse UseOf(const ServiceId& service, TimePoint now);
 
  private:
   struct Window {
--- a/src/libnutmeg/retry_allowance.cpp
+++ b/src/libnutmeg/retry_allowance.cpp
@@ -16,7 +16,7 @@
   window.m_requests.push_back(now);
 }
 
-bool RetryAllowance::Take(const ServiceId& service, TimePoint now) {
+RetryUse RetryAllowance::UseOf(const ServiceId& service, TimePoint now) {
   Window& window = m_windows[service];
   Expire(window.m_requests, now);
   Expire(window.m_retries, now);
@@ -24,10 +24,15 @@
       m_parameters.m_used_fraction *
       (m_parameters.m_ratio * static_cast<double>(window.m_requests.size()) +
        m_parameters.m_slack / std::max(1, m_instances));
-  if (static_cast<double>(window.m_retries.size()) + 1 > allowed) {
+  return {window.m_requests.size(), window.m_retries.size(), allowed};
+}
+
+bool RetryAllowance::Take(const ServiceId& service, TimePoint now) {
+  const RetryUse use = UseOf(service, now);
+  if (static_cast<double>(use.m_retries) + 1 > use.m_allowed) {
     return false;
   }
-  window.m_retries.push_back(now);
+  m_windows[service].m_retries.push_back(now);
   return true;
 }
 
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -162,6 +162,8 @@
   /// Logs how a response without a length or chunks ended.
   void LogCloseDelimited(const net::HttpCallResult& result);
   void HandleFailure(AttemptFailure failure);
+  /// Takes a retry from the allowance. @return false when none is left.
+  bool TakeRetry(TimePoint now);
   /// Checks whether the upstream crashed, and handles the failure. Only a
   /// suspect request waits for the result of the check.
   void HandleBrokenAttempt(const UpstreamId& upstream,
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -58,7 +58,7 @@
                                  m_state->m_attempt_parameters);
   const bool retries =
       step == NextStep::kRetryElsewhere || step == NextStep::kResume;
-  if (retries && !m_state->m_allowance.Take(m_service, now)) {
+  if (retries && !TakeRetry(now)) {
     step = DecideFinalStep(failure, m_progress);
   }
   switch (step) {
@@ -84,6 +84,22 @@
   }
 }
 
+bool RouteRelay::TakeRetry(TimePoint now) {
+  const RetryUse use = m_state->m_allowance.UseOf(m_service, now);
+  if (m_state->m_allowance.Take(m_service, now)) {
+    return true;
+  }
+  m_state->m_metrics.Count("nutmeg_route_retries_not_permitted");
+  Log(LogLevel::kInfo, "retry_not_permitted",
+      {{"request", m_request.m_id.str()},
+       {"service", m_service.str()},
+       {"requests", static_cast<std::int64_t>(use.m_requests)},
+       {"retries", static_cast<std::int64_t>(use.m_retries)},
+       {"allowed", use.m_allowed},
+       {"time_left_ms", Milliseconds(TimeLeft(now))}});
+  return false;
+}
+
 void RouteRelay::HandleBrokenAttempt(const UpstreamId& upstream,
                                      const Endpoint& endpoint,
                                      TimePoint sent_at) {
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -385,7 +385,9 @@
          {"upstream", attempt.m_upstream.str()},
          {"how", std::string(AttemptHealthName(health))},
          {"status", std::int64_t{attempt.m_status}},
-         {"after_ms", Milliseconds(now - attempt.m_sent_at)}});
+         {"after_ms", Milliseconds(now - attempt.m_sent_at)},
+         {"time_left_ms", Milliseconds(TimeLeft(now))},
+         {"events", std::int64_t{m_event_splitter.Events()}}});
   }
 }
 
