Keep a silent attempt until another upstream has taken the request over

Cause: when a response made no progress for its first-byte or idle timeout, the attempt was cancelled first. The retry permit, the check of the configuration, the choice of an upstream and the successor's acceptance came after that, and when one of them said no the request was lost.

Now the silent attempt stays open while another upstream is asked. It ends when data of the other one arrive; for streams at the latest 0.3 s after the other one's request was written, since two upstreams must not work on one stream for longer. If the silent one goes on first, the other one is cancelled. If there is no retry, no upstream or no acceptance, the request stays where it is until its time limit.

--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -37,6 +37,9 @@
 /// The response is sent this long before the caller's deadline or the route's
 /// timeout.
 constexpr Duration kDeadlineMargin = std::chrono::milliseconds(10);
+/// Maximum time for which two upstreams have the request of a stream. One that
+/// refuses it does so within a round trip.
+constexpr Duration kMaxStreamOverlap = std::chrono::milliseconds(300);
 /// Retry-After of a request that another instance can serve at once.
 constexpr Duration kRetryElsewhereDelay = std::chrono::milliseconds(50);
 
@@ -85,11 +88,16 @@
                 const auto self = shared_from_this();
                 HandleDeadline();
               }),
-      m_idle_timer(state->m_loop,
-                   [this] {
-                     const auto self = shared_from_this();
-                     CheckIdleTimeout();
-                   }),
+      m_silence_timer(state->m_loop,
+                      [this] {
+                        const auto self = shared_from_this();
+                        CheckSilence();
+                      }),
+      m_release_timer(state->m_loop,
+                      [this] {
+                        const auto self = shared_from_this();
+                        ReleaseEarlierAttempt();
+                      }),
       m_refusal_timer(state->m_loop, [this] {
         const auto self = shared_from_this();
         HandleRefusal();
@@ -129,9 +137,7 @@
     }
     self->m_caller_is_slow = false;
     if (self->m_attempt) {
-      self->m_attempt->m_paused = false;
-      self->m_attempt->m_last_progress_at = BootTime();
-      self->m_state->m_client->Resume(self->m_attempt->m_call);
+      self->ResumeReading(*self->m_attempt);
     }
   });
   m_timer.Start(std::max(m_deadline - now, Duration(1)));
@@ -301,7 +307,8 @@
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
   m_state->m_request_permit(std::move(wanted), [weak] {
     const auto self = weak.lock();
-    if (self == nullptr || self->m_done) {
+    // A silent upstream may have gone on in the meantime.
+    if (self == nullptr || self->m_done || self->m_attempt) {
       return;
     }
     const TimePoint answered_at = BootTime();
@@ -377,9 +384,9 @@
   call.m_headers = m_state->m_protocol.m_upstream_headers(request, fields);
   call.m_body = m_body;
   call.m_connect_timeout = std::min(kConnectTimeout, time_left);
-  const int attempts_left = m_route.m_max_attempts - m_progress.m_attempts - 1;
-  call.m_head_timeout = FirstByteTimeout(m_route, attempts_left, time_left);
-  call.m_idle_timeout = IdleTimeout(m_route, attempts_left, time_left);
+  // A silent upstream may go on until another one takes over.
+  call.m_head_timeout = time_left;
+  call.m_idle_timeout = time_left;
   call.m_total_timeout = time_left;
   call.m_dedicated_connection = !m_route.MayRepeat();
   call.m_reuse_max_idle = kReuseMaxIdle;
@@ -387,25 +394,29 @@
   return call;
 }
 
-net::HttpCallEvents RouteRelay::MakeEvents() {
-  const std::weak_ptr<RouteRelay> weak = weak_from_this();
+net::HttpCallEvents RouteRelay::MakeEvents(AttemptNumber number) {
+  // Keeps the relay alive for a callback; null when the attempt has ended.
+  const auto lock = [weak = weak_from_this(), number] {
+    auto self = weak.lock();
+    return self != nullptr && self->BringToFront(number) ? self : nullptr;
+  };
   net::HttpCallEvents events;
-  events.m_on_send = [weak] {
-    if (const auto self = weak.lock()) {
+  events.m_on_send = [lock] {
+    if (const auto self = lock()) {
       self->CheckBeforeSend();
     }
   };
-  events.m_on_headers = [weak](int status, const net::HeaderMap& headers) {
-    if (const auto self = weak.lock()) {
+  events.m_on_headers = [lock](int status, const net::HeaderMap& headers) {
+    if (const auto self = lock()) {
       self->HandleHeaders(status, headers);
     }
   };
-  events.m_on_data = [weak](std::string_view data) {
-    const auto self = weak.lock();
+  events.m_on_data = [lock](std::string_view data) {
+    const auto self = lock();
     return self == nullptr || self->HandleData(data);
   };
-  events.m_on_end = [weak](const net::HttpCallResult& result) {
-    if (const auto self = weak.lock()) {
+  events.m_on_end = [lock](const net::HttpCallResult& result) {
+    if (const auto self = lock()) {
       self->HandleEnd(result);
     }
   };
@@ -413,9 +424,6 @@
 }
 
 void RouteRelay::CheckBeforeSend() {
-  if (m_done || !m_attempt) {
-    return;
-  }
   const TimePoint now = BootTime();
   // The configuration may have been replaced during connection setup.
   m_configuration = m_state->m_configuration;
@@ -427,6 +435,10 @@
       m_attempt->m_upstream, m_attempt->m_start_time_ms);
   const bool within_rate = m_state->m_pool.MaySend(m_attempt->m_choice);
   if (allowed && takes_requests && within_rate && !late) {
+    m_attempt->m_request_written = true;
+    if (m_other_attempt && m_route.m_streamed) {
+      m_release_timer.Start(kMaxStreamOverlap);
+    }
     return;
   }
   Log(LogLevel::kInfo, "send_withheld",
@@ -450,10 +462,17 @@
   attempt.m_origin = OriginOf(*registration);
   attempt.m_endpoint = registration->m_endpoint;
   attempt.m_sent_at = now;
-  net::HttpCall call = MakeCall(*registration, now);
-  attempt.m_idle_timeout = call.m_idle_timeout;
-  attempt.m_call = m_state->m_client->Start(std::move(call), MakeEvents());
+  const Duration time_left = TimeLeft(now);
+  const int attempts_left = m_route.m_max_attempts - m_progress.m_attempts - 1;
+  attempt.m_head_timeout = FirstByteTimeout(m_route, attempts_left, time_left);
+  attempt.m_idle_timeout = IdleTimeout(m_route, attempts_left, time_left);
+  m_last_attempt = m_last_attempt.Next();
+  attempt.m_number = m_last_attempt;
+  attempt.m_last_progress_at = now;
+  attempt.m_call = m_state->m_client->Start(MakeCall(*registration, now),
+                                            MakeEvents(attempt.m_number));
   m_attempt = std::move(attempt);
+  m_silence_timer.Start(m_attempt->m_head_timeout);
   ++m_progress.m_attempts;
   m_tried.push_back(upstream);
   if (m_state->m_pool.Limits().IsLimited(
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -2,10 +2,12 @@
 /// Relays a caller's request on an HTTP route to upstreams, until its response
 /// ends.
 ///
-/// The request is sent to one upstream at a time; the attempt policy decides
-/// whether it is retried. Responses that are not streams are buffered until
-/// they are complete, so that the caller receives no part of a failed attempt.
-/// Of streams, only complete events are forwarded.
+/// The attempt policy decides whether a request is retried. An attempt whose
+/// upstream is silent is kept until another upstream has taken the request
+/// over, so that it can still go on when no other one does; otherwise the
+/// request is at one upstream at a time. Responses that are not streams are
+/// buffered until they are complete, so that the caller receives no part of a
+/// failed attempt. Of streams, only complete events are forwarded.
 #pragma once
 
 #include <functional>
@@ -46,6 +48,8 @@
   bool WaitsForCaller() const { return m_caller_is_slow; }
 
  private:
+  using AttemptNumber = Number<struct AttemptNumberTag>;
+
   /// Error response to a request that may not be sent.
   struct Rejection {
     int m_status = 0;  ///< 0: none.
@@ -70,6 +74,7 @@
   /// Attempt in progress.
   struct Attempt {
     explicit Attempt(ResponseMemoryBudget* memory) : m_body(memory) {}
+    AttemptNumber m_number;
     net::HttpCallId m_call;
     UpstreamId m_upstream;
     UpstreamChoice m_choice;
@@ -77,6 +82,7 @@
     OriginHash m_origin;
     Endpoint m_endpoint;
     TimePoint m_sent_at{};
+    bool m_request_written = false;  ///< Its first byte at least.
     int m_status = 0;
     net::HeaderMap m_headers;
     std::optional<AttemptFailure> m_failure;  ///< As stated in the header.
@@ -86,6 +92,7 @@
     bool m_confirmed = false;   ///< Its events may follow those of others.
     BufferedBody m_body;
     std::size_t m_body_size_at_progress = 0;
+    Duration m_head_timeout{};  ///< Until the head of the response.
     Duration m_idle_timeout{};  ///< Without progress of the response.
     TimePoint m_last_progress_at{};
     bool m_paused = false;  ///< Reading pauses until the caller has read more.
@@ -141,7 +148,7 @@
   void ChooseAndSend(UpstreamQuery upstream_query, TimePoint now);
   void Send(const UpstreamChoice& choice, TimePoint now);
   net::HttpCall MakeCall(const RegisteredUpstream& upstream, TimePoint now);
-  net::HttpCallEvents MakeEvents();
+  net::HttpCallEvents MakeEvents(AttemptNumber number);
   /// Called just before the first byte is written. Repeats the checks made when
   /// the upstream was chosen, since they may be outdated if the process was
   /// suspended in between.
@@ -173,11 +180,33 @@
   void HandleCallerDisconnected();
 
   bool BufferData(std::string_view data);
-  /// Ends an attempt whose response has made no progress for its idle timeout.
-  void CheckIdleTimeout();
+  /// Makes the attempt with a number the current one.
+  /// @return false when it has ended.
+  bool BringToFront(AttemptNumber number);
+  /// @return how long the current attempt may go on without progress.
+  Duration SilenceLimit() const;
+  /// Tries another upstream when the current attempt has been silent for too
+  /// long.
+  /// @param failure of the last attempt elsewhere; kTimedOut for none.
+  void CheckSilence(AttemptFailure failure = AttemptFailure::kTimedOut);
+  /// Sends the request to another upstream, if there is one and it may be
+  /// repeated. The silent attempt goes on until the other one takes over.
+  void TryAnotherUpstream(AttemptFailure failure, TimePoint now);
+  /// Called when an attempt has ended without a response, or no further one is
+  /// possible.
+  /// @return true when another attempt is open, which then is the current one.
+  bool ContinueOtherAttempt(const char* reason);
+  /// Cancels the attempt that is not the current one, if there is one.
+  void CancelOther(AttemptHealth health);
+  /// Ends the earlier of two attempts of a stream: its upstream must not work
+  /// on it much longer than the other one does.
+  void ReleaseEarlierAttempt();
+  /// Cancels all attempts.
+  void CancelAttempts(AttemptHealth health);
   void BeginStream();
   void ForwardWholeEvents(const std::string& events);
   void WriteToCaller(std::string_view data);
+  void ResumeReading(Attempt& attempt);
   void ForwardEvents(std::string_view data);
   void EndBufferedResponse();
   void EndStream();
@@ -225,7 +254,8 @@
   std::shared_ptr<net::HttpExchange> m_exchange;
   std::function<void()> m_on_done;
   net::Timer m_timer;
-  net::Timer m_idle_timer;
+  net::Timer m_silence_timer;
+  net::Timer m_release_timer;
   net::Timer m_refusal_timer;
 
   net::RouteRequest m_request;
@@ -243,7 +273,11 @@
   std::optional<OriginHash> m_origin;
   RequestProgress m_progress;
   std::vector<UpstreamId> m_tried;
-  std::optional<Attempt> m_attempt;
+  std::optional<Attempt> m_attempt;  ///< The current one.
+  /// A second one while an upstream is silent and another one is tried.
+  std::optional<Attempt> m_other_attempt;
+  AttemptNumber m_last_attempt;
+  AttemptNumber m_stream_reader;  ///< Its bytes are in m_event_splitter.
   std::vector<Deliverer> m_deliverers;
   std::optional<BufferedResponse> m_buffered_response;
   EventSplitter m_event_splitter;
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -48,6 +48,13 @@
 
 void RouteRelay::HandleFailure(AttemptFailure failure) {
   const TimePoint now = BootTime();
+  if (ContinueOtherAttempt(ProvesNotRun(failure) ? "the other one was not run"
+                                                 : "the other one failed")) {
+    if (ProvesNotRun(failure)) {
+      CheckSilence(failure);
+    }
+    return;
+  }
   m_event_splitter.DropPartialEvent();
   m_progress.m_time_left = TimeLeft(now);
   // Before the first event was forwarded, the stream can start from its
@@ -138,6 +145,9 @@
 }
 
 void RouteRelay::EndUnserved(int failed_status, const char* reason) {
+  if (ContinueOtherAttempt(reason)) {
+    return;
+  }
   if (m_progress.m_response_started) {
     Abort(reason);
   } else if (m_progress.m_may_have_run) {
@@ -155,7 +165,8 @@
   if (m_attempt) {
     m_progress.m_may_have_run = true;
   }
-  CancelAttempt(no_data ? AttemptHealth::kTimedOut : AttemptHealth::kAbandoned);
+  CancelAttempts(no_data ? AttemptHealth::kTimedOut
+                         : AttemptHealth::kAbandoned);
   EndUnserved(kStatusGatewayTimeout, "no answer in time");
 }
 
@@ -170,7 +181,7 @@
   if (m_attempt) {
     m_progress.m_may_have_run = true;
   }
-  CancelAttempt(AttemptHealth::kAbandoned);
+  CancelAttempts(AttemptHealth::kAbandoned);
   EndUnserved(kStatusBadGateway, "the instance stops");
 }
 
@@ -192,7 +203,7 @@
     return;
   }
   m_holds_events = false;
-  CancelAttempt(AttemptHealth::kAbandoned);
+  CancelAttempts(AttemptHealth::kAbandoned);
   Finish("caller_gone", 0, "");
 }
 
@@ -285,6 +296,8 @@
   const auto self = shared_from_this();
   m_done = true;
   m_timer.Stop();
+  m_silence_timer.Stop();
+  m_release_timer.Stop();
   const TimePoint now = BootTime();
   const bool served = std::string_view(outcome) == "served";
   RecordStreamEnd(served);
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -76,7 +76,7 @@
     attempt.m_failure = AttemptFailure::kFailed;
   }
   attempt.m_last_progress_at = BootTime();
-  m_idle_timer.Start(attempt.m_idle_timeout);
+  m_silence_timer.Start(attempt.m_idle_timeout);
 }
 
 void RouteRelay::RecordUpstreamState(const net::ResponseFields& fields) {
@@ -150,8 +150,13 @@
 }
 
 void RouteRelay::HandleRefusal() {
-  if (m_done || !m_attempt || !m_attempt->m_failure ||
-      !ProvesNotRun(*m_attempt->m_failure)) {
+  const auto refused = [](const std::optional<Attempt>& attempt) {
+    return attempt && attempt->m_failure && ProvesNotRun(*attempt->m_failure);
+  };
+  if (refused(m_other_attempt)) {
+    std::swap(m_attempt, m_other_attempt);
+  }
+  if (m_done || !refused(m_attempt)) {
     return;
   }
   const AttemptFailure failure = *m_attempt->m_failure;
@@ -163,9 +168,6 @@
 }
 
 bool RouteRelay::HandleData(std::string_view data) {
-  if (m_done || !m_attempt) {
-    return true;
-  }
   Attempt& attempt = *m_attempt;
   if (!attempt.m_data_received) {
     attempt.m_data_received = true;
@@ -214,9 +216,15 @@
     FailAttempt(AttemptFailure::kBroken, AttemptHealth::kBroken);
     return;
   }
+  if (m_stream_reader != m_attempt->m_number) {
+    CancelOther(AttemptHealth::kTimedOut);
+    m_event_splitter.DropPartialEvent();
+    m_stream_reader = m_attempt->m_number;
+  }
   const int events_before = m_event_splitter.Events();
   const std::string events = m_event_splitter.Take(data);
   if (m_event_splitter.Events() > events_before) {
+    CancelOther(AttemptHealth::kAbandoned);
     m_attempt->m_last_progress_at = BootTime();
   }
   if (!events.empty()) {
@@ -248,20 +256,6 @@
   m_caller_is_slow = !m_exchange->Write(data);
 }
 
-void RouteRelay::CheckIdleTimeout() {
-  if (m_done || !m_attempt || m_attempt->m_status == 0) {
-    return;
-  }
-  const Duration idle_for = m_attempt->m_paused
-                                ? Duration::zero()
-                                : BootTime() - m_attempt->m_last_progress_at;
-  if (idle_for < m_attempt->m_idle_timeout) {
-    m_idle_timer.Start(m_attempt->m_idle_timeout - idle_for);
-    return;
-  }
-  FailAttempt(AttemptFailure::kTimedOut, AttemptHealth::kTimedOut);
-}
-
 void RouteRelay::BeginStream() {
   if (m_progress.m_response_started) {
     return;
@@ -274,9 +268,6 @@
 }
 
 void RouteRelay::HandleEnd(const net::HttpCallResult& result) {
-  if (m_done || !m_attempt) {
-    return;
-  }
   const TimePoint now = BootTime();
   if (result.m_close_delimited) {
     LogCloseDelimited(result);
@@ -345,6 +336,7 @@
     return;
   }
   EndAttempt(AttemptHealth::kServed, BootTime());
+  CancelOther(AttemptHealth::kAbandoned);
   m_buffered_response = std::move(response);
   SendBufferedResponse();
 }
@@ -357,13 +349,16 @@
   }
   const int status = m_attempt->m_status;
   EndAttempt(AttemptHealth::kServed, BootTime());
+  CancelOther(AttemptHealth::kAbandoned);
   WatchResponse(status);
   m_exchange->EndStream();
   Finish("served", status, "");
 }
 
 void RouteRelay::EndAttempt(AttemptHealth health, TimePoint now) {
-  ForwardHeldEvents();
+  if (m_attempt->m_delivered_events) {
+    ForwardHeldEvents();
+  }
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
--- a/src/nutmegd/route_relay_streams.cpp
+++ b/src/nutmegd/route_relay_streams.cpp
@@ -97,10 +97,9 @@
   }
   m_state->m_registration_reader->Read(
       [weak = weak_from_this(),
-       call = m_attempt->m_call](const RegistrationReader::Rows* rows) {
+       number = m_attempt->m_number](const RegistrationReader::Rows* rows) {
         const auto self = weak.lock();
-        if (self != nullptr && !self->m_done && self->m_attempt &&
-            self->m_attempt->m_call == call) {
+        if (self != nullptr && self->BringToFront(number)) {
           self->HandleRegistrations(rows);
         }
       });
@@ -123,9 +122,7 @@
     return;
   }
   attempt.m_confirmed = true;
-  attempt.m_paused = false;
-  attempt.m_last_progress_at = BootTime();
-  m_state->m_client->Resume(attempt.m_call);
+  ResumeReading(attempt);
 }
 
 bool RouteRelay::IsOtherSoftware(const Deliverer& process,
@@ -173,7 +170,7 @@
   m_holds_events = false;
   m_held_events.clear();
   m_progress.m_may_have_run = true;
-  CancelAttempt(AttemptHealth::kBroken);
+  CancelAttempts(AttemptHealth::kBroken);
   m_origin = kUnknownOrigin;
   m_deliverers.clear();
   const auto end = [weak = weak_from_this()] {
