Decide whether an instance is cut off from the upstreams, and log it

An instance whose paths to all upstreams are lost, while callers, the store and the others reach it, looked from its log like one with many bad upstreams. Nothing else changes yet.

A check is a request that names no registered upstream, and any response counts: a connect alone would succeed where connections are accepted and then silent. Digests get two fields, the sender's reach and its clock.

--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "nutmeghollow/reachability.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow {
@@ -18,6 +19,8 @@
   bool m_ready = false;    ///< As last reported by the instance itself.
   bool m_alive = true;     ///< According to this instance's failure detection.
   double m_link_mbps = 0;  ///< Bandwidth of its link; 0 when not known.
+  /// As last reported by the instance itself.
+  UpstreamReach m_reach = UpstreamReach::kUnknown;
 };
 
 /// Directory of instances, keyed by id.
--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -17,6 +17,7 @@
 #include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/load_exchange.h"
 #include "nutmeghollow/rate_exchange.h"
+#include "nutmeghollow/reachability.h"
 #include "nutmeghollow/stream_origins.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
@@ -43,6 +44,10 @@
   /// The digest has none of the state above m_crashes; what was sent of it
   /// before stays valid.
   bool m_events_only = false;
+  /// Whether the sender reaches upstreams.
+  UpstreamReach m_reach = UpstreamReach::kUnknown;
+  /// Monotonic clock of the sender; zero when not stated.
+  TimePoint m_clock{};
 };
 
 /// Maximum entries of each list, so that a digest fits into one datagram.
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -92,6 +92,9 @@
   kAbandoned,    ///< Cancelled by this instance; no evidence of health.
 };
 
+/// @return true for a result that may be due to the path to the upstream.
+bool IsPathFailure(AttemptHealth health);
+
 /// @return name of a result in logs.
 const char* AttemptHealthName(AttemptHealth health);
 
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -117,4 +117,6 @@
   streamReport @11 :StreamReport;
   # Id of a report whose streams are recorded; 0 for none.
   recordedReport @12 :UInt32;
+  reach @13 :UInt8;  # UpstreamReach: 0: not stated, 1: reached, 2: cut off.
+  clockMs @14 :UInt64;  # Of the sender, from an arbitrary start; 0: not stated.
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -240,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 3, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1471,6 +1471,10 @@
 
   inline  ::uint32_t getRecordedReport() const;
 
+  inline  ::uint8_t getReach() const;
+
+  inline  ::uint64_t getClockMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1574,6 +1578,12 @@
   inline  ::uint32_t getRecordedReport();
   inline void setRecordedReport( ::uint32_t value);
 
+  inline  ::uint8_t getReach();
+  inline void setReach( ::uint8_t value);
+
+  inline  ::uint64_t getClockMs();
+  inline void setClockMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2718,6 +2728,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Digest::Reader::getReach() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Digest::Builder::getReach() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setReach( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getClockMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getClockMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setClockMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -218,6 +218,14 @@
   return report;
 }
 
+/// @return zero for a number that no clock reaches.
+TimePoint ReadClock(std::uint64_t milliseconds) {
+  constexpr std::uint64_t kMax = std::uint64_t{1} << 50;
+  return milliseconds > kMax ? TimePoint()
+                             : TimePoint(std::chrono::milliseconds(
+                                   static_cast<std::int64_t>(milliseconds)));
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetDigest& digest, TimePoint now) {
@@ -270,6 +278,11 @@
   }
   root.setRecordedReport(digest.m_recorded_report);
   root.setNewsOnly(digest.m_events_only);
+  root.setReach(static_cast<std::uint8_t>(digest.m_reach));
+  root.setClockMs(
+      static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(
+                                     digest.m_clock.time_since_epoch())
+                                     .count()));
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
   const auto bytes = stream.getArray();
@@ -304,6 +317,10 @@
           {UpstreamHash(entry.getUpstream()), entry.getBornMs()});
     }
     digest.m_events_only = root.getNewsOnly();
+    if (root.getReach() <= static_cast<std::uint8_t>(UpstreamReach::kCutOff)) {
+      digest.m_reach = static_cast<UpstreamReach>(root.getReach());
+    }
+    digest.m_clock = ReadClock(root.getClockMs());
     if (root.hasLoad()) {
       digest.m_load = ReadLoad(root.getLoad());
     }
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -17,6 +17,8 @@
   digest.m_active = {{UpstreamHash(1), 3}, {UpstreamHash(2), 70000}};
   digest.m_placements = {{PartId(99), UpstreamHash(2)}};
   digest.m_leaving = {{UpstreamHash(5), 1700000000123}};
+  digest.m_reach = UpstreamReach::kCutOff;
+  digest.m_clock = TimePoint(std::chrono::milliseconds(123456));
   const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
   ASSERT_TRUE(read);
   EXPECT_TRUE(read->m_ready);
@@ -27,6 +29,8 @@
   ASSERT_EQ(read->m_placements.size(), 1U);
   EXPECT_EQ(read->m_placements[0].m_part, PartId(99));
   EXPECT_EQ(read->m_leaving, digest.m_leaving);
+  EXPECT_EQ(read->m_reach, UpstreamReach::kCutOff);
+  EXPECT_EQ(read->m_clock, digest.m_clock);
 }
 
 TEST(FleetDigest, FitsIntoADatagramWhenFull) {
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -41,6 +41,11 @@
       HashPair(HashText(upstream.m_service.str()), HashText(software)));
 }
 
+bool IsPathFailure(AttemptHealth health) {
+  return health == AttemptHealth::kUnreachable ||
+         health == AttemptHealth::kBroken || health == AttemptHealth::kTimedOut;
+}
+
 const char* AttemptHealthName(AttemptHealth health) {
   switch (health) {
     case AttemptHealth::kServed:
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -162,7 +162,7 @@
   }
   Peer& peer = m_peers[id];
   if (peer.m_endpoint != endpoint || peer.m_leaving) {
-    peer = Peer{endpoint, BootTime(), std::nullopt, false};
+    peer = Peer{endpoint, BootTime(), std::nullopt, false, std::nullopt};
   }
 }
 
@@ -171,6 +171,11 @@
   return peer == m_peers.end() ? Endpoint() : peer->second.m_endpoint;
 }
 
+std::optional<Duration> FleetLink::ClockOffsetOf(const InstanceId& id) const {
+  const auto peer = m_peers.find(id);
+  return peer == m_peers.end() ? std::nullopt : peer->second.m_clock_offset;
+}
+
 void FleetLink::NoteLeaving(const InstanceId& id) {
   const auto peer = m_peers.find(id);
   if (peer != m_peers.end()) {
@@ -188,6 +193,8 @@
   FleetDigest digest;
   digest.m_ready = m_hooks.m_ready();
   digest.m_revision = m_hooks.m_revision();
+  digest.m_reach = m_hooks.m_reach();
+  digest.m_clock = BootTime();
   return digest;
 }
 
@@ -339,6 +346,9 @@
   if (digest->m_events_only) {
     return;
   }
+  if (digest->m_clock != TimePoint()) {
+    peer->second.m_clock_offset = now - digest->m_clock;
+  }
   m_loads.NoteDigest(datagram.m_from, digest->m_active, now);
   for (const PartPlacement& placement : digest->m_placements) {
     m_pool->NotePeerPlacement(placement, now);
@@ -346,6 +356,7 @@
   if (EntryInstance* entry = m_directory->Find(datagram.m_from)) {
     entry->m_ready = digest->m_ready;
     entry->m_alive = true;
+    entry->m_reach = digest->m_reach;
   }
 }
 
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -35,6 +35,8 @@
   std::function<bool()> m_ready;
   /// @return the revision in force at this instance.
   std::function<Revision()> m_revision;
+  /// @return what this instance says about its paths to upstreams.
+  std::function<UpstreamReach()> m_reach;
   /// Called with streams to record for another instance.
   std::function<void(const InstanceId& from, const StreamReport& report)>
       m_on_stream_report;
@@ -77,6 +79,9 @@
   const net::FleetKeys* Keys() const { return m_keys ? &*m_keys : nullptr; }
   /// @return the peer address of an instance; empty when not known.
   Endpoint AddressOf(const InstanceId& id) const;
+  /// @return this instance's clock less that of another instance, too high by
+  /// the delay of its last digest; nullopt when not known.
+  std::optional<Duration> ClockOffsetOf(const InstanceId& id) const;
   /// Sends a digest without waiting for the timer, for example when this
   /// instance starts to leave.
   void SendDigestNow() { SendDigest(); }
@@ -103,6 +108,7 @@
     TimePoint m_known_since{};
     std::optional<TimePoint> m_last_digest_at;
     bool m_leaving = false;  ///< Its row is gone.
+    std::optional<Duration> m_clock_offset;
   };
 
   void ProposeKey();
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -17,6 +17,7 @@
 #include "nutmegd/gateway_state.h"
 #include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
+#include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_configuration.h"
 #include "nutmegd/route_relay.h"
@@ -105,6 +106,10 @@
   /// @return the services whose streams may be resumed.
   std::set<ServiceId> ResumableServices() const;
 
+  /// @return what the monitor of the paths to upstreams needs.
+  ReachabilityHooks MakeReachabilityHooks();
+  void HandleReachability(ReachabilityState before, ReachabilityState state);
+
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
   TableFollowerEvents ConfigurationEvents();
@@ -128,6 +133,8 @@
   Registrations m_registrations;
   RegistrationReader m_registration_reader;
   EntryDirectory m_directory;
+  ReachabilityMonitor m_reachability;
+  UpstreamReach m_told_reach = UpstreamReach::kReached;
   CrashDetector m_crash_detector;
   StreamRecords m_streams;
   FleetLink m_fleet;
@@ -173,6 +180,10 @@
       m_registration_reader(m_feed,
                             protocol.m_registration_table,
                             protocol.m_read_registration),
+      m_reachability(loop,
+                     &m_client,
+                     &m_state.m_metrics,
+                     MakeReachabilityHooks()),
       m_crash_detector(loop,
                        &m_state.m_metrics,
                        [this] { m_fleet.SendEvents(); }),
@@ -205,6 +216,7 @@
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
                    },
+               .m_reach = [this] { return m_reachability.OwnReach(); },
                .m_on_stream_report =
                    [this](const InstanceId& from, const StreamReport& report) {
                      m_streams.HandleReport(from, report);
@@ -270,6 +282,7 @@
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
   m_state.m_streams = &m_streams;
+  m_state.m_reachability = &m_reachability;
   m_state.m_others_ready = [this] { return OthersReady(); };
   m_state.m_registration_reader = &m_registration_reader;
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
@@ -384,6 +397,45 @@
              : m_state.m_configuration->ResumableServices();
 }
 
+ReachabilityHooks Gateway::Impl::MakeReachabilityHooks() {
+  ReachabilityHooks hooks;
+  hooks.m_upstreams = [this] {
+    std::vector<RegisteredUpstream> upstreams;
+    for (const UpstreamId& id : m_state.m_pool.Ids()) {
+      upstreams.push_back(*m_state.m_pool.Find(id));
+    }
+    return upstreams;
+  };
+  hooks.m_others_reaching = [this] {
+    std::vector<InstanceId> others;
+    for (const auto& [id, instance] : m_directory.Instances()) {
+      if (id != m_settings.m_instance.m_id && instance.m_alive &&
+          instance.m_reach == UpstreamReach::kReached) {
+        others.push_back(id);
+      }
+    }
+    return others;
+  };
+  hooks.m_check_headers = [this] {
+    net::ForwardedFields fields;
+    fields.m_expected_upstream = UpstreamId("reachability-check");
+    fields.m_time_left = std::chrono::seconds(1);
+    return m_state.m_protocol.m_upstream_headers(net::HttpRequest(), fields);
+  };
+  hooks.m_on_round = [this](ReachabilityState before, ReachabilityState state) {
+    HandleReachability(before, state);
+  };
+  return hooks;
+}
+
+void Gateway::Impl::HandleReachability(ReachabilityState /*before*/,
+                                       ReachabilityState /*state*/) {
+  if (m_told_reach != m_reachability.OwnReach()) {
+    m_told_reach = m_reachability.OwnReach();
+    m_fleet.SendDigestNow();
+  }
+}
+
 void Gateway::Impl::HandleCaller(const Exchange& exchange) {
   const std::uint64_t id = ++m_last_relay_id;
   auto relay = std::make_shared<RouteRelay>(&m_state, exchange,
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -14,6 +14,7 @@
 #include "libnet/http_client.h"
 #include "libnet/route_protocol.h"
 #include "nutmegd/crash_detector.h"
+#include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registration_reader.h"
 #include "nutmegd/settings.h"
 #include "nutmegd/stream_records.h"
@@ -40,6 +41,7 @@
   net::HttpClient* m_client = nullptr;
   CrashDetector* m_crash_detector = nullptr;
   StreamRecords* m_streams = nullptr;
+  ReachabilityMonitor* m_reachability = nullptr;
   RegistrationReader* m_registration_reader = nullptr;
   net::RouteProtocol m_protocol;
   const Settings* m_settings = nullptr;
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -473,6 +473,7 @@
                                             MakeEvents(attempt.m_number));
   m_attempt = std::move(attempt);
   m_silence_timer.Start(m_attempt->m_head_timeout);
+  m_state->m_reachability->NoteSent(m_attempt->m_call);
   ++m_progress.m_attempts;
   m_tried.push_back(upstream);
   if (m_state->m_pool.Limits().IsLimited(
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -36,6 +36,7 @@
       m_state->m_protocol.m_read_response(status, headers);
   attempt.m_status = status;
   attempt.m_headers = headers;
+  m_state->m_reachability->NoteHeard(attempt.m_call);
   if (!fields.m_wrong_upstream) {
     // The state is that of the process, even if the response does not belong to
     // this request.
@@ -169,6 +170,7 @@
 
 bool RouteRelay::HandleData(std::string_view data) {
   Attempt& attempt = *m_attempt;
+  m_state->m_reachability->NoteHeard(attempt.m_call);
   if (!attempt.m_data_received) {
     attempt.m_data_received = true;
     m_state->m_pool.NoteFirstResponse(attempt.m_upstream, Prompt());
@@ -362,6 +364,7 @@
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
+  m_state->m_reachability->NoteEnd(attempt.m_call, attempt.m_upstream, health);
   m_state->m_pool.NoteEnd(attempt.m_upstream, health,
                           measured ? now - attempt.m_sent_at : Duration::zero(),
                           Prompt(), attempt.m_data_received, now);
