Forward requests to another instance while this one is cut off from the upstreams

Callers of an instance that had lost its paths to all upstreams got 502, 503 or 504 for as long as the cut lasted, while the other instances served: callers keep connections and entry answers, so that sending them away does not help, least of all when a data centre is cut off.

Such an instance now sends the caller's request, with one more field that has a MAC, to the peer address of an instance that reaches upstreams. That one handles it as its own (key, permits, loads, origin, attempts and time left from where they were) and never forwards it again; its answer is passed on.

--- a/src/include/nutmeghollow/attempt_policy.h
+++ b/src/include/nutmeghollow/attempt_policy.h
@@ -41,6 +41,10 @@
   kAbort,           ///< Abort the response, so that it does not look complete.
 };
 
+/// Maximum time for which two upstreams have the request of a stream. One that
+/// refuses it does so within a round trip.
+inline constexpr Duration kMaxStreamOverlap = std::chrono::milliseconds(300);
+
 /// Settings of retries.
 struct AttemptPolicyParameters {
   /// Minimum time left for a retry: covers a connection within the region and
--- /dev/null
+++ b/src/include/nutmeghollow/forwarding_choice.h
@@ -0,0 +1,38 @@
+/// @file
+/// Chooses the instance to which an instance that is cut off from the upstreams
+/// forwards a request.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// State of the choice at this instance.
+struct ForwardingQuery {
+  InstanceId m_self;
+  DataCentreId m_data_centre;          ///< Of this instance.
+  std::vector<InstanceId> m_tried;     ///< Not to be chosen.
+  std::map<InstanceId, int> m_active;  ///< Forwarded requests in progress.
+};
+
+/// @return instances other than this one that accept callers, are alive and
+/// reach upstreams.
+std::vector<InstanceId> ForwardingInstances(const EntryDirectory& directory,
+                                            const ForwardingQuery& query);
+
+/// Chooses the one of two random instances that has fewer requests from here in
+/// progress. Instances of the own data centre come first.
+/// @param draw returns a uniformly distributed number in [0, 1).
+/// @return nothing when there is none.
+std::optional<InstanceId> ChooseForwardingInstance(
+    const EntryDirectory& directory,
+    const ForwardingQuery& query,
+    const std::function<double()>& draw);
+
+}  // namespace nutmeghollow
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -17,12 +17,14 @@
 #include "nutmegd/gateway_state.h"
 #include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
+#include "nutmegd/peer_http_server.h"
 #include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_configuration.h"
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/forwarding_choice.h"
 
 namespace nutmeghollow {
 namespace {
@@ -98,6 +100,8 @@
   void RegisterGauges();
   void ReloadSettings(const char* cause);
   void HandleCaller(const Exchange& exchange);
+  void StartRelay(const Exchange& exchange,
+                  std::optional<net::ForwardedRequest> forwarded);
   void HandleEntry(const Exchange& exchange);
   void HandleOperator(const Exchange& exchange);
   bool Ready() const;
@@ -108,6 +112,7 @@
 
   /// @return what the monitor of the paths to upstreams needs.
   ReachabilityHooks MakeReachabilityHooks();
+  ForwardingState MakeForwardingState();
   void HandleReachability(ReachabilityState before, ReachabilityState state);
 
   /// Retries the lost tables at once, since the platform responds again.
@@ -145,6 +150,7 @@
   int m_exit_code = 0;
 
   PeerFeedServer m_peer_feed_server;
+  PeerHttpServer m_peer_http_server;
   TableFollower m_configuration_follower;
   TableFollower m_registration_follower;
   TableFollower m_instance_follower;
@@ -233,9 +239,24 @@
                       [this](int instances) {
                         m_state.m_allowance.SetInstances(instances);
                       }),
-      m_peer_feed_server(loop,
+      m_peer_feed_server(loop, [this] { return m_fleet.Keys(); }),
+      m_peer_http_server(loop,
                          settings.m_instance.m_peer_address,
-                         [this] { return m_fleet.Keys(); }),
+                         settings.m_instance.m_id,
+                         {.m_keys = [this] { return m_fleet.Keys(); },
+                          .m_clock_offsets =
+                              [this](const InstanceId& sender) {
+                                return m_fleet.ClockOffsetOf(sender);
+                              },
+                          .m_feed =
+                              [this](const Exchange& exchange) {
+                                m_peer_feed_server.Handle(exchange);
+                              },
+                          .m_forwarded =
+                              [this](const Exchange& exchange,
+                                     net::ForwardedRequest forwarded) {
+                                StartRelay(exchange, std::move(forwarded));
+                              }}),
       m_configuration_follower(loop,
                                m_peer_feed,
                                {.m_table = protocol.m_configuration_table,
@@ -283,6 +304,7 @@
   m_state.m_crash_detector = &m_crash_detector;
   m_state.m_streams = &m_streams;
   m_state.m_reachability = &m_reachability;
+  m_state.m_forwarding = MakeForwardingState();
   m_state.m_others_ready = [this] { return OthersReady(); };
   m_state.m_registration_reader = &m_registration_reader;
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
@@ -428,18 +450,47 @@
   return hooks;
 }
 
-void Gateway::Impl::HandleReachability(ReachabilityState /*before*/,
-                                       ReachabilityState /*state*/) {
+ForwardingState Gateway::Impl::MakeForwardingState() {
+  ForwardingState forwarding;
+  forwarding.m_choose = [this](const std::vector<InstanceId>& tried) {
+    return ChooseForwardingInstance(
+        m_directory,
+        {m_settings.m_instance.m_id, m_settings.m_instance.m_data_centre, tried,
+         m_state.m_forwarding.m_active},
+        [this] { return m_state.Draw(0, 1); });
+  };
+  forwarding.m_address_of = [this](const InstanceId& id) {
+    return m_fleet.AddressOf(id);
+  };
+  forwarding.m_keys = [this] { return m_fleet.Keys(); };
+  return forwarding;
+}
+
+void Gateway::Impl::HandleReachability(ReachabilityState before,
+                                       ReachabilityState state) {
   if (m_told_reach != m_reachability.OwnReach()) {
     m_told_reach = m_reachability.OwnReach();
     m_fleet.SendDigestNow();
   }
+  if (state == ReachabilityState::kCutOff && state != before) {
+    // A relay removes itself when it ends.
+    const auto relays = m_relays;
+    for (const auto& [id, relay] : relays) {
+      relay->HandleCutOff();
+    }
+  }
 }
 
 void Gateway::Impl::HandleCaller(const Exchange& exchange) {
+  StartRelay(exchange, std::nullopt);
+}
+
+void Gateway::Impl::StartRelay(const Exchange& exchange,
+                               std::optional<net::ForwardedRequest> forwarded) {
   const std::uint64_t id = ++m_last_relay_id;
-  auto relay = std::make_shared<RouteRelay>(&m_state, exchange,
-                                            [this, id] { m_relays.erase(id); });
+  auto relay = std::make_shared<RouteRelay>(
+      &m_state, exchange, [this, id] { m_relays.erase(id); },
+      std::move(forwarded));
   m_relays.emplace(id, relay);
   relay->Start();
 }
@@ -571,8 +622,9 @@
 
 void Gateway::Impl::CheckDrain() {
   const auto now = BootTime();
-  const DrainStep step = m_state.m_drain->Next(now, m_relays.size(),
-                                               m_caller_server.OpenRequests());
+  const DrainStep step = m_state.m_drain->Next(
+      now, m_relays.size(),
+      m_caller_server.OpenRequests() + m_peer_http_server.OpenForwarded());
   if (step == DrainStep::kServe) {
     return;
   }
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "libnet/fleet_key.h"
 #include "libnet/http_client.h"
 #include "libnet/route_protocol.h"
 #include "nutmegd/crash_detector.h"
@@ -35,6 +36,20 @@
 /// different rates.
 inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(200);
 
+/// Instances to which an instance that is cut off from the upstreams forwards
+/// requests.
+struct ForwardingState {
+  /// @return an instance that is not among those tried; nothing if there is
+  /// none.
+  std::function<std::optional<InstanceId>(const std::vector<InstanceId>& tried)>
+      m_choose;
+  /// @return the peer address of an instance.
+  std::function<Endpoint(const InstanceId&)> m_address_of;
+  /// @return the fleet keys; null until they are known.
+  std::function<const net::FleetKeys*()> m_keys;
+  std::map<InstanceId, int> m_active;  ///< Requests forwarded, in progress.
+};
+
 /// State of a gateway that its requests read and modify.
 struct GatewayState {
   struct ev_loop* m_loop = nullptr;
@@ -42,6 +57,7 @@
   CrashDetector* m_crash_detector = nullptr;
   StreamRecords* m_streams = nullptr;
   ReachabilityMonitor* m_reachability = nullptr;
+  ForwardingState m_forwarding;
   RegistrationReader* m_registration_reader = nullptr;
   net::RouteProtocol m_protocol;
   const Settings* m_settings = nullptr;
--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -44,9 +44,6 @@
 /// Maximum size of a response: several times the rows of all tables of a large
 /// fleet.
 constexpr Bytes kResponseLimit{8 << 20};
-/// Memory of the HTTP library per connection of a peer.
-constexpr Bytes kConnectionMemory{2 << 10};
-constexpr Bytes kHeaderLimit{4 << 10};
 
 std::string HexMac(const net::FleetKeys& keys, std::string_view text) {
   const net::Mac mac = net::ComputeMac(keys.m_keys.front(), text);
@@ -100,27 +97,10 @@
   return result;
 }
 
-net::HttpServerOptions ServerOptions() {
-  net::HttpServerOptions options;
-  options.m_body_limit = kConnectionMemory;
-  options.m_header_limit = kHeaderLimit;
-  options.m_connection_memory = kConnectionMemory;
-  return options;
-}
-
 }  // namespace
 
-PeerFeedServer::PeerFeedServer(struct ev_loop* loop,
-                               const Endpoint& endpoint,
-                               FleetKeysHook keys)
-    : m_keys(std::move(keys)),
-      m_server(loop,
-               endpoint,
-               ServerOptions(),
-               [this](const std::shared_ptr<net::HttpExchange>& exchange) {
-                 Handle(exchange);
-               }),
-      m_timer(loop, [this] { ExpirePending(); }) {
+PeerFeedServer::PeerFeedServer(struct ev_loop* loop, FleetKeysHook keys)
+    : m_keys(std::move(keys)), m_timer(loop, [this] { ExpirePending(); }) {
   m_timer.StartRepeating(kExpiryCheckPeriod);
 }
 
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -32,16 +32,13 @@
 /// Serves the tables to other instances.
 class PeerFeedServer {
  public:
-  /// @throws std::runtime_error when the endpoint cannot be listened on.
-  PeerFeedServer(struct ev_loop* loop,
-                 const Endpoint& endpoint,
-                 FleetKeysHook keys);
+  PeerFeedServer(struct ev_loop* loop, FleetKeysHook keys);
 
   /// Adds a table to serve.
   /// @param follower copy of the table; must outlive this object.
   void Add(const std::string& table, const TableFollower* follower);
-  /// @return the bound port, which the system chooses for port 0.
-  int Port() const { return m_server.Port(); }
+  /// Responds to a request, now or when the copy of the table is confirmed.
+  void Handle(const std::shared_ptr<net::HttpExchange>& exchange);
   /// Responds to the pending requests for a table. Called when its follower has
   /// confirmed its copy, possibly with changes.
   void RespondToPending(const std::string& table);
@@ -56,7 +53,6 @@
     TimePoint m_received_at{};
   };
 
-  void Handle(const std::shared_ptr<net::HttpExchange>& exchange);
   void Respond(const PendingRequest& pending);
   void ExpirePending();
   bool Authentic(const net::HttpRequest& request) const;
@@ -64,7 +60,6 @@
   FleetKeysHook m_keys;
   std::map<std::string, const TableFollower*> m_followers;
   std::vector<PendingRequest> m_pending;
-  net::HttpServer m_server;
   net::Timer m_timer;
 };
 
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -37,9 +37,7 @@
 /// The response is sent this long before the caller's deadline or the route's
 /// timeout.
 constexpr Duration kDeadlineMargin = std::chrono::milliseconds(10);
-/// Maximum time for which two upstreams have the request of a stream. One that
-/// refuses it does so within a round trip.
-constexpr Duration kMaxStreamOverlap = std::chrono::milliseconds(300);
+
 /// Retry-After of a request that another instance can serve at once.
 constexpr Duration kRetryElsewhereDelay = std::chrono::milliseconds(50);
 
@@ -79,7 +77,8 @@
 
 RouteRelay::RouteRelay(GatewayState* state,
                        std::shared_ptr<net::HttpExchange> exchange,
-                       std::function<void()> on_done)
+                       std::function<void()> on_done,
+                       std::optional<net::ForwardedRequest> forwarded)
     : m_state(state),
       m_exchange(std::move(exchange)),
       m_on_done(std::move(on_done)),
@@ -98,10 +97,12 @@
                         const auto self = shared_from_this();
                         ReleaseEarlierAttempt();
                       }),
-      m_refusal_timer(state->m_loop, [this] {
-        const auto self = shared_from_this();
-        HandleRefusal();
-      }) {}
+      m_refusal_timer(state->m_loop,
+                      [this] {
+                        const auto self = shared_from_this();
+                        HandleRefusal();
+                      }),
+      m_forwarded(std::move(forwarded)) {}
 
 RouteRelay::~RouteRelay() = default;
 
@@ -110,7 +111,9 @@
   m_arrived_at = now;
   m_deadline = now + std::chrono::seconds(60);
   m_request = m_state->m_protocol.m_read_request(m_exchange->Request());
+  ApplyForwarded();
   const Rejection rejection = CheckRequest(now);
+  m_rejected = rejection.m_status != 0;
   if (rejection.m_status == kStatusUnavailable && rejection.m_retry_after) {
     RefuseWithRetryAfter(rejection.m_reason, *rejection.m_retry_after);
     return;
@@ -136,13 +139,20 @@
       return;
     }
     self->m_caller_is_slow = false;
+    if (self->m_hop) {
+      self->m_state->m_client->Resume(self->m_hop->m_call);
+    }
     if (self->m_attempt) {
       self->ResumeReading(*self->m_attempt);
     }
   });
   m_timer.Start(std::max(m_deadline - now, Duration(1)));
-  m_state->m_allowance.NoteRequest(m_service, now);
-  if (IsResumable() && !m_request.m_resume_after.empty()) {
+  if (IsCountedHere()) {
+    m_state->m_allowance.NoteRequest(m_service, now);
+  }
+  if (m_origin) {
+    ContinueStreamOf(*m_origin);
+  } else if (IsResumable() && !m_request.m_resume_after.empty()) {
     DispatchResumption();
   } else {
     Dispatch(now);
@@ -289,7 +299,8 @@
 }
 
 void RouteRelay::Dispatch(TimePoint now) {
-  if (!RefreshConfiguration(now) || EndIfRefusedForCrashes()) {
+  if (!RefreshConfiguration(now) || EndIfRefusedForCrashes() ||
+      ForwardIfCutOff(now)) {
     return;
   }
   UpstreamQuery upstream_query = MakeQuery();
@@ -474,6 +485,7 @@
   m_attempt = std::move(attempt);
   m_silence_timer.Start(m_attempt->m_head_timeout);
   m_state->m_reachability->NoteSent(m_attempt->m_call);
+  m_attempted_directly = true;
   ++m_progress.m_attempts;
   m_tried.push_back(upstream);
   if (m_state->m_pool.Limits().IsLimited(
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "libnet/event_loop.h"
+#include "libnet/forwarded_request.h"
 #include "libnet/http_server.h"
 #include "nutmegd/gateway_state.h"
 #include "nutmeghollow/event_stream.h"
@@ -29,9 +30,11 @@
  public:
   /// @param state must outlive this object.
   /// @param on_done called once, when the request has ended.
+  /// @param forwarded set if another instance forwarded the request.
   RouteRelay(GatewayState* state,
              std::shared_ptr<net::HttpExchange> exchange,
-             std::function<void()> on_done);
+             std::function<void()> on_done,
+             std::optional<net::ForwardedRequest> forwarded = std::nullopt);
   ~RouteRelay();
   RouteRelay(const RouteRelay&) = delete;
   RouteRelay& operator=(const RouteRelay&) = delete;
@@ -43,6 +46,9 @@
   /// @param at_once false if a stream may first be checked as to whether it may
   /// be resumed.
   void Stop(bool at_once);
+  /// Moves a request that waits at a silent upstream to another instance, since
+  /// this one is cut off from the upstreams.
+  void HandleCutOff();
   /// @return true while nothing is read from the upstream, since the caller is
   /// slower.
   bool WaitsForCaller() const { return m_caller_is_slow; }
@@ -98,6 +104,66 @@
     bool m_paused = false;  ///< Reading pauses until the caller has read more.
   };
 
+  /// Attempt in progress by way of another instance.
+  struct Hop {
+    explicit Hop(ResponseMemoryBudget* memory) : m_body(memory) {}
+    net::HttpCallId m_call;
+    InstanceId m_instance;
+    std::string m_nonce;
+    TimePoint m_sent_at{};
+    bool m_sent = false;  ///< A byte of it may have left this process.
+    int m_status = 0;
+    net::HeaderMap m_headers;
+    BufferedBody m_body;
+  };
+
+  /// @return true if the retry allowance of this instance counts the request:
+  /// no other instance does.
+  bool IsCountedHere() const;
+  /// @return false for a request that reached no upstream only since this
+  /// instance is cut off: sending it elsewhere is not a retry.
+  bool NeedsAllowance() const;
+  /// Takes over the state of a request that another instance forwarded.
+  void ApplyForwarded();
+  /// @return true if the request may be sent by way of another instance: not if
+  /// it came from one.
+  bool MayForward() const;
+  /// Sends the request by way of another instance while this one is cut off
+  /// from the upstreams, or ends it.
+  /// @return false if it is to be sent directly.
+  bool ForwardIfCutOff(TimePoint now);
+  void SendToInstance(const InstanceId& instance, TimePoint now);
+  net::HttpCall MakeHopCall(const InstanceId& instance,
+                            const std::string& nonce,
+                            TimePoint now);
+  net::HttpCallEvents MakeHopEvents();
+  bool HandleHopData(std::string_view data);
+  void HandleHopEnd(const net::HttpCallResult& result);
+  /// Passes the complete response on and ends the request.
+  void FinishHop();
+  /// @return true for a refusal of a forwarded request that is due to this
+  /// instance, so that another one may take the request.
+  bool IsForOtherInstance(int status) const;
+  /// @return true if the responding instance has the fleet key.
+  bool IsHopAuthentic() const;
+  bool IsHopStream() const;
+  net::HeaderList HopHeaders() const;
+  void BeginForwardedStream();
+  /// Ends the attempts whose upstreams were silent: the events of the hop are
+  /// the next ones.
+  void TakeOverStream();
+  /// Handles an attempt that has not run.
+  void TryNextInstance(const char* reason);
+  /// Handles an attempt that may have run.
+  void FailHop(const char* reason);
+  void LogHopFailure(const char* reason) const;
+  void EndHop();
+  void CancelHop();
+  /// Holds a failure that may be due to the path until it is known whether this
+  /// instance is cut off.
+  /// @return false if the failure is to be handled now.
+  bool HoldFailure(AttemptFailure failure);
+
   Rejection CheckRequest(TimePoint now);
   /// @return true when this instance may stop before the request is done.
   bool MayBeCutByDrain(TimePoint now) const;
@@ -112,6 +178,9 @@
   /// Finds out which software began the stream that the caller resumes, and
   /// dispatches the request to the same, or refuses it.
   void DispatchResumption();
+  /// Dispatches a request that goes on with a stream of an origin, or refuses
+  /// it.
+  void ContinueStreamOf(OriginHash origin);
   /// @return true when callers and instances may resume the route's streams.
   bool IsResumable() const;
   /// Records which software began the stream, at its first event, and holds its
@@ -277,7 +346,14 @@
   /// A second one while an upstream is silent and another one is tried.
   std::optional<Attempt> m_other_attempt;
   AttemptNumber m_last_attempt;
-  AttemptNumber m_stream_reader;  ///< Its bytes are in m_event_splitter.
+  /// Its bytes are in m_event_splitter; none: those of m_hop.
+  AttemptNumber m_stream_reader;
+  std::optional<net::ForwardedRequest> m_forwarded;
+  std::optional<Hop> m_hop;
+  std::vector<InstanceId> m_tried_instances;
+  bool m_rejected = false;            ///< Before the first attempt.
+  bool m_attempted_directly = false;  ///< The latest attempt had no hop.
+  bool m_stream_forwarded = false;    ///< Events came by way of an instance.
   std::vector<Deliverer> m_deliverers;
   std::optional<BufferedResponse> m_buffered_response;
   EventSplitter m_event_splitter;
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -47,6 +47,9 @@
 }  // namespace
 
 void RouteRelay::HandleFailure(AttemptFailure failure) {
+  if (HoldFailure(failure)) {
+    return;
+  }
   const TimePoint now = BootTime();
   if (ContinueOtherAttempt(ProvesNotRun(failure) ? "the other one was not run"
                                                  : "the other one failed")) {
@@ -92,6 +95,9 @@
 }
 
 bool RouteRelay::TakeRetry(TimePoint now) {
+  if (!NeedsAllowance()) {
+    return true;
+  }
   const RetryUse use = m_state->m_allowance.UseOf(m_service, now);
   if (m_state->m_allowance.Take(m_service, now)) {
     return true;
@@ -167,6 +173,7 @@
   }
   CancelAttempts(no_data ? AttemptHealth::kTimedOut
                          : AttemptHealth::kAbandoned);
+  CancelHop();
   EndUnserved(kStatusGatewayTimeout, "no answer in time");
 }
 
@@ -182,6 +189,7 @@
     m_progress.m_may_have_run = true;
   }
   CancelAttempts(AttemptHealth::kAbandoned);
+  CancelHop();
   EndUnserved(kStatusBadGateway, "the instance stops");
 }
 
@@ -204,6 +212,7 @@
   }
   m_holds_events = false;
   CancelAttempts(AttemptHealth::kAbandoned);
+  CancelHop();
   Finish("caller_gone", 0, "");
 }
 
@@ -277,6 +286,9 @@
     headers.emplace_back("Retry-After",
                          m_state->m_protocol.m_write_retry_after(retry_after));
   }
+  if (IsForOtherInstance(status)) {
+    headers.emplace_back(net::kNotTakenField, "1");
+  }
   WatchResponse(status);
   m_exchange->Respond(status, headers, ProblemBody(problem, m_request.m_id));
   Finish(status == kStatusUnavailable ? "refused" : "failed", status, reason);
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -220,6 +220,7 @@
   }
   if (m_stream_reader != m_attempt->m_number) {
     CancelOther(AttemptHealth::kTimedOut);
+    CancelHop();
     m_event_splitter.DropPartialEvent();
     m_stream_reader = m_attempt->m_number;
   }
@@ -227,6 +228,7 @@
   const std::string events = m_event_splitter.Take(data);
   if (m_event_splitter.Events() > events_before) {
     CancelOther(AttemptHealth::kAbandoned);
+    CancelHop();
     m_attempt->m_last_progress_at = BootTime();
   }
   if (!events.empty()) {
@@ -339,6 +341,7 @@
   }
   EndAttempt(AttemptHealth::kServed, BootTime());
   CancelOther(AttemptHealth::kAbandoned);
+  CancelHop();
   m_buffered_response = std::move(response);
   SendBufferedResponse();
 }
@@ -352,6 +355,7 @@
   const int status = m_attempt->m_status;
   EndAttempt(AttemptHealth::kServed, BootTime());
   CancelOther(AttemptHealth::kAbandoned);
+  CancelHop();
   WatchResponse(status);
   m_exchange->EndStream();
   Finish("served", status, "");
--- a/src/nutmegd/route_relay_silence.cpp
+++ b/src/nutmegd/route_relay_silence.cpp
@@ -54,7 +54,7 @@
     return;
   }
   m_silence_timer.Start(SilenceLimit());
-  if (m_other_attempt && m_route.m_streamed) {
+  if (m_hop || (m_other_attempt && m_route.m_streamed)) {
     return;  // Another upstream is being tried.
   }
   TryAnotherUpstream(failure, now);
@@ -81,18 +81,19 @@
     m_silence_timer.Stop();
     return;
   }
+  m_progress.m_may_have_run = true;
   if (!TakeRetry(now)) {
     return;  // One may be left at the next check.
   }
-  m_progress.m_may_have_run = true;
+
   ReleaseEarlierAttempt();
   m_other_attempt = std::exchange(m_attempt, std::nullopt);
   Dispatch(now);
 }
 
 bool RouteRelay::ContinueOtherAttempt(const char* reason) {
-  if (m_attempt) {
-    return true;  // It made progress after the other one failed.
+  if (m_attempt || m_hop) {
+    return true;  // It goes on after the other one failed.
   }
   if (!m_other_attempt) {
     return false;
@@ -120,7 +121,14 @@
 }
 
 void RouteRelay::ReleaseEarlierAttempt() {
-  if (m_done || !m_attempt || !m_other_attempt) {
+  if (m_done) {
+    return;
+  }
+  if (m_hop) {
+    CancelAttempts(AttemptHealth::kTimedOut);
+    return;
+  }
+  if (!m_attempt || !m_other_attempt) {
     return;
   }
   if (m_other_attempt->m_number > m_attempt->m_number) {
--- a/src/nutmegd/route_relay_streams.cpp
+++ b/src/nutmegd/route_relay_streams.cpp
@@ -38,20 +38,27 @@
              {"known", found.m_origin.has_value()},
              {"source", std::string(found.m_source)},
              {"reads", std::int64_t{found.m_reads}}});
-        const std::optional<OriginHash>& origin = found.m_origin;
-        const ServiceId service =
-            origin ? self->m_state->m_pool.ServiceOf(*origin) : ServiceId();
-        if (service.empty()) {
-          self->Refuse(origin ? "no upstream has the stream's software version"
-                              : "the stream's software version is not known");
+        if (!found.m_origin) {
+          self->EndUnserved(kStatusBadGateway,
+                            "the stream's software version is not known");
           return;
         }
-        self->m_origin = origin;
-        self->m_service = service;
-        self->Dispatch(BootTime());
+        self->ContinueStreamOf(*found.m_origin);
       });
 }
 
+void RouteRelay::ContinueStreamOf(OriginHash origin) {
+  const ServiceId service = m_state->m_pool.ServiceOf(origin);
+  if (service.empty()) {
+    EndUnserved(kStatusBadGateway,
+                "no upstream has the stream's software version");
+    return;
+  }
+  m_origin = origin;
+  m_service = service;
+  Dispatch(BootTime());
+}
+
 std::vector<StreamHash> RouteRelay::StreamIds() const {
   std::vector<StreamHash> ids;
   for (const PublicRequestId& id :
@@ -171,6 +178,7 @@
   m_held_events.clear();
   m_progress.m_may_have_run = true;
   CancelAttempts(AttemptHealth::kBroken);
+  CancelHop();
   m_origin = kUnknownOrigin;
   m_deliverers.clear();
   const auto end = [weak = weak_from_this()] {
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "nutmegd/peer_feed.h"
+#include "nutmegd/peer_http_server.h"
 
 namespace nutmeghollow {
 namespace {
@@ -187,9 +188,20 @@
     RunFor(milliseconds(5));
     m_client = std::make_unique<net::HttpClient>(m_loop);
     m_server = std::make_unique<PeerFeedServer>(
-        m_loop, Endpoint("127.0.0.1:0"), [this] { return &m_server_keys; });
+        m_loop, [this] { return &m_server_keys; });
     m_server->Add("table", m_follower.get());
-    const Endpoint address("127.0.0.1:" + std::to_string(m_server->Port()));
+    m_http_server = std::make_unique<PeerHttpServer>(
+        m_loop, Endpoint("127.0.0.1:0"), InstanceId("i"),
+        PeerHttpHooks{
+            .m_keys = [this] { return &m_server_keys; },
+            .m_clock_offsets = [](const InstanceId&) { return std::nullopt; },
+            .m_feed =
+                [this](const std::shared_ptr<net::HttpExchange>& exchange) {
+                  m_server->Handle(exchange);
+                },
+            .m_forwarded = [](auto, auto) { FAIL() << "not forwarded"; }});
+    const Endpoint address("127.0.0.1:" +
+                           std::to_string(m_http_server->Port()));
     m_readers = {address};
     m_peer = MakePeerFeed(m_loop, *m_client, m_direct.Hooks(),
                           {.m_keys = [this] { return &m_client_keys; },
@@ -198,6 +210,7 @@
 
   void TearDown() override {
     m_peer = {};
+    m_http_server.reset();
     m_server.reset();
     m_client.reset();
     TableFollowerTest::TearDown();
@@ -214,6 +227,7 @@
   net::FleetKeys m_client_keys{{std::string(32, 'k')}};
   std::unique_ptr<net::HttpClient> m_client;
   std::unique_ptr<PeerFeedServer> m_server;
+  std::unique_ptr<PeerHttpServer> m_http_server;
   ScriptedFeed m_direct;
   std::vector<Endpoint> m_readers;
   net::RowFeed m_peer;
