--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -255,6 +255,9 @@
                const std::vector<PromptPart>* prompt,
                bool response_started,
                TimePoint now);
+  /// Ends the backoff of all upstreams, since their failures were due to this
+  /// instance's own paths.
+  void ForgetFailures();
   /// Records a load report received with a response.
   void NoteLoad(const UpstreamId& id, const LoadReport& load, TimePoint now);
   /// Records that a process announced that it is leaving.
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -316,6 +316,14 @@
   }
 }
 
+void UpstreamPool::ForgetFailures() {
+  for (auto& [id, row] : m_upstreams) {
+    row.m_failures = 0;
+    row.m_backoff_until = TimePoint();
+    row.m_failure_rate = 0;
+  }
+}
+
 void UpstreamPool::NoteLoad(const UpstreamId& id,
                             const LoadReport& load,
                             TimePoint now) {
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -107,6 +107,25 @@
   }
 }
 
+TEST(UpstreamPool, ForgetsFailuresThatWereDueToLostPaths) {
+  UpstreamPool pool = MakePool(4);
+  for (const char* id : {"u0", "u1"}) {
+    pool.NoteSent(UpstreamId(id), nullptr, At({}));
+    pool.NoteEnd(UpstreamId(id), AttemptHealth::kUnreachable, {}, nullptr,
+                 false, At({}));
+  }
+  const auto chosen = [&pool] {
+    std::map<UpstreamId, int> counts;
+    for (int round = 0; round < 40; ++round) {
+      ++counts[Chosen(pool, MakeQuery())];
+    }
+    return counts;
+  };
+  EXPECT_EQ(chosen().count(UpstreamId("u0")), 0U);
+  pool.ForgetFailures();
+  EXPECT_EQ(chosen().size(), 4U);
+}
+
 struct HealthCase {
   AttemptHealth m_health;
   bool m_backs_off;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -472,6 +472,9 @@
     m_told_reach = m_reachability.OwnReach();
     m_fleet.SendDigestNow();
   }
+  if (state == ReachabilityState::kReturning && state != before) {
+    m_state.m_pool.ForgetFailures();
+  }
   if (state == ReachabilityState::kCutOff && state != before) {
     // A relay removes itself when it ends.
     const auto relays = m_relays;
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -368,8 +368,13 @@
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
-  m_state->m_reachability->NoteEnd(attempt.m_call, attempt.m_upstream, health);
-  m_state->m_pool.NoteEnd(attempt.m_upstream, health,
+  ReachabilityMonitor& reachability = *m_state->m_reachability;
+  reachability.NoteEnd(attempt.m_call, attempt.m_upstream, health);
+  // While this instance may be cut off, failures tell nothing about upstreams.
+  m_state->m_pool.NoteEnd(attempt.m_upstream,
+                          reachability.IsInDoubt() && IsPathFailure(health)
+                              ? AttemptHealth::kAbandoned
+                              : health,
                           measured ? now - attempt.m_sent_at : Duration::zero(),
                           Prompt(), attempt.m_data_received, now);
   const bool responded =
