Leave instances that are cut off from the upstreams out of entry answers

They are ready, since they serve by way of others, but callers that come anew are better served directly. They are still named when no other instance is ready.

--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -35,9 +35,10 @@
   std::size_t size() const { return m_instances.size(); }
 
   /// Chooses instances for a caller: the ready ones of its data centre, else of
-  /// its region, else of the fleet. When none is known to be ready, returns the
-  /// instances that are alive, else all instances, since an empty result would
-  /// certainly lock callers out.
+  /// its region, else of the fleet; of these, only the ones that are not cut
+  /// off from the upstreams, if there are any. When none is known to be ready,
+  /// returns the instances that are alive, else all instances, since an empty
+  /// result would certainly lock callers out.
   /// @param limit maximum number of addresses.
   /// @return addresses; empty only when the directory is empty.
   std::vector<Endpoint> Choose(const RegionId& region,
--- a/src/libnutmeg/entry_directory.cpp
+++ b/src/libnutmeg/entry_directory.cpp
@@ -26,14 +26,28 @@
   const Filter serves = [](const EntryInstance& instance) {
     return instance.m_ready && instance.m_alive;
   };
-  const std::array<Filter, 5> filters{
-      [&](const EntryInstance& instance) {
-        return serves(instance) && instance.m_data_centre == data_centre;
-      },
-      [&](const EntryInstance& instance) {
-        return serves(instance) && instance.m_region == region;
-      },
-      serves, [](const EntryInstance& instance) { return instance.m_alive; },
+  const Filter reaches = [&](const EntryInstance& instance) {
+    return serves(instance) && instance.m_reach != UpstreamReach::kCutOff;
+  };
+  const Filter in_data_centre = [&](const EntryInstance& instance) {
+    return instance.m_data_centre == data_centre;
+  };
+  const Filter in_region = [&](const EntryInstance& instance) {
+    return instance.m_region == region;
+  };
+  const auto both = [](const Filter& first, const Filter& second) -> Filter {
+    return [&first, &second](const EntryInstance& instance) {
+      return first(instance) && second(instance);
+    };
+  };
+  const std::array<Filter, 8> filters{
+      both(reaches, in_data_centre),
+      both(reaches, in_region),
+      reaches,
+      both(serves, in_data_centre),
+      both(serves, in_region),
+      serves,
+      [](const EntryInstance& instance) { return instance.m_alive; },
       [](const EntryInstance&) { return true; }};
   std::vector<Endpoint> addresses;
   for (const Filter& filter : filters) {
--- a/src/libnutmeg/gateway_parts_test.cpp
+++ b/src/libnutmeg/gateway_parts_test.cpp
@@ -190,5 +190,21 @@
   EXPECT_EQ(choose("two").size(), 2U);  // Alive instances, ready or not.
 }
 
+TEST(EntryDirectory, LeavesOutInstancesThatAreCutOffWhileOthersServe) {
+  EntryDirectory directory;
+  directory.Put(Entry("a", "one", true));
+  directory.Put(Entry("b", "two", true));
+  const auto choose = [&](const char* data_centre) {
+    return directory.Choose(RegionId("region"), DataCentreId(data_centre), 8);
+  };
+  directory.Find(InstanceId("a"))->m_reach = UpstreamReach::kCutOff;
+  EXPECT_EQ(choose("one"), std::vector<Endpoint>{Endpoint("b")});
+  directory.Find(InstanceId("b"))->m_reach = UpstreamReach::kCutOff;
+  EXPECT_EQ(choose("one"), std::vector<Endpoint>{Endpoint("a")});
+  directory.Find(InstanceId("b"))->m_reach = UpstreamReach::kReached;
+  directory.Find(InstanceId("b"))->m_ready = false;
+  EXPECT_EQ(choose("one"), std::vector<Endpoint>{Endpoint("a")});
+}
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -511,6 +511,7 @@
   EntryInstance* self = m_directory.Find(m_settings.m_instance.m_id);
   if (self != nullptr) {
     self->m_ready = Ready();
+    self->m_reach = m_reachability.OwnReach();
   }
   json addresses = json::array();
   for (const Endpoint& endpoint : m_directory.Choose(
