Do not count as crashes what an instance that is cut off sees

A refused connection after a broken attempt counts as a crash of the upstream, and all instances are told. An instance whose paths were reset sees this at every upstream, so that sound requests would be refused everywhere for a minute. Found by reading. The verdict is now held until other upstreams have been asked: if none responds while other instances reach some, nothing is counted or told, and the log has crash_not_counted. If no instance reaches any, the crash counts as before.

--- a/src/nutmegd/crash_detector.cpp
+++ b/src/nutmegd/crash_detector.cpp
@@ -32,8 +32,12 @@
 
 CrashDetector::CrashDetector(struct ev_loop* loop,
                              MetricsRegistry* metrics,
+                             CutOffCheck is_cut_off,
                              std::function<void()> on_crash)
-    : m_metrics(metrics), m_on_crash(std::move(on_crash)), m_checker(loop) {}
+    : m_metrics(metrics),
+      m_is_cut_off(std::move(is_cut_off)),
+      m_on_crash(std::move(on_crash)),
+      m_checker(loop) {}
 
 void CrashDetector::CheckForCrash(const BrokenAttempt& attempt,
                                   std::function<void()> done) {
@@ -42,12 +46,30 @@
                   [this, attempt, broke_at,
                    done = std::move(done)](net::ConnectOutcome outcome) {
                     if (outcome == net::ConnectOutcome::kRefused) {
-                      RecordCrash(attempt, broke_at);
+                      HandleRefusal(attempt, broke_at, done);
+                    } else {
+                      done();
                     }
-                    done();
                   });
 }
 
+void CrashDetector::HandleRefusal(const BrokenAttempt& attempt,
+                                  TimePoint broke_at,
+                                  const std::function<void()>& done) {
+  m_is_cut_off([this, attempt, broke_at, done](bool cut_off) {
+    if (cut_off) {
+      m_metrics->Count("nutmeg_route_crashes_not_counted", "");
+      Log(LogLevel::kInfo, "crash_not_counted",
+          {{"request", attempt.m_request.str()},
+           {"upstream", attempt.m_upstream.str()},
+           {"reason", std::string("this instance is cut off")}});
+    } else {
+      RecordCrash(attempt, broke_at);
+    }
+    done();
+  });
+}
+
 void CrashDetector::RecordCrash(const BrokenAttempt& attempt,
                                 TimePoint crashed_at) {
   const TimePoint now = BootTime();
--- a/src/nutmegd/crash_detector.h
+++ b/src/nutmegd/crash_detector.h
@@ -24,9 +24,14 @@
   TimePoint m_sent_at{};
 };
 
+/// Decides whether this instance is cut off from the upstreams, and calls the
+/// function with the result, possibly before it returns.
+using CutOffCheck = std::function<void(std::function<void(bool cut_off)>)>;
+
 /// Checks upstreams whose connections broke. An upstream whose host refuses new
-/// connections crashed. One that accepts a connection, or does not respond in
-/// time, does not count against the request.
+/// connections crashed, unless this instance is cut off from all upstreams. One
+/// that accepts a connection, or does not respond in time, does not count
+/// against the request.
 class CrashDetector {
  public:
   /// @param metrics must outlive this object.
@@ -34,6 +39,7 @@
   /// instances.
   CrashDetector(struct ev_loop* loop,
                 MetricsRegistry* metrics,
+                CutOffCheck is_cut_off,
                 std::function<void()> on_crash);
 
   /// Checks the upstream of a broken attempt.
@@ -52,11 +58,15 @@
   CrashSuspects& Suspects() { return m_suspects; }
 
  private:
+  void HandleRefusal(const BrokenAttempt& attempt,
+                     TimePoint broke_at,
+                     const std::function<void()>& done);
   void RecordCrash(const BrokenAttempt& attempt, TimePoint crashed_at);
   /// Logs that requests with a part are refused from now on.
   void LogRefusal(const Suspect& suspect, const char* reason);
 
   MetricsRegistry* m_metrics;
+  CutOffCheck m_is_cut_off;
   std::function<void()> m_on_crash;
   net::ConnectChecker m_checker;
   CrashSuspects m_suspects;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -190,9 +190,14 @@
                      &m_client,
                      &m_state.m_metrics,
                      MakeReachabilityHooks()),
-      m_crash_detector(loop,
-                       &m_state.m_metrics,
-                       [this] { m_fleet.SendEvents(); }),
+      m_crash_detector(
+          loop,
+          &m_state.m_metrics,
+          [this](const std::function<void(bool)>& decided) {
+            m_reachability.Verify(
+                [this, decided] { decided(m_reachability.IsCutOff()); });
+          },
+          [this] { m_fleet.SendEvents(); }),
       m_streams(loop,
                 settings.m_instance.m_id,
                 m_feed,
