--- a/src/include/nutmeghollow/reachability.h
+++ b/src/include/nutmeghollow/reachability.h
@@ -53,6 +53,9 @@
   Duration m_round_interval = std::chrono::milliseconds(250);
   /// Maximum time between two rounds while no instance reaches upstreams.
   Duration m_max_round_interval = std::chrono::seconds(2);
+  /// Upstreams to check in a round. While cut off, a single one is checked
+  /// until one responds.
+  int m_checks = 3;
   /// Upstreams that must have been checked without a response.
   int m_min_checked = 2;
   /// Consecutive rounds in which most upstreams respond, until requests are
@@ -95,6 +98,8 @@
   /// IsActive.
   bool IsRoundDue(TimePoint now);
   void NoteRoundBegan(TimePoint now);
+  /// @return number of upstreams to check in the next round.
+  int ChecksWanted() const;
   void NoteRound(const ReachabilityRound& round, TimePoint now);
 
   /// @return true while time alone may change the state.
--- a/src/libnutmeg/reachability.cpp
+++ b/src/libnutmeg/reachability.cpp
@@ -105,6 +105,11 @@
   m_next_round = now + m_parameters.m_round_interval;
 }
 
+int Reachability::ChecksWanted() const {
+  const bool is_cut_off = m_state == ReachabilityState::kCutOff;
+  return is_cut_off && m_good_rounds == 0 ? 1 : m_parameters.m_checks;
+}
+
 void Reachability::NoteRound(const ReachabilityRound& round, TimePoint now) {
   m_round_in_progress = false;
   if (m_state == ReachabilityState::kSuspected) {
--- a/src/libnutmeg/reachability_test.cpp
+++ b/src/libnutmeg/reachability_test.cpp
@@ -225,6 +225,18 @@
   EXPECT_FALSE(reachability.IsActive());
 }
 
+TEST(Reachability, ChecksOneUpstreamAtATimeWhileNoneResponds) {
+  Reachability reachability;
+  reachability.Suspect(At(0));
+  EXPECT_EQ(reachability.ChecksWanted(), 3);
+  reachability.NoteRound({3, 0, 1}, At(0));
+  EXPECT_EQ(reachability.ChecksWanted(), 1);
+  reachability.NoteRound({1, 1, 1}, At(300));
+  EXPECT_EQ(reachability.ChecksWanted(), 3);
+  reachability.NoteRound({3, 1, 1}, At(600));
+  EXPECT_EQ(reachability.ChecksWanted(), 1);
+}
+
 TEST(Reachability, DoesNotBelieveToBeCutOffFromASingleUpstream) {
   Reachability reachability;
   reachability.Suspect(At(0));
--- a/src/nutmegd/reachability_monitor.cpp
+++ b/src/nutmegd/reachability_monitor.cpp
@@ -16,7 +16,6 @@
 constexpr Duration kUpdateInterval = std::chrono::milliseconds(50);
 /// A rejection takes a round trip and no slot of the upstream.
 constexpr Duration kCheckTimeout = std::chrono::milliseconds(250);
-constexpr std::size_t kChecksPerRound = 3;
 constexpr Bytes kCheckBodyLimit{4 << 10};
 
 std::int64_t Milliseconds(Duration duration) {
@@ -118,14 +117,16 @@
                         [&](const RegisteredUpstream& upstream) {
                           return services.insert(upstream.m_service).second;
                         });
-  upstreams.resize(std::min(upstreams.size(), kChecksPerRound));
+  upstreams.resize(
+      std::min(upstreams.size(),
+               static_cast<std::size_t>(m_reachability.ChecksWanted())));
   return upstreams;
 }
 
 void ReachabilityMonitor::StartRound() {
+  const std::vector<RegisteredUpstream> upstreams = ChooseChecked();
   m_reachability.NoteRoundBegan(BootTime());
   m_metrics->Count("nutmeg_gateway_reachability_rounds");
-  const std::vector<RegisteredUpstream> upstreams = ChooseChecked();
   m_round = {};
   m_round.m_checked = static_cast<int>(upstreams.size());
   std::vector<UpstreamId> ids;
