--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -14,6 +14,7 @@
 #include "libnet/http_server.h"
 #include "libnet/log.h"
 #include "nutmegd/fleet_link.h"
+#include "nutmegd/forwarding_setup.h"
 #include "nutmegd/gateway_state.h"
 #include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
@@ -24,7 +25,6 @@
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
-#include "nutmeghollow/forwarding_choice.h"
 
 namespace nutmeghollow {
 namespace {
@@ -110,9 +110,6 @@
   /// @return the services whose streams may be resumed.
   std::set<ServiceId> ResumableServices() const;
 
-  /// @return what the monitor of the paths to upstreams needs.
-  ReachabilityHooks MakeReachabilityHooks();
-  ForwardingState MakeForwardingState();
   void HandleReachability(ReachabilityState before, ReachabilityState state);
 
   /// Retries the lost tables at once, since the platform responds again.
@@ -189,7 +186,12 @@
       m_reachability(loop,
                      &m_client,
                      &m_state.m_metrics,
-                     MakeReachabilityHooks()),
+                     MakeReachabilityHooks(&m_state,
+                                           &m_directory,
+                                           [this](ReachabilityState before,
+                                                  ReachabilityState state) {
+                                             HandleReachability(before, state);
+                                           })),
       m_crash_detector(
           loop,
           &m_state.m_metrics,
@@ -309,7 +311,7 @@
   m_state.m_crash_detector = &m_crash_detector;
   m_state.m_streams = &m_streams;
   m_state.m_reachability = &m_reachability;
-  m_state.m_forwarding = MakeForwardingState();
+  m_state.m_forwarding = MakeForwardingState(&m_state, &m_directory, &m_fleet);
   m_state.m_others_ready = [this] { return OthersReady(); };
   m_state.m_registration_reader = &m_registration_reader;
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
@@ -424,53 +426,6 @@
              : m_state.m_configuration->ResumableServices();
 }
 
-ReachabilityHooks Gateway::Impl::MakeReachabilityHooks() {
-  ReachabilityHooks hooks;
-  hooks.m_upstreams = [this] {
-    std::vector<RegisteredUpstream> upstreams;
-    for (const UpstreamId& id : m_state.m_pool.Ids()) {
-      upstreams.push_back(*m_state.m_pool.Find(id));
-    }
-    return upstreams;
-  };
-  hooks.m_others_reaching = [this] {
-    std::vector<InstanceId> others;
-    for (const auto& [id, instance] : m_directory.Instances()) {
-      if (id != m_settings.m_instance.m_id && instance.m_alive &&
-          instance.m_reach == UpstreamReach::kReached) {
-        others.push_back(id);
-      }
-    }
-    return others;
-  };
-  hooks.m_check_headers = [this] {
-    net::ForwardedFields fields;
-    fields.m_expected_upstream = UpstreamId("reachability-check");
-    fields.m_time_left = std::chrono::seconds(1);
-    return m_state.m_protocol.m_upstream_headers(net::HttpRequest(), fields);
-  };
-  hooks.m_on_round = [this](ReachabilityState before, ReachabilityState state) {
-    HandleReachability(before, state);
-  };
-  return hooks;
-}
-
-ForwardingState Gateway::Impl::MakeForwardingState() {
-  ForwardingState forwarding;
-  forwarding.m_choose = [this](const std::vector<InstanceId>& tried) {
-    return ChooseForwardingInstance(
-        m_directory,
-        {m_settings.m_instance.m_id, m_settings.m_instance.m_data_centre, tried,
-         m_state.m_forwarding.m_active},
-        [this] { return m_state.Draw(0, 1); });
-  };
-  forwarding.m_address_of = [this](const InstanceId& id) {
-    return m_fleet.AddressOf(id);
-  };
-  forwarding.m_keys = [this] { return m_fleet.Keys(); };
-  return forwarding;
-}
-
 void Gateway::Impl::HandleReachability(ReachabilityState before,
                                        ReachabilityState state) {
   if (m_told_reach != m_reachability.OwnReach()) {
