Check slow upstreams less often for lost paths

Found by reading: an instance whose upstreams always take more than 400 ms to respond would have checked three of them for each request, since any response made the quiet time short again. It is now shortened after a minute without such checks, and grows to 1.6 s at most, so that a cut is still noticed in time. Checks prefer upstreams without a failure just before: with half of them crashed, three random ones may all be down while this instance reaches the others.

--- a/src/include/nutmeghollow/reachability.h
+++ b/src/include/nutmeghollow/reachability.h
@@ -46,7 +46,9 @@
   /// a suspicion. Longer than the usual time to the first byte.
   Duration m_quiet_time = std::chrono::milliseconds(400);
   /// The quiet time is doubled, up to this, after checks that found nothing.
-  Duration m_max_quiet_time = std::chrono::seconds(4);
+  Duration m_max_quiet_time = std::chrono::milliseconds(1600);
+  /// The quiet time is shortened again when it caused no checks for this long.
+  Duration m_quiet_time_reset = std::chrono::seconds(60);
   /// Minimum time between two suspicions due to failures.
   Duration m_suspicion_interval = std::chrono::milliseconds(500);
   /// Time between two rounds of checks.
@@ -131,6 +133,7 @@
   std::map<UpstreamId, TimePoint> m_failures;    ///< Time of the latest.
   TimePoint m_last_heard_at{};
   Duration m_quiet_time;
+  TimePoint m_quiet_at{};  ///< Of the latest suspicion due to silence.
   TimePoint m_evidence_since{};
   TimePoint m_next_suspicion{};
   TimePoint m_next_round{};
--- a/src/libnutmeg/reachability.cpp
+++ b/src/libnutmeg/reachability.cpp
@@ -26,7 +26,9 @@
       m_state != ReachabilityState::kReturning) {
     return;  // Connections that were open before the cut may live on.
   }
-  m_quiet_time = m_parameters.m_quiet_time;
+  if (now - m_quiet_at > m_parameters.m_quiet_time_reset) {
+    m_quiet_time = m_parameters.m_quiet_time;
+  }
   if (is_first && new_connection) {
     m_failures.clear();
   }
@@ -79,6 +81,7 @@
     return false;
   }
   m_evidence_since = quiet_since;
+  m_quiet_at = now;
   m_quiet_time = std::min(m_quiet_time * 2, m_parameters.m_max_quiet_time);
   return true;
 }
--- a/src/nutmegd/reachability_monitor.cpp
+++ b/src/nutmegd/reachability_monitor.cpp
@@ -117,6 +117,12 @@
                         [&](const RegisteredUpstream& upstream) {
                           return services.insert(upstream.m_service).second;
                         });
+  const std::vector<UpstreamId> failed = m_reachability.FailedUpstreams();
+  std::stable_partition(upstreams.begin(), upstreams.end(),
+                        [&](const RegisteredUpstream& upstream) {
+                          return std::find(failed.begin(), failed.end(),
+                                           upstream.m_id) == failed.end();
+                        });
   upstreams.resize(
       std::min(upstreams.size(),
                static_cast<std::size_t>(m_reachability.ChecksWanted())));
--- a/src/nutmegd/reachability_monitor.h
+++ b/src/nutmegd/reachability_monitor.h
@@ -76,7 +76,8 @@
   void Update();
   void StartTimer();
   void StartRound();
-  /// Chooses upstreams at random, of as many services as possible.
+  /// Chooses upstreams at random, of as many services as possible, first ones
+  /// that have not failed.
   std::vector<RegisteredUpstream> ChooseChecked();
   void HandleCheck(const UpstreamId& upstream, bool responded);
   void EndRound();
