--- a/src/nutmegd/peer_http_server.cpp
+++ b/src/nutmegd/peer_http_server.cpp
@@ -37,7 +37,7 @@
   /// @param open incremented until the response has ended.
   ForwardedExchange(std::shared_ptr<net::HttpExchange> exchange,
                     std::string mac,
-                    std::shared_ptr<std::size_t> open)
+                    const std::shared_ptr<std::size_t>& open)
       : m_exchange(std::move(exchange)),
         m_request(m_exchange->Request()),
         m_mac(std::move(mac)),
--- a/src/nutmegd/route_relay_forwarding.cpp
+++ b/src/nutmegd/route_relay_forwarding.cpp
@@ -83,7 +83,8 @@
   }
   m_request.m_deadline = m_forwarded->m_time_left;
   m_request.m_resume_after = m_forwarded->m_resume_after;
-  if (m_request.m_resumed_attempt.empty()) {
+  if (m_request.m_resumed_attempt.empty() &&
+      !m_request.m_resume_after.empty()) {
     // The stream was recorded under the request's own id.
     m_request.m_resumed_attempt = m_request.m_id;
   }
