--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -48,6 +48,13 @@
 
 void RouteRelay::HandleFailure(AttemptFailure failure) {
   const TimePoint now = BootTime();
+  if (ContinueOtherAttempt(ProvesNotRun(failure) ? "the other one was not run"
+                                                 : "the other one failed")) {
+    if (ProvesNotRun(failure)) {
+      CheckSilence(failure);
+    }
+    return;
+  }
   m_event_splitter.DropPartialEvent();
   m_progress.m_time_left = TimeLeft(now);
   // Before the first event was forwarded, the stream can start from its
@@ -58,7 +65,7 @@
                                  m_state->m_attempt_parameters);
   const bool retries =
       step == NextStep::kRetryElsewhere || step == NextStep::kResume;
-  if (retries && !m_state->m_allowance.Take(m_service, now)) {
+  if (retries && !TakeRetry(now)) {
     step = DecideFinalStep(failure, m_progress);
   }
   switch (step) {
@@ -84,6 +91,22 @@
   }
 }
 
+bool RouteRelay::TakeRetry(TimePoint now) {
+  const RetryUse use = m_state->m_allowance.UseOf(m_service, now);
+  if (m_state->m_allowance.Take(m_service, now)) {
+    return true;
+  }
+  m_state->m_metrics.Count("nutmeg_route_retries_not_permitted");
+  Log(LogLevel::kInfo, "retry_not_permitted",
+      {{"request", m_request.m_id.str()},
+       {"service", m_service.str()},
+       {"requests", static_cast<std::int64_t>(use.m_requests)},
+       {"retries", static_cast<std::int64_t>(use.m_retries)},
+       {"allowed", use.m_allowed},
+       {"time_left_ms", Milliseconds(TimeLeft(now))}});
+  return false;
+}
+
 void RouteRelay::HandleBrokenAttempt(const UpstreamId& upstream,
                                      const Endpoint& endpoint,
                                      TimePoint sent_at) {
@@ -122,6 +145,9 @@
 }
 
 void RouteRelay::EndUnserved(int failed_status, const char* reason) {
+  if (ContinueOtherAttempt(reason)) {
+    return;
+  }
   if (m_progress.m_response_started) {
     Abort(reason);
   } else if (m_progress.m_may_have_run) {
@@ -139,7 +165,8 @@
   if (m_attempt) {
     m_progress.m_may_have_run = true;
   }
-  CancelAttempt(no_data ? AttemptHealth::kTimedOut : AttemptHealth::kAbandoned);
+  CancelAttempts(no_data ? AttemptHealth::kTimedOut
+                         : AttemptHealth::kAbandoned);
   EndUnserved(kStatusGatewayTimeout, "no answer in time");
 }
 
@@ -154,7 +181,7 @@
   if (m_attempt) {
     m_progress.m_may_have_run = true;
   }
-  CancelAttempt(AttemptHealth::kAbandoned);
+  CancelAttempts(AttemptHealth::kAbandoned);
   EndUnserved(kStatusBadGateway, "the instance stops");
 }
 
@@ -176,7 +203,7 @@
     return;
   }
   m_holds_events = false;
-  CancelAttempt(AttemptHealth::kAbandoned);
+  CancelAttempts(AttemptHealth::kAbandoned);
   Finish("caller_gone", 0, "");
 }
 
@@ -269,6 +296,8 @@
   const auto self = shared_from_this();
   m_done = true;
   m_timer.Stop();
+  m_silence_timer.Stop();
+  m_release_timer.Stop();
   const TimePoint now = BootTime();
   const bool served = std::string_view(outcome) == "served";
   RecordStreamEnd(served);
