--- a/src/libnutmeg/gateway_parts_test.cpp
+++ b/src/libnutmeg/gateway_parts_test.cpp
@@ -55,6 +55,15 @@
                                          AllowanceCase{7, 100, 22},
                                          AllowanceCase{90, 10, 2}));
 
+TEST(RetryAllowance, IsNotUsedUpByRetriesThatWereNotSent) {
+  RetryAllowance allowance({.m_ratio = 0, .m_slack = 10});
+  const ServiceId service("s");
+  for (int count = 0; count < 100; ++count) {
+    ASSERT_TRUE(allowance.Take(service, TimePoint()));
+    allowance.Return(service);
+  }
+}
+
 TEST(RetryAllowance, IsReplenishedAfterTheWindow) {
   RetryAllowance allowance({.m_ratio = 0, .m_slack = 10});
   EXPECT_EQ(TakeUntilRefused(allowance, seconds(0)), 8);
--- a/src/libnutmeg/retry_allowance.cpp
+++ b/src/libnutmeg/retry_allowance.cpp
@@ -27,6 +27,13 @@
   return {window.m_requests.size(), window.m_retries.size(), allowed};
 }
 
+void RetryAllowance::Return(const ServiceId& service) {
+  std::deque<TimePoint>& retries = m_windows[service].m_retries;
+  if (!retries.empty()) {
+    retries.pop_back();
+  }
+}
+
 bool RetryAllowance::Take(const ServiceId& service, TimePoint now) {
   const RetryUse use = UseOf(service, now);
   if (static_cast<double>(use.m_retries) + 1 > use.m_allowed) {
--- a/src/nutmegd/route_relay_silence.cpp
+++ b/src/nutmegd/route_relay_silence.cpp
@@ -86,8 +86,13 @@
   }
   m_progress.m_may_have_run = true;
   ReleaseEarlierAttempt();
+  const ServiceId service = m_service;
+  const int attempts = m_progress.m_attempts;
   m_other_attempt = std::exchange(m_attempt, std::nullopt);
   Dispatch(now);
+  if (m_attempt && m_progress.m_attempts == attempts) {
+    m_state->m_allowance.Return(service);
+  }
 }
 
 bool RouteRelay::ContinueOtherAttempt(const char* reason) {
