--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -96,7 +96,7 @@
       m_release_timer(state->m_loop,
                       [this] {
                         const auto self = shared_from_this();
-                        ReleaseEarlierAttempt();
+                        ReleaseEarlierAttempts();
                       }),
       m_refusal_timer(state->m_loop, [this] {
         const auto self = shared_from_this();
@@ -436,7 +436,7 @@
   const bool within_rate = m_state->m_pool.MaySend(m_attempt->m_choice);
   if (allowed && takes_requests && within_rate && !late) {
     m_attempt->m_request_written = true;
-    if (m_other_attempt && m_route.m_streamed) {
+    if (!m_other_attempts.empty() && m_route.m_streamed) {
       m_release_timer.Start(kMaxStreamOverlap);
     }
     return;
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -196,11 +196,13 @@
   /// possible.
   /// @return true when another attempt is open, which then is the current one.
   bool ContinueOtherAttempt(const char* reason);
-  /// Cancels the attempt that is not the current one, if there is one.
-  void CancelOther();
-  /// Ends the earlier of two attempts of a stream: its upstream must not work
-  /// on it much longer than the other one does.
-  void ReleaseEarlierAttempt();
+  /// @return the number of the latest attempt that is not the current one.
+  AttemptNumber LatestOther() const;
+  /// Cancels the attempts that are not the current one.
+  void CancelOthers();
+  /// Ends the earlier attempts of a stream: their upstreams must not work on it
+  /// much longer than the latest one does.
+  void ReleaseEarlierAttempts();
   /// Cancels all attempts. @param health of the current one.
   void CancelAttempts(AttemptHealth health);
   void BeginStream();
@@ -273,9 +275,10 @@
   std::optional<OriginHash> m_origin;
   RequestProgress m_progress;
   std::vector<UpstreamId> m_tried;
-  std::optional<Attempt> m_attempt;  ///< The current one.
-  /// A second one while an upstream is silent and another one is tried.
-  std::optional<Attempt> m_other_attempt;
+  std::optional<Attempt>
+      m_attempt;  ///< The current one.
+                  /// Those at silent upstreams, while another one is tried.
+  std::vector<Attempt> m_other_attempts;
   AttemptNumber m_last_attempt;
   AttemptNumber m_stream_reader;  ///< Its bytes are in m_event_splitter.
   std::vector<Deliverer> m_deliverers;
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -1,4 +1,5 @@
 // Handling of upstream responses to a relayed request.
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -150,13 +151,15 @@
 }
 
 void RouteRelay::HandleRefusal() {
-  const auto refused = [](const std::optional<Attempt>& attempt) {
-    return attempt && attempt->m_failure && ProvesNotRun(*attempt->m_failure);
+  const auto refused = [](const Attempt& attempt) {
+    return attempt.m_failure && ProvesNotRun(*attempt.m_failure);
   };
-  if (refused(m_other_attempt)) {
-    std::swap(m_attempt, m_other_attempt);
+  const auto other =
+      std::find_if(m_other_attempts.begin(), m_other_attempts.end(), refused);
+  if (other != m_other_attempts.end()) {
+    BringToFront(other->m_number);
   }
-  if (m_done || !refused(m_attempt)) {
+  if (m_done || !m_attempt || !refused(*m_attempt)) {
     return;
   }
   const AttemptFailure failure = *m_attempt->m_failure;
@@ -217,14 +220,14 @@
     return;
   }
   if (m_stream_reader != m_attempt->m_number) {
-    CancelOther();
+    CancelOthers();
     m_event_splitter.DropPartialEvent();
     m_stream_reader = m_attempt->m_number;
   }
   const int events_before = m_event_splitter.Events();
   const std::string events = m_event_splitter.Take(data);
   if (m_event_splitter.Events() > events_before) {
-    CancelOther();
+    CancelOthers();
     m_attempt->m_last_progress_at = BootTime();
   }
   if (!events.empty()) {
@@ -335,7 +338,7 @@
     HandleFailure(AttemptFailure::kFailed);
     return;
   }
-  CancelOther();
+  CancelOthers();
   EndAttempt(AttemptHealth::kServed, BootTime());
   m_buffered_response = std::move(response);
   SendBufferedResponse();
@@ -348,7 +351,7 @@
     WriteToCaller(m_event_splitter.PartialEvent());
   }
   const int status = m_attempt->m_status;
-  CancelOther();
+  CancelOthers();
   EndAttempt(AttemptHealth::kServed, BootTime());
   WatchResponse(status);
   m_exchange->EndStream();
--- a/src/nutmegd/route_relay_silence.cpp
+++ b/src/nutmegd/route_relay_silence.cpp
@@ -26,8 +26,15 @@
   if (m_done) {
     return false;
   }
-  if (m_other_attempt && m_other_attempt->m_number == number) {
-    std::swap(m_attempt, m_other_attempt);
+  const auto other = std::find_if(
+      m_other_attempts.begin(), m_other_attempts.end(),
+      [number](const Attempt& one) { return one.m_number == number; });
+  if (other != m_other_attempts.end()) {
+    std::optional<Attempt> before = std::exchange(m_attempt, std::move(*other));
+    m_other_attempts.erase(other);
+    if (before) {
+      m_other_attempts.push_back(std::move(*before));
+    }
   }
   return m_attempt && m_attempt->m_number == number;
 }
@@ -54,7 +61,7 @@
     return;
   }
   m_silence_timer.Start(SilenceLimit());
-  if (m_other_attempt && m_route.m_streamed) {
+  if (!m_other_attempts.empty() && m_route.m_streamed) {
     return;  // Another upstream is being tried.
   }
   TryAnotherUpstream(failure, now);
@@ -85,10 +92,10 @@
     return;  // One may be left at the next check.
   }
   m_progress.m_may_have_run = true;
-  ReleaseEarlierAttempt();
   const ServiceId service = m_service;
   const int attempts = m_progress.m_attempts;
-  m_other_attempt = std::exchange(m_attempt, std::nullopt);
+  m_other_attempts.push_back(std::move(*m_attempt));
+  m_attempt.reset();
   Dispatch(now);
   if (m_attempt && m_progress.m_attempts == attempts) {
     m_state->m_allowance.Return(service);
@@ -99,11 +106,11 @@
   if (m_attempt) {
     return true;  // It made progress after the other one failed.
   }
-  if (!m_other_attempt) {
+  if (m_other_attempts.empty()) {
     return false;
   }
   m_release_timer.Stop();
-  m_attempt = std::exchange(m_other_attempt, std::nullopt);
+  BringToFront(LatestOther());
   m_silence_timer.Start(SilenceLimit());
   Log(LogLevel::kInfo, "other_attempt_continues",
       {{"request", m_request.m_id.str()},
@@ -114,33 +121,44 @@
   return true;
 }
 
-void RouteRelay::CancelOther() {
-  if (!m_other_attempt) {
+RouteRelay::AttemptNumber RouteRelay::LatestOther() const {
+  AttemptNumber latest;
+  for (const Attempt& attempt : m_other_attempts) {
+    latest = std::max(latest, attempt.m_number);
+  }
+  return latest;
+}
+
+void RouteRelay::CancelOthers() {
+  if (m_other_attempts.empty()) {
     return;
   }
-  // The earlier one was silent for too long; the later one had no time yet.
-  const bool is_earlier =
-      m_attempt && m_other_attempt->m_number < m_attempt->m_number;
   m_release_timer.Stop();
-  std::swap(m_attempt, m_other_attempt);
-  CancelAttempt(is_earlier ? AttemptHealth::kTimedOut
-                           : AttemptHealth::kAbandoned);
-  std::swap(m_attempt, m_other_attempt);
+  std::optional<Attempt> current = std::exchange(m_attempt, std::nullopt);
+  while (!m_other_attempts.empty()) {
+    m_attempt = std::move(m_other_attempts.back());
+    m_other_attempts.pop_back();
+    // An earlier one was silent for too long; a later one had no time yet.
+    const bool is_earlier = current && m_attempt->m_number < current->m_number;
+    CancelAttempt(is_earlier ? AttemptHealth::kTimedOut
+                             : AttemptHealth::kAbandoned);
+  }
+  m_attempt = std::move(current);
 }
 
-void RouteRelay::ReleaseEarlierAttempt() {
-  if (m_done || !m_attempt || !m_other_attempt) {
+void RouteRelay::ReleaseEarlierAttempts() {
+  if (m_done || !m_attempt || m_other_attempts.empty()) {
     return;
   }
-  if (m_other_attempt->m_number > m_attempt->m_number) {
-    std::swap(m_attempt, m_other_attempt);
+  if (LatestOther() > m_attempt->m_number) {
+    BringToFront(LatestOther());
     m_silence_timer.Start(SilenceLimit());
   }
-  CancelOther();
+  CancelOthers();
 }
 
 void RouteRelay::CancelAttempts(AttemptHealth health) {
-  CancelOther();
+  CancelOthers();
   CancelAttempt(health);
 }
 
