--- a/src/nutmegd/route_relay_forwarding.cpp
+++ b/src/nutmegd/route_relay_forwarding.cpp
@@ -400,8 +400,8 @@
 }
 
 void RouteRelay::HandleCutOff() {
-  if (m_done || !MayForward() || !m_attempt || m_other_attempt || m_hop ||
-      m_attempt->m_status != 0 || m_progress.m_response_started ||
+  if (m_done || !MayForward() || !m_attempt || !m_other_attempts.empty() ||
+      m_hop || m_attempt->m_status != 0 || m_progress.m_response_started ||
       !m_state->m_forwarding.m_choose(m_tried_instances)) {
     return;
   }
