Do not ask another upstream for a request that is ending

A permit that was asked for before a request was broken off could come while the registrations were read for its end: the request was then sent, and its attempt was never ended, so that the upstream's requests in progress stayed one too high. The same answer could pass a request on while the crash check of a suspect was under way. Both now look at whether the request ends or waits, and the end of a request cancels what is open.

--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -318,8 +318,9 @@
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
   m_state->m_request_permit(std::move(wanted), [weak] {
     const auto self = weak.lock();
-    // A silent upstream may have gone on in the meantime.
-    if (self == nullptr || self->m_done || self->m_attempt) {
+    // A silent upstream may have gone on, or failed, in the meantime.
+    if (self == nullptr || self->m_done || self->m_attempt || self->m_ending ||
+        self->m_awaits_crash_check) {
       return;
     }
     const TimePoint answered_at = BootTime();
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -362,7 +362,9 @@
   EventSplitter m_event_splitter;
   bool m_holds_events = false;
   std::string m_held_events;
-  bool m_stopped = false;         ///< Stop was called.
+  bool m_stopped = false;             ///< Stop was called.
+  bool m_ending = false;              ///< No upstream is asked any more.
+  bool m_awaits_crash_check = false;  ///< Nor before its result.
   bool m_caller_is_slow = false;  ///< Its buffer is above the high-water mark.
   TimePoint m_first_event_at{};
   bool m_done = false;
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -47,7 +47,7 @@
 }  // namespace
 
 void RouteRelay::HandleFailure(AttemptFailure failure) {
-  if (HoldFailure(failure)) {
+  if (m_ending || HoldFailure(failure)) {
     return;
   }
   const TimePoint now = BootTime();
@@ -119,12 +119,14 @@
   CrashDetector& detector = *m_state->m_crash_detector;
   const bool suspect =
       detector.Suspects().IsSuspect(SuspectOf(Digest()), BootTime());
+  m_awaits_crash_check = m_awaits_crash_check || suspect;
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
   detector.CheckForCrash(
       {Digest(), SharedParts(), m_request.m_id, upstream, endpoint, sent_at},
       [weak, suspect] {
         const auto self = weak.lock();
         if (suspect && self != nullptr && !self->m_done) {
+          self->m_awaits_crash_check = false;
           self->HandleFailure(AttemptFailure::kBroken);
         }
       });
@@ -184,6 +186,7 @@
   if (at_once) {
     m_deliverers.clear();
   }
+  m_ending = true;
   const auto self = shared_from_this();
   if (m_attempt) {
     m_progress.m_may_have_run = true;
@@ -306,6 +309,9 @@
 
 void RouteRelay::Finish(const char* outcome, int status, const char* reason) {
   const auto self = shared_from_this();
+  m_holds_events = false;
+  CancelAttempts(AttemptHealth::kAbandoned);
+  CancelHop();
   m_done = true;
   m_timer.Stop();
   m_silence_timer.Stop();
--- a/src/nutmegd/route_relay_streams.cpp
+++ b/src/nutmegd/route_relay_streams.cpp
@@ -156,6 +156,7 @@
 }
 
 void RouteRelay::ConfirmAndAbort(const char* reason) {
+  m_ending = true;
   m_state->m_registration_reader->Read(
       [weak = weak_from_this(), reason](const RegistrationReader::Rows* rows) {
         const auto self = weak.lock();
@@ -177,6 +178,7 @@
   m_holds_events = false;
   m_held_events.clear();
   m_progress.m_may_have_run = true;
+  m_ending = true;
   CancelAttempts(AttemptHealth::kBroken);
   CancelHop();
   m_origin = kUnknownOrigin;
