Watch the silence of whichever attempt is the current one

When a silent attempt went on while a permit was awaited, no timer ran for it, so that a second silence was not noticed; a paused attempt that became the current one was not resumed when the caller had read; and after a failed second attempt the silent one was waited for during another whole time-out, though attempts were left.

--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -145,6 +145,9 @@
     if (self->m_attempt) {
       self->ResumeReading(*self->m_attempt);
     }
+    for (Attempt& attempt : self->m_other_attempts) {
+      self->ResumeReading(attempt);
+    }
   });
   m_timer.Start(std::max(m_deadline - now, Duration(1)));
   if (IsCountedHere()) {
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -53,9 +53,7 @@
   const TimePoint now = BootTime();
   if (ContinueOtherAttempt(ProvesNotRun(failure) ? "the other one was not run"
                                                  : "the other one failed")) {
-    if (ProvesNotRun(failure)) {
-      CheckSilence(failure);
-    }
+    CheckSilence(failure);
     return;
   }
   m_event_splitter.DropPartialEvent();
--- a/src/nutmegd/route_relay_silence.cpp
+++ b/src/nutmegd/route_relay_silence.cpp
@@ -35,6 +35,7 @@
     if (before) {
       m_other_attempts.push_back(std::move(*before));
     }
+    m_silence_timer.Start(SilenceLimit());
   }
   return m_attempt && m_attempt->m_number == number;
 }
@@ -111,7 +112,6 @@
   }
   m_release_timer.Stop();
   BringToFront(LatestOther());
-  m_silence_timer.Start(SilenceLimit());
   Log(LogLevel::kInfo, "other_attempt_continues",
       {{"request", m_request.m_id.str()},
        {"upstream", m_attempt->m_upstream.str()},
@@ -159,7 +159,6 @@
   }
   if (LatestOther() > m_attempt->m_number) {
     BringToFront(LatestOther());
-    m_silence_timer.Start(SilenceLimit());
   }
   CancelOthers();
 }
