Handle two refusals of a request one by one; log the upstream that served it

Two attempts that were refused in the same turn of the loop shared one timer, so that one of them could stay as the current attempt until the deadline (by reading). request_ended named the upstream that was asked last, not the one that served the request (seen in a run: served by e1, logged as e2).

--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -344,6 +344,7 @@
   std::optional<OriginHash> m_origin;
   RequestProgress m_progress;
   std::vector<UpstreamId> m_tried;
+  UpstreamId m_last_upstream;  ///< Of the attempt that ended last.
   std::optional<Attempt>
       m_attempt;  ///< The current one.
                   /// Those at silent upstreams, while another one is tried.
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -341,7 +341,7 @@
        {"status", std::int64_t{status}},
        {"reason", std::string(reason)},
        {"attempts", std::int64_t{m_progress.m_attempts}},
-       {"upstream", m_tried.empty() ? "" : m_tried.back().str()},
+       {"upstream", m_last_upstream.str()},
        {"first_ms", m_first_event_at == TimePoint()
                         ? std::int64_t{-1}
                         : Milliseconds(m_first_event_at - m_arrived_at)},
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -155,14 +155,20 @@
   const auto refused = [](const Attempt& attempt) {
     return attempt.m_failure && ProvesNotRun(*attempt.m_failure);
   };
-  const auto other =
-      std::find_if(m_other_attempts.begin(), m_other_attempts.end(), refused);
-  if (other != m_other_attempts.end()) {
-    BringToFront(other->m_number);
+  const auto find_other = [&] {
+    return std::find_if(m_other_attempts.begin(), m_other_attempts.end(),
+                        refused);
+  };
+  const bool is_current = m_attempt && refused(*m_attempt);
+  if (!is_current && find_other() != m_other_attempts.end()) {
+    BringToFront(find_other()->m_number);
   }
   if (m_done || !m_attempt || !refused(*m_attempt)) {
     return;
   }
+  if (find_other() != m_other_attempts.end()) {
+    m_refusal_timer.Start(Duration::zero());
+  }
   const AttemptFailure failure = *m_attempt->m_failure;
   if (failure == AttemptFailure::kWrongUpstream) {
     m_state->m_pool.NoteReplaced(m_attempt->m_upstream, BootTime());
@@ -370,6 +376,7 @@
   }
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
+  m_last_upstream = attempt.m_upstream;
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
   ReachabilityMonitor& reachability = *m_state->m_reachability;
   reachability.NoteEnd(attempt.m_call, attempt.m_upstream, health);
