Log when upstreams say that they are brittle, and when they are full

An upstream's statement that it falls over at a number of refusals in a second is read, kept for its process as a stated rate is (not told to others yet), and logged when it begins, changes or ends (upstream_brittle). A refusal by such an upstream is logged with what this instance had there and the load known at the choice (upstream_full).

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -271,6 +271,10 @@
   /// Rates that upstreams stated.
   RateLimits& Limits() { return m_limits; }
   const RateLimits& Limits() const { return m_limits; }
+  /// Refusals in a second at which upstreams fall over, as stated by brittle
+  /// ones.
+  RateLimits& RefusalLimits() { return m_refusal_limits; }
+  const RateLimits& RefusalLimits() const { return m_refusal_limits; }
   /// Records that another upstream responded at this one's address.
   void NoteReplaced(const UpstreamId& id, TimePoint now);
 
@@ -397,6 +401,7 @@
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
   RateLimits m_limits;
+  RateLimits m_refusal_limits;
   std::map<ServiceId, PriorityDemand> m_demand;
   /// Moving averages of the tokens of the shared prefixes of prompts.
   std::map<ServiceId, double> m_mean_prefix;
--- a/src/libnet/route_protocol.h
+++ b/src/libnet/route_protocol.h
@@ -58,6 +58,9 @@
   /// Requests per second that the upstream accepts from all instances together;
   /// unset when the response states none.
   std::optional<double> m_rate_limit;
+  /// Requests that the upstream may have to refuse in a second before it falls
+  /// over; unset when the response states that it does not.
+  std::optional<double> m_refusal_limit;
 };
 
 /// Error for an invalid document, with the reasons.
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -264,6 +264,7 @@
 
 void FleetLink::StartLoadRound() {
   m_pool->Limits().RemoveExpired(BootTime());
+  m_pool->RefusalLimits().RemoveExpired(BootTime());
   const InstanceId relay = m_loads.Relay();
   m_loads.StartRound(BootTime());
   if (m_loads.Relay() != relay) {
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -159,6 +159,11 @@
   void RecordUpstreamState(const net::ResponseFields& fields);
   /// Records the request rate that an upstream states. @param rate unset: none.
   void RecordRateLimit(std::optional<double> rate);
+  /// Records the refusals in a second at which an upstream says that it falls
+  /// over. @param refusals unset: none.
+  void RecordRefusalLimit(std::optional<double> refusals);
+  /// Logs that a brittle upstream refused the request.
+  void LogFull() const;
   /// Compares the load that an engine reports with the one that was expected
   /// when it was chosen.
   void CompareLoad(const LoadReport& report);
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -61,6 +61,9 @@
   if (!fields.m_rate_limit && !fields.m_wrong_upstream) {
     RecordRateLimit(std::nullopt);
   }
+  if (!fields.m_refusal_limit && !fields.m_wrong_upstream) {
+    RecordRefusalLimit(std::nullopt);
+  }
   if (not_run) {
     attempt.m_failure = fields.m_wrong_upstream ? AttemptFailure::kWrongUpstream
                                                 : AttemptFailure::kRefused;
@@ -97,6 +100,9 @@
   if (fields.m_rate_limit) {
     RecordRateLimit(fields.m_rate_limit);
   }
+  if (fields.m_refusal_limit) {
+    RecordRefusalLimit(fields.m_refusal_limit);
+  }
   if (fields.m_refused_for) {
     pool.NoteRefusal(attempt.m_upstream, attempt.m_start_time_ms,
                      *fields.m_refused_for, now);
@@ -121,6 +127,39 @@
   }
 }
 
+void RouteRelay::RecordRefusalLimit(std::optional<double> refusals) {
+  const Attempt& attempt = *m_attempt;
+  const UpstreamProcess process{HashOf(attempt.m_upstream),
+                                attempt.m_start_time_ms};
+  RateLimits& limits = m_state->m_pool.RefusalLimits();
+  if (!limits.NoteResponse(process, refusals, attempt.m_sent_at, BootTime())) {
+    return;
+  }
+  Log(LogLevel::kInfo, "upstream_brittle",
+      {{"upstream", attempt.m_upstream.str()},
+       {"request", m_request.m_id.str()},
+       {"brittle", refusals.has_value()},
+       {"refusals", refusals.value_or(0)}});
+}
+
+void RouteRelay::LogFull() const {
+  const UpstreamPool& pool = m_state->m_pool;
+  const UpstreamProcess process{HashOf(m_attempt->m_upstream),
+                                m_attempt->m_start_time_ms};
+  const std::optional<double> refusals = pool.RefusalLimits().RateOf(process);
+  if (!refusals) {
+    return;
+  }
+  m_state->m_metrics.Count("nutmeg_route_refused_by_brittle");
+  Log(LogLevel::kInfo, "upstream_full",
+      {{"upstream", m_attempt->m_upstream.str()},
+       {"request", m_request.m_id.str()},
+       {"refusals", *refusals},
+       {"own_active", std::int64_t{pool.Active(m_attempt->m_upstream)}},
+       {"load", m_attempt->m_choice.m_load},
+       {"load_age_ms", Milliseconds(m_attempt->m_choice.m_load_age)}});
+}
+
 void RouteRelay::CompareLoad(const LoadReport& report) {
   const UpstreamChoice& choice = m_attempt->m_choice;
   if (!IsEngine()) {
@@ -160,6 +199,9 @@
     return;
   }
   const AttemptFailure failure = *m_attempt->m_failure;
+  if (failure == AttemptFailure::kRefused) {
+    LogFull();
+  }
   if (failure == AttemptFailure::kWrongUpstream) {
     m_state->m_pool.NoteReplaced(m_attempt->m_upstream, BootTime());
   }
