--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -17,6 +17,7 @@
 #include "nutmeghollow/crash_suspects.h"
 #include "nutmeghollow/load_exchange.h"
 #include "nutmeghollow/rate_exchange.h"
+#include "nutmeghollow/room_leases.h"
 #include "nutmeghollow/stream_origins.h"
 #include "nutmeghollow/types.h"
 #include "nutmeghollow/upstream_pool.h"
@@ -40,6 +41,12 @@
   std::optional<StreamReport> m_stream_report;
   /// Id of a report of the receiver whose streams are recorded; 0 for none.
   std::uint32_t m_recorded_report = 0;
+  /// Refusals in a second at which brittle upstreams fall over.
+  std::vector<StatedRate> m_refusal_limits;
+  /// Messages about leases, see RoomLeases.
+  std::optional<PermitRequest> m_room_request;
+  std::optional<PermitResponse> m_room_response;
+  std::vector<RoomReport> m_room_reports;
   /// The digest has none of the state above m_crashes; what was sent of it
   /// before stays valid.
   bool m_events_only = false;
@@ -53,6 +60,7 @@
 inline constexpr std::size_t kMaxCrashesPerReport = 5;
 inline constexpr std::size_t kMaxLeavingUpstreams = 16;
 inline constexpr std::size_t kMaxStatedRates = 12;
+inline constexpr std::size_t kMaxRoomReports = 24;
 
 /// @return the digest as the payload of a datagram. Times are encoded as ages
 /// in milliseconds, since the clocks of two machines differ.
--- a/src/include/nutmeghollow/rate_exchange.h
+++ b/src/include/nutmeghollow/rate_exchange.h
@@ -13,9 +13,12 @@
 /// next instance of an order that is the same everywhere.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "nutmeghollow/coordinator_choice.h"
@@ -32,6 +35,9 @@
 struct LimitedProcess {
   UpstreamProcess m_process;
   double m_rate = 0;  ///< Requests per second from all instances.
+  /// Above zero: the permit is a lease (see RoomLeases), and the rate that of
+  /// the refusals at which the upstream falls over.
+  int m_slots = 0;
 };
 
 /// Time until the allocator can make the next permit for a process.
@@ -67,6 +73,10 @@
   Duration m_first_burst = std::chrono::milliseconds(20);
   /// Permits of processes that nobody requested are forgotten after this long.
   Duration m_bucket_expiry = std::chrono::seconds(10);
+  /// A request waits this long at the allocator for a permit that is given
+  /// back; zero where none is. And the most requests that wait.
+  Duration m_max_wait = Duration::zero();
+  std::size_t m_max_waiting = 512;
 };
 
 /// The part of the exchange that one instance plays.
@@ -78,6 +88,13 @@
         m_send_request;
     std::function<void(const InstanceId& to, const PermitResponse& response)>
         m_send_response;
+    /// Decides as allocator instead of the rates: grants a permit and returns
+    /// nothing, or returns when to ask again. Unset: the rates decide.
+    std::function<std::optional<Duration>(const InstanceId& to,
+                                          const LimitedProcess& process,
+                                          double share,
+                                          TimePoint now)>
+        m_grant;
   };
 
   /// @param directory and @param limits must outlive this object.
@@ -111,12 +128,30 @@
   /// @return the instance that this one requests permits from; empty before the
   /// first request.
   const InstanceId& Allocator() const { return m_allocator.Current(); }
+  /// Grants permits for a process, of which some were given back, to the
+  /// requests that wait.
+  void GrantWaiting(const UpstreamProcess& process, TimePoint now);
+  /// Responds to requests that have waited too long. Called every few
+  /// milliseconds while HasWaiting.
+  void EndWaiting(TimePoint now);
+  bool HasWaiting() const { return !m_waiting.empty(); }
+  /// Chooses the allocator without a request. @return its id.
+  const InstanceId& ChooseAllocator(TimePoint now) {
+    IsAllocator(now);
+    return m_allocator.Current();
+  }
 
  private:
   struct OpenRequest {
     TimePoint m_sent_at{};
     std::function<void()> m_done;
   };
+  /// A request at the allocator.
+  struct Waiting {
+    InstanceId m_from;
+    PermitRequest m_request;
+    TimePoint m_since{};
+  };
   /// Permits of a process that can be granted now.
   struct Bucket {
     double m_permits = 0;
@@ -126,7 +161,16 @@
 
   /// Chooses the allocator again. @return true when it is this instance.
   bool IsAllocator(TimePoint now);
-  PermitResponse Respond(const PermitRequest& request, TimePoint now);
+  /// Responds to a request, unless it is to wait.
+  void RespondOrWait(Waiting waiting, TimePoint now);
+  void Send(const InstanceId& to,
+            const PermitResponse& response,
+            TimePoint now);
+  PermitResponse Respond(const InstanceId& from,
+                         const PermitRequest& request,
+                         TimePoint now);
+  /// Makes a permit for a process. @return nothing, or when there will be one.
+  std::optional<Duration> Grant(const LimitedProcess& process, TimePoint now);
   void Apply(const PermitResponse& response, TimePoint now);
   Bucket& Fill(const LimitedProcess& process, TimePoint now);
   /// @return part of each rate that this instance may hand out: less than one
@@ -142,6 +186,7 @@
   std::uint32_t m_last_request = 0;
   std::map<PermitRequestId, OpenRequest> m_open;
   std::map<UpstreamProcess, Bucket> m_buckets;
+  std::deque<Waiting> m_waiting;
 };
 
 }  // namespace nutmeghollow
--- a/src/include/nutmeghollow/rate_limits.h
+++ b/src/include/nutmeghollow/rate_limits.h
@@ -83,6 +83,10 @@
   /// @return true when a request may be sent: the process has no limit, or
   /// there is a permit.
   bool MaySend(const UpstreamProcess& process, TimePoint now) const;
+  /// Removes permits that were not used in time. @return their number.
+  std::size_t RemoveUnused(const UpstreamProcess& process, TimePoint now);
+  /// @return number of permits that can be used.
+  std::size_t Permits(const UpstreamProcess& process, TimePoint now) const;
   /// Uses a permit for a request that is sent to a limited process.
   /// @return false when there is none.
   bool TakePermit(const UpstreamProcess& process, TimePoint now);
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -20,6 +21,7 @@
 #include "nutmeghollow/priority_demand.h"
 #include "nutmeghollow/rate_exchange.h"
 #include "nutmeghollow/rate_limits.h"
+#include "nutmeghollow/room_leases.h"
 #include "nutmeghollow/routing.h"
 #include "nutmeghollow/types.h"
 
@@ -109,6 +111,8 @@
   /// Longest wait that is stated to a caller who was refused for want of
   /// permits.
   Duration m_max_permit_wait = std::chrono::seconds(2);
+  /// Longest step from one wait to the next when the permits are leases.
+  Duration m_max_lease_wait = std::chrono::milliseconds(100);
   /// Upper limit of a stated refusal time. An upstream that is unavailable for
   /// longer registers again.
   Duration m_max_refusal = std::chrono::minutes(10);
@@ -181,6 +185,7 @@
       false;  ///< One of the engines that a hot chat is spread over.
   Duration m_load_age{};   ///< Of the loads of other instances.
   bool m_limited = false;  ///< Chosen with a permit for its request rate.
+  bool m_leased = false;   ///< Chosen with a lease of a brittle upstream.
 };
 
 /// Registered upstreams of all services.
@@ -217,11 +222,12 @@
   /// requests leave them to the more urgent ones when there are too few.
   bool AdmitRequest(const UpstreamQuery& upstream_query, TimePoint now);
   /// @return limited upstreams to which a request should rather be sent than to
-  /// the one that Choose returns, if there were permits; the best first.
+  /// the one that Choose returns, if there were permits; the best first. While
+  /// none of them needs a permit for its rate, those that need a lease.
   std::vector<LimitedProcess> PermitsWanted(const UpstreamQuery& upstream_query,
                                             TimePoint now);
   /// @return true when a request that was chosen an upstream for may still be
-  /// sent: false when the upstream has stated a request rate since.
+  /// sent: false when the upstream has stated a limit since.
   bool MaySend(const UpstreamChoice& choice) const;
   /// @return time until the first of a service's upstreams accepts requests
   /// again according to its stated refusal; nothing when one does not refuse,
@@ -272,9 +278,20 @@
   RateLimits& Limits() { return m_limits; }
   const RateLimits& Limits() const { return m_limits; }
   /// Refusals in a second at which upstreams fall over, as stated by brittle
-  /// ones.
+  /// ones, and leases as permits.
   RateLimits& RefusalLimits() { return m_refusal_limits; }
   const RateLimits& RefusalLimits() const { return m_refusal_limits; }
+  /// Sets what is called when a request to a brittle upstream has ended.
+  void OnRoomReport(std::function<void(const RoomReport& report)> hook) {
+    m_on_room_report = std::move(hook);
+  }
+  /// Gives leases back that were not used in time. Called every few
+  /// milliseconds while an upstream is brittle.
+  void ReturnLeases(TimePoint now);
+  /// @return what this instance has at each brittle upstream.
+  std::vector<RoomReport> RoomReports(TimePoint now) const;
+  /// @return the id of a registered upstream; empty when there is none.
+  UpstreamId IdOf(UpstreamHash upstream) const;
   /// Records that another upstream responded at this one's address.
   void NoteReplaced(const UpstreamId& id, TimePoint now);
 
@@ -335,6 +352,8 @@
     double m_unread_tokens = 0;
     bool m_limited = false;       ///< Has a request rate limit.
     bool m_needs_permit = false;  ///< Cannot be chosen before one is received.
+    bool m_leased = false;        ///< Is brittle.
+    bool m_needs_lease = false;   ///< Cannot be chosen before one is received.
     bool m_is_over = false;       ///< Over the load bound.
   };
   /// Candidates of a request with their costs.
@@ -352,6 +371,13 @@
   Evaluation Evaluate(const UpstreamQuery& upstream_query, TimePoint now);
   /// @return the best of the candidates that need no permit, or null.
   const Candidate* Best(const std::vector<Candidate>& candidates) const;
+  /// @return candidates that need a permit or lease and would be better than
+  /// all that need none, the best first.
+  std::vector<const Candidate*> BetterWithPermit(
+      const std::vector<Candidate>& candidates) const;
+  /// Reports the end of a request to a brittle upstream.
+  void EndLease(const Upstream& upstream, AttemptHealth health, TimePoint now);
+  int Held(const Upstream& upstream, TimePoint now) const;
   /// @return true when a candidate is to be preferred to another.
   static bool IsBetter(const Candidate& a, const Candidate& b);
   Upstream* FindRow(const UpstreamId& id);
@@ -364,9 +390,11 @@
   static UpstreamProcess ProcessOf(const Upstream& upstream) {
     return {upstream.m_hash, upstream.m_registration.m_start_time_ms};
   }
+  /// @param leases whether leases count as permits.
   /// @return permits per second that this instance gets for a service;
   /// nothing when one of its upstreams has no limit.
   std::optional<double> PermitRate(const ServiceId& service,
+                                   bool leases,
                                    TimePoint now) const;
   void MarkBackingOff(std::vector<Candidate>& candidates, TimePoint now) const;
   /// Chooses among the engines over which a hot chat is spread.
@@ -401,7 +429,9 @@
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
   RateLimits m_limits;
-  RateLimits m_refusal_limits;
+  RateLimits m_refusal_limits{
+      {.m_permit_lifetime = std::chrono::milliseconds(40)}};
+  std::function<void(const RoomReport& report)> m_on_room_report;
   std::map<ServiceId, PriorityDemand> m_demand;
   /// Moving averages of the tokens of the shared prefixes of prompts.
   std::map<ServiceId, double> m_mean_prefix;
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -66,6 +66,7 @@
   upstream @0 :UInt32;
   bornMs @1 :Int64;
   rate @2 :Float32;
+  slots @3 :UInt16;
 }
 
 struct PermitRequest {
@@ -98,6 +99,15 @@
   records @1 :List(StreamRecord);
 }
 
+# What an instance has at a brittle upstream.
+struct RoomReport {
+  upstream @0 :UInt32;
+  bornMs @1 :Int64;
+  held @2 :UInt16;
+  ended @3 :UInt16;
+  refused @4 :UInt16;
+}
+
 struct Digest {
   ready @0 :Bool;
   revision @1 :UInt64;
@@ -117,4 +127,10 @@
   streamReport @11 :StreamReport;
   # Id of a report whose streams are recorded; 0 for none.
   recordedReport @12 :UInt32;
+  # Refusals in a second at which a process of an upstream falls over.
+  refusalLimits @13 :List(StatedRate);
+  # About leases, else as permitRequest and permitResponse.
+  roomRequest @14 :PermitRequest;
+  roomResponse @15 :PermitResponse;
+  roomReports @16 :List(RoomReport);
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(d284b291a5d1e347);
 CAPNP_DECLARE_SCHEMA(e973835542201c00);
 CAPNP_DECLARE_SCHEMA(a2e553e46a942339);
+CAPNP_DECLARE_SCHEMA(9dead83f3cb5029e);
 CAPNP_DECLARE_SCHEMA(93f571f6ff529ced);
 
 }  // namespace schemas
@@ -150,7 +151,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eee97bb4d0fa543a, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(eee97bb4d0fa543a, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -232,6 +233,21 @@
   };
 };
 
+struct RoomReport {
+  RoomReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9dead83f3cb5029e, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Digest {
   Digest() = delete;
 
@@ -240,7 +256,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 2, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -916,6 +932,8 @@
 
   inline float getRate() const;
 
+  inline  ::uint16_t getSlots() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -953,6 +971,9 @@
   inline float getRate();
   inline void setRate(float value);
 
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1419,6 +1440,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class RoomReport::Reader {
+public:
+  typedef RoomReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::int64_t getBornMs() const;
+
+  inline  ::uint16_t getHeld() const;
+
+  inline  ::uint16_t getEnded() const;
+
+  inline  ::uint16_t getRefused() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RoomReport::Builder {
+public:
+  typedef RoomReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::int64_t getBornMs();
+  inline void setBornMs( ::int64_t value);
+
+  inline  ::uint16_t getHeld();
+  inline void setHeld( ::uint16_t value);
+
+  inline  ::uint16_t getEnded();
+  inline void setEnded( ::uint16_t value);
+
+  inline  ::uint16_t getRefused();
+  inline void setRefused( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RoomReport::Pipeline {
+public:
+  typedef RoomReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Digest::Reader {
 public:
   typedef Digest Reads;
@@ -1471,6 +1588,18 @@
 
   inline  ::uint32_t getRecordedReport() const;
 
+  inline bool hasRefusalLimits() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader getRefusalLimits() const;
+
+  inline bool hasRoomRequest() const;
+  inline  ::nutmeghollow::wire::PermitRequest::Reader getRoomRequest() const;
+
+  inline bool hasRoomResponse() const;
+  inline  ::nutmeghollow::wire::PermitResponse::Reader getRoomResponse() const;
+
+  inline bool hasRoomReports() const;
+  inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Reader getRoomReports() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1574,6 +1703,34 @@
   inline  ::uint32_t getRecordedReport();
   inline void setRecordedReport( ::uint32_t value);
 
+  inline bool hasRefusalLimits();
+  inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder getRefusalLimits();
+  inline void setRefusalLimits( ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder initRefusalLimits(unsigned int size);
+  inline void adoptRefusalLimits(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>> disownRefusalLimits();
+
+  inline bool hasRoomRequest();
+  inline  ::nutmeghollow::wire::PermitRequest::Builder getRoomRequest();
+  inline void setRoomRequest( ::nutmeghollow::wire::PermitRequest::Reader value);
+  inline  ::nutmeghollow::wire::PermitRequest::Builder initRoomRequest();
+  inline void adoptRoomRequest(::capnp::Orphan< ::nutmeghollow::wire::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitRequest> disownRoomRequest();
+
+  inline bool hasRoomResponse();
+  inline  ::nutmeghollow::wire::PermitResponse::Builder getRoomResponse();
+  inline void setRoomResponse( ::nutmeghollow::wire::PermitResponse::Reader value);
+  inline  ::nutmeghollow::wire::PermitResponse::Builder initRoomResponse();
+  inline void adoptRoomResponse(::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value);
+  inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> disownRoomResponse();
+
+  inline bool hasRoomReports();
+  inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Builder getRoomReports();
+  inline void setRoomReports( ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Builder initRoomReports(unsigned int size);
+  inline void adoptRoomReports(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>> disownRoomReports();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1596,6 +1753,8 @@
   inline  ::nutmeghollow::wire::PermitRequest::Pipeline getPermitRequest();
   inline  ::nutmeghollow::wire::PermitResponse::Pipeline getPermitResponse();
   inline  ::nutmeghollow::wire::StreamReport::Pipeline getStreamReport();
+  inline  ::nutmeghollow::wire::PermitRequest::Pipeline getRoomRequest();
+  inline  ::nutmeghollow::wire::PermitResponse::Pipeline getRoomResponse();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2080,6 +2239,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t LimitedProcess::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t LimitedProcess::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void LimitedProcess::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t PermitRequest::Reader::getId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2336,6 +2509,76 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RoomReport::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RoomReport::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RoomReport::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RoomReport::Reader::getBornMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RoomReport::Builder::getBornMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RoomReport::Builder::setBornMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t RoomReport::Reader::getHeld() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RoomReport::Builder::getHeld() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RoomReport::Builder::setHeld( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t RoomReport::Reader::getEnded() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RoomReport::Builder::getEnded() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RoomReport::Builder::setEnded( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t RoomReport::Reader::getRefused() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t RoomReport::Builder::getRefused() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void RoomReport::Builder::setRefused( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Digest::Reader::getReady() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2718,6 +2961,152 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Digest::Reader::hasRefusalLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasRefusalLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getRefusalLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getRefusalLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setRefusalLimits( ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initRefusalLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptRefusalLimits(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>> Digest::Builder::disownRefusalLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::StatedRate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasRoomRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasRoomRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmeghollow::wire::PermitRequest::Reader Digest::Reader::getRoomRequest() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::nutmeghollow::wire::PermitRequest::Builder Digest::Builder::getRoomRequest() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmeghollow::wire::PermitRequest::Pipeline Digest::Pipeline::getRoomRequest() {
+  return  ::nutmeghollow::wire::PermitRequest::Pipeline(_typeless.getPointerField(10));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setRoomRequest( ::nutmeghollow::wire::PermitRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmeghollow::wire::PermitRequest::Builder Digest::Builder::initRoomRequest() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptRoomRequest(
+    ::capnp::Orphan< ::nutmeghollow::wire::PermitRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmeghollow::wire::PermitRequest> Digest::Builder::disownRoomRequest() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasRoomResponse() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasRoomResponse() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::nutmeghollow::wire::PermitResponse::Reader Digest::Reader::getRoomResponse() const {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::getRoomResponse() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::nutmeghollow::wire::PermitResponse::Pipeline Digest::Pipeline::getRoomResponse() {
+  return  ::nutmeghollow::wire::PermitResponse::Pipeline(_typeless.getPointerField(11));
+}
+#endif  // !CAPNP_LITE
+inline void Digest::Builder::setRoomResponse( ::nutmeghollow::wire::PermitResponse::Reader value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::nutmeghollow::wire::PermitResponse::Builder Digest::Builder::initRoomResponse() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::adoptRoomResponse(
+    ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse>&& value) {
+  ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::nutmeghollow::wire::PermitResponse> Digest::Builder::disownRoomResponse() {
+  return ::capnp::_::PointerHelpers< ::nutmeghollow::wire::PermitResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasRoomReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasRoomReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getRoomReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getRoomReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setRoomReports( ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initRoomReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptRoomReports(
+    ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>> Digest::Builder::disownRoomReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -148,6 +148,7 @@
     processes[index].setUpstream(entry.m_process.m_upstream.value());
     processes[index].setBornMs(entry.m_process.m_start_time_ms);
     processes[index].setRate(static_cast<float>(entry.m_rate));
+    processes[index].setSlots(ToUInt16(entry.m_slots));
   }
 }
 
@@ -160,7 +161,9 @@
       return std::nullopt;
     }
     request.m_processes.push_back(
-        {{UpstreamHash(entry.getUpstream()), entry.getBornMs()}, rate});
+        {{UpstreamHash(entry.getUpstream()), entry.getBornMs()},
+         rate,
+         entry.getSlots()});
   }
   return request;
 }
@@ -218,6 +221,55 @@
   return report;
 }
 
+void WriteRooms(wire::Digest::Builder root,
+                const FleetDigest& digest,
+                TimePoint now) {
+  const auto limit_count =
+      std::min(digest.m_refusal_limits.size(), kMaxStatedRates);
+  auto limits = root.initRefusalLimits(static_cast<unsigned>(limit_count));
+  for (unsigned index = 0; index < limit_count; ++index) {
+    WriteRate(limits[index], digest.m_refusal_limits[index], now);
+  }
+  if (digest.m_room_request) {
+    WritePermitRequest(root.initRoomRequest(), *digest.m_room_request);
+  }
+  if (digest.m_room_response) {
+    WriteResponse(root.initRoomResponse(), *digest.m_room_response);
+  }
+  const auto report_count =
+      std::min(digest.m_room_reports.size(), kMaxRoomReports);
+  auto reports = root.initRoomReports(static_cast<unsigned>(report_count));
+  for (unsigned index = 0; index < report_count; ++index) {
+    const RoomReport& report = digest.m_room_reports[index];
+    reports[index].setUpstream(report.m_process.m_upstream.value());
+    reports[index].setBornMs(report.m_process.m_start_time_ms);
+    reports[index].setHeld(ToUInt16(report.m_held));
+    reports[index].setEnded(ToUInt16(report.m_ended));
+    reports[index].setRefused(ToUInt16(report.m_refused));
+  }
+}
+
+void ReadRooms(wire::Digest::Reader root, FleetDigest* digest, TimePoint now) {
+  for (const auto& entry : root.getRefusalLimits()) {
+    if (const auto stated = ReadRate(entry, now)) {
+      digest->m_refusal_limits.push_back(*stated);
+    }
+  }
+  if (root.hasRoomRequest()) {
+    digest->m_room_request = ReadPermitRequest(root.getRoomRequest());
+  }
+  if (root.hasRoomResponse()) {
+    digest->m_room_response = ReadResponse(root.getRoomResponse());
+  }
+  for (const auto& entry : root.getRoomReports()) {
+    digest->m_room_reports.push_back(
+        {{UpstreamHash(entry.getUpstream()), entry.getBornMs()},
+         entry.getHeld(),
+         entry.getEnded(),
+         std::min(entry.getRefused(), entry.getEnded())});
+  }
+}
+
 }  // namespace
 
 std::string EncodeDigest(const FleetDigest& digest, TimePoint now) {
@@ -269,6 +321,7 @@
     WriteStreamReport(root.initStreamReport(), *digest.m_stream_report);
   }
   root.setRecordedReport(digest.m_recorded_report);
+  WriteRooms(root, digest, now);
   root.setNewsOnly(digest.m_events_only);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -322,6 +375,7 @@
     if (root.hasPermitResponse()) {
       digest.m_permit_response = ReadResponse(root.getPermitResponse());
     }
+    ReadRooms(root, &digest, now);
   } catch (const kj::Exception&) {
     return std::nullopt;
   }
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -115,6 +115,43 @@
   EXPECT_LE(EncodeDigest(digest, kNow).size(), 1080U);
 }
 
+TEST(FleetDigest, KeepsWhatIsSaidAboutBrittleUpstreams) {
+  const UpstreamProcess process{UpstreamHash(0x90000001U), 1700000000123};
+  FleetDigest digest;
+  digest.m_events_only = true;
+  digest.m_refusal_limits = {{process, 8.0, kNow}};
+  digest.m_room_request = PermitRequest{PermitRequestId(5), {{process, 8, 64}}};
+  digest.m_room_response =
+      PermitResponse{PermitRequestId(6), process, {{process, Duration(7000)}}};
+  digest.m_room_reports = {{process, 12, 1, 1}};
+  const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->m_refusal_limits.size(), 1U);
+  EXPECT_EQ(read->m_refusal_limits[0].m_rate, 8.0);
+  EXPECT_FALSE(read->m_permit_request);
+  ASSERT_TRUE(read->m_room_request);
+  EXPECT_EQ(read->m_room_request->m_processes[0].m_slots, 64);
+  ASSERT_TRUE(read->m_room_response);
+  EXPECT_EQ(read->m_room_response->m_granted, process);
+  ASSERT_EQ(read->m_room_reports.size(), 1U);
+  EXPECT_EQ(read->m_room_reports[0].m_process, process);
+  EXPECT_EQ(read->m_room_reports[0].m_held, 12);
+  EXPECT_EQ(read->m_room_reports[0].m_refused, 1);
+}
+
+TEST(FleetDigest, OfManyRoomReportsFitsIntoADatagram) {
+  FleetDigest digest;
+  digest.m_events_only = true;
+  for (std::uint32_t index = 0; index < 200; ++index) {
+    const UpstreamProcess process{UpstreamHash(0x1234567U * (index + 1)),
+                                  1700000000123 + 77777 * index};
+    digest.m_rates.push_back({process, 3.3, kNow});
+    digest.m_refusal_limits.push_back({process, 8.1, kNow});
+    digest.m_room_reports.push_back({process, 300, 0, 0});
+  }
+  EXPECT_LE(EncodeDigest(digest, kNow).size(), 1300U);
+}
+
 class BadDigest : public testing::TestWithParam<std::string> {};
 
 TEST_P(BadDigest, IsRejected) {
--- a/src/libnutmeg/rate_exchange.cpp
+++ b/src/libnutmeg/rate_exchange.cpp
@@ -45,13 +45,12 @@
   processes.resize(std::min(processes.size(), kMaxProcessesPerPermitRequest));
   PermitRequest request{PermitRequestId(++m_last_request),
                         std::move(processes)};
+  m_open.emplace(request.m_id, OpenRequest{now, std::move(done)});
   if (IsAllocator(now)) {
-    Apply(Respond(request, now), now);
-    done();
-    return;
+    RespondOrWait({m_self, std::move(request), now}, now);
+  } else {
+    m_hooks.m_send_request(m_allocator.Current(), request);
   }
-  m_open.emplace(request.m_id, OpenRequest{now, std::move(done)});
-  m_hooks.m_send_request(m_allocator.Current(), request);
 }
 
 void RateExchange::CheckTimeouts(TimePoint now) {
@@ -78,7 +77,62 @@
                                  TimePoint now) {
   // Without a response the sender uses another allocator.
   if (IsAllocator(now)) {
-    m_hooks.m_send_response(from, Respond(request, now));
+    RespondOrWait({from, request, now}, now);
+  }
+}
+
+void RateExchange::RespondOrWait(Waiting waiting, TimePoint now) {
+  const PermitResponse response =
+      Respond(waiting.m_from, waiting.m_request, now);
+  const bool may_wait = m_parameters.m_max_wait > Duration::zero() &&
+                        m_waiting.size() < m_parameters.m_max_waiting;
+  if (response.m_granted || !may_wait) {
+    Send(waiting.m_from, response, now);
+  } else {
+    m_waiting.push_back(std::move(waiting));
+  }
+}
+
+void RateExchange::GrantWaiting(const UpstreamProcess& process, TimePoint now) {
+  const double share = m_waiting.empty() ? 0 : OwnShare(now);
+  std::vector<std::pair<InstanceId, PermitResponse>> granted;
+  for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+    const auto& wanted = waiting->m_request.m_processes;
+    const auto entry =
+        std::find_if(wanted.begin(), wanted.end(),
+                     [&](const auto& one) { return one.m_process == process; });
+    if (entry == wanted.end()) {
+      ++waiting;
+      continue;
+    }
+    if (m_hooks.m_grant(waiting->m_from, *entry, share, now)) {
+      break;
+    }
+    granted.emplace_back(waiting->m_from,
+                         PermitResponse{waiting->m_request.m_id, process, {}});
+    waiting = m_waiting.erase(waiting);
+  }
+  for (const auto& [to, response] : granted) {
+    Send(to, response, now);
+  }
+}
+
+void RateExchange::EndWaiting(TimePoint now) {
+  while (!m_waiting.empty() &&
+         now - m_waiting.front().m_since >= m_parameters.m_max_wait) {
+    const Waiting waiting = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    Send(waiting.m_from, Respond(waiting.m_from, waiting.m_request, now), now);
+  }
+}
+
+void RateExchange::Send(const InstanceId& to,
+                        const PermitResponse& response,
+                        TimePoint now) {
+  if (to == m_self) {
+    HandleResponse(m_self, response, now);
+  } else {
+    m_hooks.m_send_response(to, response);
   }
 }
 
@@ -104,30 +158,40 @@
   }
 }
 
-PermitResponse RateExchange::Respond(const PermitRequest& request,
+PermitResponse RateExchange::Respond(const InstanceId& from,
+                                     const PermitRequest& request,
                                      TimePoint now) {
   std::erase_if(m_buckets, [&](const auto& entry) {
     return now - entry.second.m_filled_at >= m_parameters.m_bucket_expiry;
   });
   PermitResponse response{request.m_id, std::nullopt, {}};
   for (const LimitedProcess& process : request.m_processes) {
-    Bucket& bucket = Fill(process, now);
-    if (bucket.m_permits >= 1.0) {
-      bucket.m_permits -= 1.0;
+    const std::optional<Duration> delay =
+        m_hooks.m_grant ? m_hooks.m_grant(from, process, OwnShare(now), now)
+                        : Grant(process, now);
+    if (!delay) {
       response.m_granted = process.m_process;
       break;
     }
-    const double missing = 1.0 - bucket.m_permits;
-    const double seconds =
-        bucket.m_rate > 0 ? missing / bucket.m_rate : Seconds(kMaxPermitDelay);
-    response.m_exhausted.push_back(
-        {process.m_process,
-         Duration(static_cast<std::int64_t>(
-             1e6 * std::min(seconds, Seconds(kMaxPermitDelay))))});
+    response.m_exhausted.push_back({process.m_process, *delay});
   }
   return response;
 }
 
+std::optional<Duration> RateExchange::Grant(const LimitedProcess& process,
+                                            TimePoint now) {
+  Bucket& bucket = Fill(process, now);
+  if (bucket.m_permits >= 1.0) {
+    bucket.m_permits -= 1.0;
+    return std::nullopt;
+  }
+  const double missing = 1.0 - bucket.m_permits;
+  const double seconds =
+      bucket.m_rate > 0 ? missing / bucket.m_rate : Seconds(kMaxPermitDelay);
+  return Duration(static_cast<std::int64_t>(
+      1e6 * std::min(seconds, Seconds(kMaxPermitDelay))));
+}
+
 RateExchange::Bucket& RateExchange::Fill(const LimitedProcess& process,
                                          TimePoint now) {
   const double rate =
--- a/src/libnutmeg/rate_limits.cpp
+++ b/src/libnutmeg/rate_limits.cpp
@@ -120,6 +120,31 @@
       times.end() - std::upper_bound(times.begin(), times.end(), oldest));
 }
 
+std::size_t RateLimits::RemoveUnused(const UpstreamProcess& process,
+                                     TimePoint now) {
+  const auto found = m_entries.find(process);
+  if (found == m_entries.end()) {
+    return 0;
+  }
+  std::deque<TimePoint>& permits = found->second.m_permits;
+  std::size_t removed = 0;
+  for (; !permits.empty() &&
+         now - permits.front() >= m_parameters.m_permit_lifetime;
+       ++removed) {
+    permits.pop_front();
+  }
+  return removed;
+}
+
+std::size_t RateLimits::Permits(const UpstreamProcess& process,
+                                TimePoint now) const {
+  const auto found = m_entries.find(process);
+  return found == m_entries.end()
+             ? 0
+             : CountAfter(found->second.m_permits,
+                          now - m_parameters.m_permit_lifetime);
+}
+
 bool RateLimits::MaySend(const UpstreamProcess& process, TimePoint now) const {
   const auto found = m_entries.find(process);
   return found == m_entries.end() || !found->second.m_rate ||
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -83,6 +83,8 @@
     candidate.m_load = EstimatedLoad(row, now);
     candidate.m_limited = m_limits.IsLimited(ProcessOf(row));
     candidate.m_needs_permit = !m_limits.MaySend(ProcessOf(row), now);
+    candidate.m_leased = m_refusal_limits.IsLimited(ProcessOf(row));
+    candidate.m_needs_lease = !m_refusal_limits.MaySend(ProcessOf(row), now);
     candidates.push_back(candidate);
   }
   MarkBackingOff(candidates, now);
@@ -265,7 +267,7 @@
     const bool drawn = rank == first || rank == second;
     const bool has_room = candidate.m_load + 1 <= bound;
     if (drawn && has_room && !candidate.m_backing_off &&
-        !candidate.m_needs_permit &&
+        !candidate.m_needs_permit && !candidate.m_needs_lease &&
         (best == nullptr || candidate.m_load < best->m_load)) {
       best = &candidate;
     }
@@ -340,7 +342,7 @@
                             std::max<std::size_t>(1, candidates.size());
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     const Candidate& candidate = candidates[(start + step) % candidates.size()];
-    if (!candidate.m_needs_permit &&
+    if (!candidate.m_needs_permit && !candidate.m_needs_lease &&
         (best == nullptr || IsBetter(candidate, *best))) {
       best = &candidate;
     }
@@ -348,33 +350,6 @@
   return best;
 }
 
-std::vector<LimitedProcess> UpstreamPool::PermitsWanted(
-    const UpstreamQuery& upstream_query,
-    TimePoint now) {
-  std::vector<LimitedProcess> wanted;
-  if (!m_limits.AnyLimited()) {
-    return wanted;
-  }
-  const Evaluation evaluation = Evaluate(upstream_query, now);
-  const Candidate* best = Best(evaluation.m_candidates);
-  std::vector<const Candidate*> preferred;
-  for (const Candidate& candidate : evaluation.m_candidates) {
-    if (candidate.m_needs_permit &&
-        m_limits.MayRequestPermit(ProcessOf(*candidate.m_upstream), now) &&
-        (best == nullptr || IsBetter(candidate, *best))) {
-      preferred.push_back(&candidate);
-    }
-  }
-  std::sort(
-      preferred.begin(), preferred.end(),
-      [](const Candidate* a, const Candidate* b) { return IsBetter(*a, *b); });
-  for (const Candidate* candidate : preferred) {
-    const UpstreamProcess process = ProcessOf(*candidate->m_upstream);
-    wanted.push_back({process, m_limits.RateOf(process).value_or(0)});
-  }
-  return wanted;
-}
-
 std::optional<UpstreamChoice> UpstreamPool::Choose(
     const UpstreamQuery& upstream_query,
     TimePoint now) {
@@ -407,6 +382,7 @@
   choice.m_load_age = m_load_age;
   choice.m_unread_tokens = best->m_unread_tokens;
   choice.m_limited = best->m_limited;
+  choice.m_leased = best->m_leased;
   choice.m_home_over_bound = std::any_of(
       candidates.begin(), candidates.end(),
       [](const auto& one) { return one.m_rank == 0 && one.m_is_over; });
--- a/src/libnutmeg/upstream_limits_test.cpp
+++ b/src/libnutmeg/upstream_limits_test.cpp
@@ -98,6 +98,78 @@
   EXPECT_EQ(pool.PermitWait(kService, At({})), Duration(milliseconds(500)));
 }
 
+void MakeBrittle(UpstreamPool* pool, const UpstreamId& id) {
+  pool->RefusalLimits().NoteResponse(ProcessOf(id), 8.0, At({}), At({}));
+}
+
+TEST(UpstreamLimits, ABrittleUpstreamIsNotChosenWithoutALease) {
+  UpstreamPool pool = MakePool(2);
+  const UpstreamId id("u0");
+  const auto before = pool.Choose(MakeQuery(nullptr), At({}));
+  MakeBrittle(&pool, id);
+  MakeBrittle(&pool, UpstreamId("u1"));
+  EXPECT_FALSE(pool.MaySend(*before));
+  EXPECT_FALSE(pool.Choose(MakeQuery(nullptr), At({})));
+  const auto wanted = pool.PermitsWanted(MakeQuery(nullptr), At({}));
+  ASSERT_EQ(wanted.size(), 2U);
+  EXPECT_EQ(wanted[0].m_slots, 32);
+  pool.RefusalLimits().AddPermit(ProcessOf(id), At({}));
+  const auto choice = pool.Choose(MakeQuery(nullptr), At({}));
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->m_id, id);
+  EXPECT_TRUE(pool.MaySend(*choice));
+  pool.NoteSent(id, nullptr, At({}));
+  EXPECT_FALSE(pool.Choose(MakeQuery(nullptr), At({})));
+  EXPECT_TRUE(pool.PermitWait(kService, At({})));
+}
+
+TEST(UpstreamLimits, ABrittleUpstreamWithARateNeedsAPermitAndALease) {
+  UpstreamPool pool = MakePool(1);
+  const UpstreamId id("u0");
+  MakeBrittle(&pool, id);
+  Limit(&pool, id);
+  EXPECT_EQ(pool.PermitsWanted(MakeQuery(nullptr), At({}))[0].m_slots, 0);
+  pool.Limits().AddPermit(ProcessOf(id), At({}));
+  EXPECT_FALSE(pool.Choose(MakeQuery(nullptr), At({})));
+  EXPECT_EQ(pool.PermitsWanted(MakeQuery(nullptr), At({}))[0].m_slots, 32);
+  pool.RefusalLimits().AddPermit(ProcessOf(id), At({}));
+  EXPECT_TRUE(pool.Choose(MakeQuery(nullptr), At({})));
+}
+
+struct EndCase {
+  AttemptHealth m_health;
+  int m_refused;
+};
+class UpstreamLimitsEnd : public ::testing::TestWithParam<EndCase> {};
+
+TEST_P(UpstreamLimitsEnd, ARequestThatEndsGivesItsRoomBack) {
+  UpstreamPool pool = MakePool(1);
+  const UpstreamId id("u0");
+  std::vector<RoomReport> reports;
+  pool.OnRoomReport(
+      [&](const RoomReport& report) { reports.push_back(report); });
+  pool.NoteSent(id, nullptr, At({}));
+  pool.NoteEnd(id, GetParam().m_health, {}, nullptr, true, At({}));
+  EXPECT_TRUE(reports.empty());
+  MakeBrittle(&pool, id);
+  pool.RefusalLimits().AddPermit(ProcessOf(id), At({}));
+  pool.RefusalLimits().AddPermit(ProcessOf(id), At({}));
+  pool.NoteSent(id, nullptr, At({}));
+  EXPECT_EQ(pool.RoomReports(At({}))[0].m_held, 2);
+  pool.NoteEnd(id, GetParam().m_health, {}, nullptr, true, At({}));
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].m_held, 1);
+  EXPECT_EQ(reports[0].m_ended, 1);
+  EXPECT_EQ(reports[0].m_refused, GetParam().m_refused);
+}
+INSTANTIATE_TEST_SUITE_P(Table,
+                         UpstreamLimitsEnd,
+                         testing::Values(EndCase{AttemptHealth::kServed, 0},
+                                         EndCase{AttemptHealth::kRefused, 1},
+                                         EndCase{AttemptHealth::kBroken, 0},
+                                         EndCase{AttemptHealth::kAbandoned,
+                                                 0}));
+
 struct PrefixCase {
   std::int64_t m_shared_tokens;
   bool m_wants_permit;
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -135,11 +135,16 @@
 
 bool UpstreamPool::MaySend(const UpstreamChoice& choice) const {
   const auto found = m_upstreams.find(choice.m_id);
-  return choice.m_limited || found == m_upstreams.end() ||
-         !m_limits.IsLimited(ProcessOf(found->second));
+  if (found == m_upstreams.end()) {
+    return true;
+  }
+  const UpstreamProcess process = ProcessOf(found->second);
+  return (choice.m_limited || !m_limits.IsLimited(process)) &&
+         (choice.m_leased || !m_refusal_limits.IsLimited(process));
 }
 
 std::optional<double> UpstreamPool::PermitRate(const ServiceId& service,
+                                               bool leases,
                                                TimePoint now) const {
   double rate = 0;
   bool limited = false;
@@ -147,11 +152,15 @@
     if (row.m_registration.m_service != service || row.m_leaving) {
       continue;
     }
-    if (!m_limits.IsLimited(ProcessOf(row))) {
+    const UpstreamProcess process = ProcessOf(row);
+    if (m_limits.IsLimited(process)) {
+      rate += m_limits.ReceivedRate(process, now);
+    } else if (leases && m_refusal_limits.IsLimited(process)) {
+      rate += m_refusal_limits.ReceivedRate(process, now);
+    } else {
       return std::nullopt;
     }
     limited = true;
-    rate += m_limits.ReceivedRate(ProcessOf(row), now);
   }
   return limited ? std::optional(rate) : std::nullopt;
 }
@@ -164,7 +173,8 @@
   ++m_choice_count;
   PriorityDemand& demand = m_demand[upstream_query.m_service];
   demand.Note(upstream_query.m_priority, now);
-  const std::optional<double> rate = PermitRate(upstream_query.m_service, now);
+  const std::optional<double> rate =
+      PermitRate(upstream_query.m_service, false, now);
   const auto refused = m_next_return.find(upstream_query.m_service);
   const bool too_few = rate && refused != m_next_return.end() &&
                        now - refused->second < m_parameters.m_max_permit_wait;
@@ -179,14 +189,18 @@
 
 std::optional<Duration> UpstreamPool::PermitWait(const ServiceId& service,
                                                  TimePoint now) {
-  const std::optional<double> rate = PermitRate(service, now);
+  const std::optional<double> rate = PermitRate(service, true, now);
   if (!rate) {
     return std::nullopt;
   }
+  // A lease becomes free whenever a request ends.
+  const Duration longest = PermitRate(service, false, now)
+                               ? m_parameters.m_max_permit_wait
+                               : m_parameters.m_max_lease_wait;
   const Duration step =
-      *rate <= 0 ? m_parameters.m_max_permit_wait
-                 : std::min(Duration(static_cast<std::int64_t>(1e6 / *rate)),
-                            m_parameters.m_max_permit_wait);
+      *rate <= 0
+          ? longest
+          : std::min(Duration(static_cast<std::int64_t>(1e6 / *rate)), longest);
   TimePoint& next = m_next_return[service];
   next = std::max(next, now) + step;
   if (next - now > m_parameters.m_max_permit_wait) {
@@ -231,6 +245,7 @@
   if (m_limits.IsLimited(ProcessOf(*row))) {
     m_limits.TakePermit(ProcessOf(*row), now);
   }
+  m_refusal_limits.TakePermit(ProcessOf(*row), now);
   row->m_refusal_tried |= now < row->m_refused_until;
   if (prompt != nullptr && !prompt->empty()) {
     row->m_pending_prefill += UnreadTokens(*row, *prompt, false, now);
@@ -270,6 +285,7 @@
     return;
   }
   row->m_active = std::max(0, row->m_active - 1);
+  EndLease(*row, health, now);
   if (prompt != nullptr && !response_started) {
     NoteFirstResponse(id, prompt);
   }
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -87,12 +87,22 @@
                  digest.m_permit_response = response;
                  SendMessage(to, std::move(digest));
                }}),
+      m_leases(m_self,
+               m_directory,
+               &m_pool->RefusalLimits(),
+               LeaseHooks(),
+               {.m_max_wait = kLeaseWait}),
+      m_lease_timer(loop, [this] { CheckLeases(); }),
       m_permit_timer(loop, [this] { CheckPermitTimeouts(); }) {
   m_timer.Start(kMinPeriod);
   m_load_timer.StartRepeating(kLoadPeriod);
+  m_pool->OnRoomReport(
+      [this](const RoomReport& report) { SendRoomReports({report}); });
 }
 
-FleetLink::~FleetLink() = default;
+FleetLink::~FleetLink() {
+  m_pool->OnRoomReport(nullptr);
+}
 
 void FleetLink::RegisterGauges(MetricsRegistry* metrics) {
   metrics->SetGauge("nutmeg_gateway_instances", "", [this] {
@@ -209,7 +219,7 @@
   FleetDigest digest;
   digest.m_events_only = true;
   digest.m_load = message;
-  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
+  AddStatements(&digest);
   m_transport->Send(to, peer->second.m_endpoint,
                     EncodeDigest(digest, BootTime()));
 }
@@ -220,7 +230,7 @@
     return;
   }
   digest.m_events_only = true;
-  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
+  AddStatements(&digest);
   m_transport->Send(to, peer->second.m_endpoint,
                     EncodeDigest(digest, BootTime()));
 }
@@ -240,24 +250,27 @@
 
 void FleetLink::RequestPermit(std::vector<LimitedProcess> processes,
                               std::function<void()> done) {
-  const InstanceId allocator = m_rates.Allocator();
+  RateExchange& exchange = processes.front().m_slots > 0 ? m_leases : m_rates;
+  const InstanceId allocator = exchange.Allocator();
   if (EntryInstance* self = m_directory->Find(m_self)) {
     self->m_ready = m_hooks.m_ready();
   }
-  m_rates.Request(std::move(processes), std::move(done), BootTime());
-  if (m_rates.Allocator() != allocator) {
+  exchange.Request(std::move(processes), std::move(done), BootTime());
+  if (exchange.Allocator() != allocator) {
     Log(LogLevel::kInfo, "rate_allocator_chosen",
-        {{"allocator", m_rates.Allocator().str()},
+        {{"allocator", exchange.Allocator().str()},
          {"before", allocator.str()}});
   }
-  if (m_rates.HasOpenRequests() && !m_permit_timer.Active()) {
+  if (exchange.HasOpenRequests() && !m_permit_timer.Active()) {
     m_permit_timer.Start(kPermitCheckInterval);
   }
 }
 
 void FleetLink::CheckPermitTimeouts() {
   m_rates.CheckTimeouts(BootTime());
-  if (m_rates.HasOpenRequests() && !m_permit_timer.Active()) {
+  m_leases.CheckTimeouts(BootTime());
+  const bool waits = m_rates.HasOpenRequests() || m_leases.HasOpenRequests();
+  if (waits && !m_permit_timer.Active()) {
     m_permit_timer.Start(kPermitCheckInterval);
   }
 }
@@ -265,6 +278,8 @@
 void FleetLink::StartLoadRound() {
   m_pool->Limits().RemoveExpired(BootTime());
   m_pool->RefusalLimits().RemoveExpired(BootTime());
+  m_rooms.RemoveExpired(BootTime());
+  SendRoomReports(m_pool->RoomReports(BootTime()));
   const InstanceId relay = m_loads.Relay();
   m_loads.StartRound(BootTime());
   if (m_loads.Relay() != relay) {
@@ -295,7 +310,7 @@
     digest.m_active = m_pool->ActiveByUpstream();
   }
   digest.m_placements = m_pool->TakePlacements();
-  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
+  AddStatements(&digest);
   SendToPeers(digest);
   SendEvents();
   UpdateLiveness();
@@ -319,6 +334,7 @@
   for (const StatedRate& stated : digest->m_rates) {
     m_pool->Limits().Merge(stated);
   }
+  HandleRooms(datagram.m_from, *digest);
   if (digest->m_permit_request) {
     m_rates.HandleRequest(datagram.m_from, *digest->m_permit_request, now);
   }
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -86,7 +86,10 @@
   void SendStreamReport(const InstanceId& to, const StreamReport& report);
   /// Confirms that the streams of a report are recorded.
   void SendRecorded(const InstanceId& to, std::uint32_t report);
-  /// Requests a permit to send a request to a limited upstream.
+  /// Sends to all instances which upstreams are brittle, and to the allocator
+  /// what this instance has there. Called when one says that it is.
+  void SendRefusalLimits();
+  /// Requests a permit or a lease to send a request to a limited upstream.
   /// @param processes in order of preference; not empty.
   /// @param done called once, possibly before this function returns.
   void RequestPermit(std::vector<LimitedProcess> processes,
@@ -112,6 +115,20 @@
   /// Adds the rates that upstreams stated, and sends the digest.
   void SendMessage(const InstanceId& to, FleetDigest digest);
   void CheckPermitTimeouts();
+  RateExchange::Hooks LeaseHooks();
+  /// Gives unused leases back and ends waiting, while an upstream is brittle.
+  void CheckLeases();
+  void SendRoomMessage(const InstanceId& to, FleetDigest digest);
+  /// Tells the allocator of leases what this instance has at upstreams.
+  void SendRoomReports(std::vector<RoomReport> reports);
+  void HandleRoomReport(const InstanceId& from, const RoomReport& report);
+  void LogRefusal(const InstanceId& from,
+                  const RoomReport& report,
+                  int room_before);
+  void StartLeaseTimer();
+  void HandleRooms(const InstanceId& from, const FleetDigest& digest);
+  /// Adds what upstreams stated about themselves.
+  void AddStatements(FleetDigest* digest);
   void StartLoadRound();
   FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
@@ -133,6 +150,9 @@
   net::Timer m_load_timer;
   LoadExchange m_loads;
   RateExchange m_rates;
+  RoomLeases m_rooms;
+  RateExchange m_leases;
+  net::Timer m_lease_timer;
   net::Timer m_permit_timer;
   std::map<InstanceId, Peer> m_peers;
   std::optional<net::FleetKeys> m_keys;
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -49,6 +49,8 @@
   /// callback is called once, with or without a permit.
   std::function<void(std::vector<LimitedProcess>, std::function<void()>)>
       m_request_permit;
+  /// Called when an upstream says for the first time that it is brittle.
+  std::function<void()> m_on_refusal_limit;
   /// Set from the start of a planned stop.
   std::optional<GatewayDrain> m_drain;
   /// @return true when another instance accepts callers.
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -292,27 +292,37 @@
   if (!RefreshConfiguration(now) || EndIfRefusedForCrashes()) {
     return;
   }
-  UpstreamQuery upstream_query = MakeQuery();
   if (m_progress.m_attempts == 0 &&
-      !m_state->m_pool.AdmitRequest(upstream_query, now)) {
+      !m_state->m_pool.AdmitRequest(MakeQuery(), now)) {
     EndUnserved(kStatusBadGateway, "request rates of all upstreams reached");
     return;
   }
+  SendWithPermits(false, now);
+}
+
+void RouteRelay::SendWithPermits(bool rate_was_requested, TimePoint now) {
+  UpstreamQuery upstream_query = MakeQuery();
   std::vector<LimitedProcess> wanted =
       m_state->m_pool.PermitsWanted(upstream_query, now);
-  if (wanted.empty()) {
+  const bool of_rate = !wanted.empty() && wanted.front().m_slots == 0;
+  if (wanted.empty() || (of_rate && rate_was_requested)) {
     ChooseAndSend(std::move(upstream_query), now);
     return;
   }
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
-  m_state->m_request_permit(std::move(wanted), [weak] {
+  m_state->m_request_permit(std::move(wanted), [weak, of_rate] {
     const auto self = weak.lock();
     // A silent upstream may have gone on in the meantime.
     if (self == nullptr || self->m_done || self->m_attempt) {
       return;
     }
     const TimePoint answered_at = BootTime();
-    if (self->RefreshConfiguration(answered_at)) {
+    if (!self->RefreshConfiguration(answered_at)) {
+      return;
+    }
+    if (of_rate) {
+      self->SendWithPermits(true, answered_at);
+    } else {
       self->ChooseAndSend(self->MakeQuery(), answered_at);
     }
   });
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -144,6 +144,9 @@
   /// Chooses an upstream and sends the request to it, or ends the request. A
   /// permit is requested before when the best upstream limits its request rate.
   void Dispatch(TimePoint now);
+  /// Requests a permit if the best upstream limits its request rate, and then a
+  /// lease if it is brittle, and sends the request.
+  void SendWithPermits(bool rate_was_requested, TimePoint now);
   UpstreamQuery MakeQuery() const;
   void ChooseAndSend(UpstreamQuery upstream_query, TimePoint now);
   void Send(const UpstreamChoice& choice, TimePoint now);
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -140,6 +140,7 @@
        {"request", m_request.m_id.str()},
        {"brittle", refusals.has_value()},
        {"refusals", refusals.value_or(0)}});
+  m_state->m_on_refusal_limit();
 }
 
 void RouteRelay::LogFull() const {
@@ -155,6 +156,7 @@
       {{"upstream", m_attempt->m_upstream.str()},
        {"request", m_request.m_id.str()},
        {"refusals", *refusals},
+       {"leased", m_attempt->m_choice.m_leased},
        {"own_active", std::int64_t{pool.Active(m_attempt->m_upstream)}},
        {"load", m_attempt->m_choice.m_load},
        {"load_age_ms", Milliseconds(m_attempt->m_choice.m_load_age)}});
