--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -145,11 +145,10 @@
   for (std::uint32_t index = 0; index < 200; ++index) {
     const UpstreamProcess process{UpstreamHash(0x1234567U * (index + 1)),
                                   1700000000123 + 77777 * index};
-    digest.m_rates.push_back({process, 3.3, kNow});
     digest.m_refusal_limits.push_back({process, 8.1, kNow});
     digest.m_room_reports.push_back({process, 300, 0, 0});
   }
-  EXPECT_LE(EncodeDigest(digest, kNow).size(), 1300U);
+  EXPECT_LE(EncodeDigest(digest, kNow).size(), 1100U);
 }
 
 class BadDigest : public testing::TestWithParam<std::string> {};
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -219,7 +219,7 @@
   FleetDigest digest;
   digest.m_events_only = true;
   digest.m_load = message;
-  AddStatements(&digest);
+  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
   m_transport->Send(to, peer->second.m_endpoint,
                     EncodeDigest(digest, BootTime()));
 }
@@ -230,7 +230,7 @@
     return;
   }
   digest.m_events_only = true;
-  AddStatements(&digest);
+  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
   m_transport->Send(to, peer->second.m_endpoint,
                     EncodeDigest(digest, BootTime()));
 }
@@ -289,7 +289,7 @@
 }
 
 void FleetLink::SendEvents() {
-  // Two datagrams, since each list may fill one.
+  // Datagrams of their own, since each list may fill one.
   FleetDigest crashes = OwnState();
   crashes.m_events_only = true;
   FleetDigest leaving = crashes;
@@ -302,6 +302,7 @@
   if (!leaving.m_leaving.empty()) {
     SendToPeers(leaving);
   }
+  SendRefusalLimits();
 }
 
 void FleetLink::SendDigest() {
@@ -310,7 +311,7 @@
     digest.m_active = m_pool->ActiveByUpstream();
   }
   digest.m_placements = m_pool->TakePlacements();
-  AddStatements(&digest);
+  digest.m_rates = m_pool->Limits().ToReport(kMaxStatedRates, BootTime());
   SendToPeers(digest);
   SendEvents();
   UpdateLiveness();
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -86,9 +86,9 @@
   void SendStreamReport(const InstanceId& to, const StreamReport& report);
   /// Confirms that the streams of a report are recorded.
   void SendRecorded(const InstanceId& to, std::uint32_t report);
-  /// Sends to all instances which upstreams are brittle, and to the allocator
-  /// what this instance has there. Called when one says that it is.
-  void SendRefusalLimits();
+  /// Tells all instances which upstreams are brittle, and the allocator what
+  /// this instance has there. Called when one says that it is.
+  void NoteRefusalLimit();
   /// Requests a permit or a lease to send a request to a limited upstream.
   /// @param processes in order of preference; not empty.
   /// @param done called once, possibly before this function returns.
@@ -127,8 +127,8 @@
                   int room_before);
   void StartLeaseTimer();
   void HandleRooms(const InstanceId& from, const FleetDigest& digest);
-  /// Adds what upstreams stated about themselves.
-  void AddStatements(FleetDigest* digest);
+  /// Sends to all instances which upstreams are brittle, if any is.
+  void SendRefusalLimits();
   void StartLoadRound();
   FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
--- a/src/nutmegd/fleet_rooms.cpp
+++ b/src/nutmegd/fleet_rooms.cpp
@@ -19,13 +19,6 @@
 using net::Log;
 using net::LogLevel;
 
-void FleetLink::AddStatements(FleetDigest* digest) {
-  const TimePoint now = BootTime();
-  digest->m_rates = m_pool->Limits().ToReport(kMaxStatedRates, now);
-  digest->m_refusal_limits =
-      m_pool->RefusalLimits().ToReport(kMaxStatedRates, now);
-}
-
 RateExchange::Hooks FleetLink::LeaseHooks() {
   return {.m_send_request =
               [this](const InstanceId& to, const PermitRequest& request) {
@@ -66,10 +59,17 @@
 }
 
 void FleetLink::SendRefusalLimits() {
-  FleetDigest digest = OwnState();
+  FleetDigest digest;
   digest.m_events_only = true;
-  AddStatements(&digest);
-  SendToPeers(digest);
+  digest.m_refusal_limits =
+      m_pool->RefusalLimits().ToReport(kMaxStatedRates, BootTime());
+  if (!digest.m_refusal_limits.empty()) {
+    SendToPeers(digest);
+  }
+}
+
+void FleetLink::NoteRefusalLimit() {
+  SendRefusalLimits();
   SendRoomReports(m_pool->RoomReports(BootTime()));
   StartLeaseTimer();
 }
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -272,7 +272,7 @@
   m_state.m_streams = &m_streams;
   m_state.m_others_ready = [this] { return OthersReady(); };
   m_state.m_registration_reader = &m_registration_reader;
-  m_state.m_on_refusal_limit = [this] { m_fleet.SendRefusalLimits(); };
+  m_state.m_on_refusal_limit = [this] { m_fleet.NoteRefusalLimit(); };
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
                                     std::function<void()> done) {
     m_fleet.RequestPermit(std::move(processes), std::move(done));
