--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -178,6 +178,10 @@
                        TimePoint()}};
   digest.m_load = FullLoadMessage();
   digest.m_load->m_active.resize(GetParam());
+  digest.m_refusal_limits = {{{UpstreamHash(5), 17}, 8.0, kNow}};
+  digest.m_room_request =
+      PermitRequest{PermitRequestId(5), {{{UpstreamHash(5), 17}, 8, 64}}};
+  digest.m_room_reports = {{{UpstreamHash(5), 17}, 3, 1, 1}};
   const std::string whole = EncodeDigest(digest, kNow);
   int read = 0;
   constexpr int kRounds = 5000;
--- a/src/libnutmeg/room_leases_test.cpp
+++ b/src/libnutmeg/room_leases_test.cpp
@@ -451,6 +451,50 @@
   EXPECT_EQ(GrantAll(&rooms, 1, 1600), 1);
 }
 
+struct WaitCase {
+  const char* m_name;
+  double m_given_back_ms;
+  bool m_is_granted;
+};
+class RoomLeasesWait : public ::testing::TestWithParam<WaitCase> {};
+
+TEST_P(RoomLeasesWait, ARequestGetsALeaseThatIsGivenBackInTime) {
+  EntryDirectory directory;
+  RateLimits limits;
+  limits.NoteResponse(ProcessAt(0), kStatedRefusals, At(0), At(0));
+  RoomLeases rooms;
+  RateExchange::Hooks hooks;
+  hooks.m_grant = [&](const auto& to, const auto& process, double share,
+                      TimePoint now) {
+    return rooms.Grant(to, process, share, 1, now);
+  };
+  RateExchange exchange(InstanceId("only"), &directory, &limits, hooks,
+                        {.m_max_wait = kLeaseWait});
+  const InstanceId other("other");
+  while (!rooms.Grant(other, Brittle(0, 6), 1, 1, At(0))) {
+  }
+  int answered = 0;
+  exchange.Request(
+      {Brittle(0, 6)}, [&] { ++answered; }, At(1));
+  EXPECT_EQ(answered, 0);
+  for (double ms = 2; ms <= 40; ++ms) {
+    if (ms == GetParam().m_given_back_ms) {
+      rooms.HandleReport(other, {ProcessAt(0), 2, 1, 0}, At(ms));
+      exchange.GrantWaiting(ProcessAt(0), At(ms));
+    }
+    exchange.EndWaiting(At(ms));
+  }
+  EXPECT_EQ(answered, 1) << GetParam().m_name;
+  EXPECT_FALSE(exchange.HasWaiting());
+  EXPECT_EQ(limits.Permits(ProcessAt(0), At(40)) == 1, GetParam().m_is_granted);
+  EXPECT_EQ(limits.MayRequestPermit(ProcessAt(0), At(26)),
+            GetParam().m_is_granted);
+}
+INSTANTIATE_TEST_SUITE_P(Table,
+                         RoomLeasesWait,
+                         testing::Values(WaitCase{"in time", 20, true},
+                                         WaitCase{"too late", 30, false}));
+
 TEST(RoomLeases, LostReportsDoNotUseUpTheRoom) {
   RoomLeases rooms;
   GrantAll(&rooms, 1, 300);
