Do not count late responses of one allocator against the next

After the allocator of permits and leases had been killed, instances chose the next one and passed it over 50 ms later, so that two granted at once, each with a part of the room. Cause: requests that were still open at the first one timed out after the change, and each counted as a response that the next one had missed (three pass it over for 3 s). A timeout now counts only if the request was sent to the present allocator.

--- a/src/include/nutmeghollow/rate_exchange.h
+++ b/src/include/nutmeghollow/rate_exchange.h
@@ -143,6 +143,7 @@
 
  private:
   struct OpenRequest {
+    InstanceId m_to;
     TimePoint m_sent_at{};
     std::function<void()> m_done;
   };
--- a/src/libnutmeg/rate_exchange.cpp
+++ b/src/libnutmeg/rate_exchange.cpp
@@ -45,8 +45,10 @@
   processes.resize(std::min(processes.size(), kMaxProcessesPerPermitRequest));
   PermitRequest request{PermitRequestId(++m_last_request),
                         std::move(processes)};
-  m_open.emplace(request.m_id, OpenRequest{now, std::move(done)});
-  if (IsAllocator(now)) {
+  const bool is_allocator = IsAllocator(now);
+  m_open.emplace(request.m_id,
+                 OpenRequest{m_allocator.Current(), now, std::move(done)});
+  if (is_allocator) {
     RespondOrWait({m_self, std::move(request), now}, now);
   } else {
     m_hooks.m_send_request(m_allocator.Current(), request);
@@ -55,18 +57,21 @@
 
 void RateExchange::CheckTimeouts(TimePoint now) {
   std::vector<std::function<void()>> late;
+  bool missed = false;
   for (auto request = m_open.begin(); request != m_open.end();) {
     if (now - request->second.m_sent_at < m_parameters.m_response_timeout) {
       ++request;
       continue;
     }
+    // Those that an allocator before did not answer tell nothing about this
+    // one.
+    missed |= request->second.m_to == m_allocator.Current();
     late.push_back(std::move(request->second.m_done));
     request = m_open.erase(request);
   }
-  if (late.empty()) {
-    return;
+  if (missed) {
+    m_allocator.NoteTimeout(now);
   }
-  m_allocator.NoteTimeout(now);
   for (const auto& done : late) {
     done();
   }
--- a/src/libnutmeg/rate_exchange_test.cpp
+++ b/src/libnutmeg/rate_exchange_test.cpp
@@ -319,6 +319,33 @@
   }
 }
 
+TEST(RateExchange, DoesNotPassOverTheNextAllocatorForRequestsToTheFirst) {
+  EntryDirectory directory;
+  directory.Put({.m_id = InstanceId("self"), .m_link_mbps = 10});
+  directory.Put(
+      {.m_id = InstanceId("gone"), .m_ready = true, .m_link_mbps = 100});
+  directory.Put(
+      {.m_id = InstanceId("next"), .m_ready = true, .m_link_mbps = 50});
+  RateLimits limits;
+  RateExchange exchange(InstanceId("self"), &directory, &limits,
+                        {.m_send_request = [](const auto&, const auto&) {},
+                         .m_send_response = [](const auto&, const auto&) {}});
+  for (int number = 0; number < 6; ++number) {
+    exchange.Request(
+        {{ProcessAt(0), 40}}, [] {}, At(number * 10));
+  }
+  EXPECT_EQ(exchange.Allocator(), InstanceId("gone"));
+  for (double ms = 60; ms <= 80; ms += 10) {
+    exchange.CheckTimeouts(At(ms));
+  }
+  EXPECT_EQ(exchange.ChooseAllocator(At(85)), InstanceId("next"));
+  for (double ms = 90; ms <= 110; ms += 10) {
+    exchange.CheckTimeouts(At(ms));
+  }
+  EXPECT_FALSE(exchange.HasOpenRequests());
+  EXPECT_EQ(exchange.ChooseAllocator(At(115)), InstanceId("next"));
+}
+
 class RateExchangeWithoutEntry : public ::testing::TestWithParam<int> {};
 
 // A stopping instance has no entry any more, and may hear from nobody.
