--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -213,6 +213,9 @@
   /// Chooses an upstream and sends the request to it, or ends the request. A
   /// permit is requested before when the best upstream limits its request rate.
   void Dispatch(TimePoint now);
+  /// Requests a permit if the best upstream limits its request rate, and then a
+  /// lease if it is brittle, and sends the request.
+  void SendWithPermits(bool rate_was_requested, TimePoint now);
   UpstreamQuery MakeQuery() const;
   void ChooseAndSend(UpstreamQuery upstream_query, TimePoint now);
   void Send(const UpstreamChoice& choice, TimePoint now);
@@ -228,6 +231,11 @@
   void RecordUpstreamState(const net::ResponseFields& fields);
   /// Records the request rate that an upstream states. @param rate unset: none.
   void RecordRateLimit(std::optional<double> rate);
+  /// Records the refusals in a second at which an upstream says that it falls
+  /// over. @param refusals unset: none.
+  void RecordRefusalLimit(std::optional<double> refusals);
+  /// Logs that a brittle upstream refused the request.
+  void LogFull() const;
   /// Compares the load that an engine reports with the one that was expected
   /// when it was chosen.
   void CompareLoad(const LoadReport& report);
