--- a/src/nutmegd/crash_detector_test.cpp
+++ b/src/nutmegd/crash_detector_test.cpp
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "libnet/event_loop.h"
 #include "libnet/scripted_server.h"
@@ -30,7 +32,9 @@
   void Check() {
     m_detector.emplace(
         m_loop, &m_metrics,
-        [this](std::function<void(bool)> decided) { m_decided = decided; },
+        [this](std::function<void(bool)> decided) {
+          m_decided = std::move(decided);
+        },
         [this] { ++m_reports; });
     m_detector->CheckForCrash(m_attempt, [this] { ++m_done; });
     while (!m_decided) {
