--- a/src/nutmegd/route_relay_forwarding.cpp
+++ b/src/nutmegd/route_relay_forwarding.cpp
@@ -24,6 +24,9 @@
 /// A connection to another instance takes milliseconds.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
 constexpr std::chrono::seconds kReuseMaxIdle{2};
+/// Time after which a request that waits counts as silent when this instance is
+/// cut off: connections that are open may live on.
+constexpr Duration kMinSilence = std::chrono::milliseconds(200);
 /// Instances that are tried before the request is refused.
 constexpr std::size_t kMaxInstances = 4;
 
@@ -405,8 +408,11 @@
       !m_state->m_forwarding.m_choose(m_tried_instances)) {
     return;
   }
+  const TimePoint now = BootTime();
   if (m_attempt->m_request_written) {
-    TryAnotherUpstream(AttemptFailure::kTimedOut, BootTime());
+    if (now - m_attempt->m_sent_at >= kMinSilence) {
+      TryAnotherUpstream(AttemptFailure::kTimedOut, now);
+    }
     return;
   }
   CancelAttempt(AttemptHealth::kAbandoned);
