--- a/src/include/nutmeghollow/retry_allowance.h
+++ b/src/include/nutmeghollow/retry_allowance.h
@@ -41,7 +41,7 @@
 
   void NoteRequest(const ServiceId& service, TimePoint now);
   /// Takes one retry. @return false when none is left.
-    bool Take(const ServiceId& service, TimePoint now);
+  bool Take(const ServiceId& service, TimePoint now);
   /// Gives back the retry that was taken last: nothing was sent.
   void Return(const ServiceId& service);
   /// @return the figures that decide whether Take returns true.
