Give the check of an upstream a request id

On the merge, silent_servers_case failed in three checks of 20 ("timed out waiting for: both listed"): its servers close the connection of a request without an id, with no response, so that the checks found none and the instances considered themselves cut off. The users' servers answer 400 to such a request, others need not. With an id, 20 of 20 checks pass.

--- a/src/nutmegd/forwarding_setup.cpp
+++ b/src/nutmegd/forwarding_setup.cpp
@@ -1,7 +1,9 @@
 #include "nutmegd/forwarding_setup.h"
 
+#include <string>
 #include <utility>
 
+#include "libnet/event_loop.h"
 #include "nutmeghollow/forwarding_choice.h"
 
 namespace nutmeghollow {
@@ -32,7 +34,12 @@
     net::ForwardedFields fields;
     fields.m_expected_upstream = UpstreamId("reachability-check");
     fields.m_time_left = std::chrono::seconds(1);
-    return state->m_protocol.m_upstream_headers(net::HttpRequest(), fields);
+    net::HttpRequest request;
+    request.m_headers.emplace(
+        "request-id",
+        "check-" + state->m_settings->m_instance.m_id.str() + "-" +
+            std::to_string(net::BootTime().time_since_epoch().count()));
+    return state->m_protocol.m_upstream_headers(request, fields);
   };
   hooks.m_on_round = std::move(on_round);
   return hooks;
