--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -1,4 +1,5 @@
 // Handling of upstream responses to a relayed request.
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -76,7 +77,7 @@
     attempt.m_failure = AttemptFailure::kFailed;
   }
   attempt.m_last_progress_at = BootTime();
-  m_idle_timer.Start(attempt.m_idle_timeout);
+  m_silence_timer.Start(attempt.m_idle_timeout);
 }
 
 void RouteRelay::RecordUpstreamState(const net::ResponseFields& fields) {
@@ -150,8 +151,15 @@
 }
 
 void RouteRelay::HandleRefusal() {
-  if (m_done || !m_attempt || !m_attempt->m_failure ||
-      !ProvesNotRun(*m_attempt->m_failure)) {
+  const auto refused = [](const Attempt& attempt) {
+    return attempt.m_failure && ProvesNotRun(*attempt.m_failure);
+  };
+  const auto other =
+      std::find_if(m_other_attempts.begin(), m_other_attempts.end(), refused);
+  if (other != m_other_attempts.end()) {
+    BringToFront(other->m_number);
+  }
+  if (m_done || !m_attempt || !refused(*m_attempt)) {
     return;
   }
   const AttemptFailure failure = *m_attempt->m_failure;
@@ -163,9 +171,6 @@
 }
 
 bool RouteRelay::HandleData(std::string_view data) {
-  if (m_done || !m_attempt) {
-    return true;
-  }
   Attempt& attempt = *m_attempt;
   if (!attempt.m_data_received) {
     attempt.m_data_received = true;
@@ -214,9 +219,15 @@
     FailAttempt(AttemptFailure::kBroken, AttemptHealth::kBroken);
     return;
   }
+  if (m_stream_reader != m_attempt->m_number) {
+    CancelOthers();
+    m_event_splitter.DropPartialEvent();
+    m_stream_reader = m_attempt->m_number;
+  }
   const int events_before = m_event_splitter.Events();
   const std::string events = m_event_splitter.Take(data);
   if (m_event_splitter.Events() > events_before) {
+    CancelOthers();
     m_attempt->m_last_progress_at = BootTime();
   }
   if (!events.empty()) {
@@ -248,20 +259,6 @@
   m_caller_is_slow = !m_exchange->Write(data);
 }
 
-void RouteRelay::CheckIdleTimeout() {
-  if (m_done || !m_attempt || m_attempt->m_status == 0) {
-    return;
-  }
-  const Duration idle_for = m_attempt->m_paused
-                                ? Duration::zero()
-                                : BootTime() - m_attempt->m_last_progress_at;
-  if (idle_for < m_attempt->m_idle_timeout) {
-    m_idle_timer.Start(m_attempt->m_idle_timeout - idle_for);
-    return;
-  }
-  FailAttempt(AttemptFailure::kTimedOut, AttemptHealth::kTimedOut);
-}
-
 void RouteRelay::BeginStream() {
   if (m_progress.m_response_started) {
     return;
@@ -274,9 +271,6 @@
 }
 
 void RouteRelay::HandleEnd(const net::HttpCallResult& result) {
-  if (m_done || !m_attempt) {
-    return;
-  }
   const TimePoint now = BootTime();
   if (result.m_close_delimited) {
     LogCloseDelimited(result);
@@ -344,6 +338,7 @@
     HandleFailure(AttemptFailure::kFailed);
     return;
   }
+  CancelOthers();
   EndAttempt(AttemptHealth::kServed, BootTime());
   m_buffered_response = std::move(response);
   SendBufferedResponse();
@@ -356,6 +351,7 @@
     WriteToCaller(m_event_splitter.PartialEvent());
   }
   const int status = m_attempt->m_status;
+  CancelOthers();
   EndAttempt(AttemptHealth::kServed, BootTime());
   WatchResponse(status);
   m_exchange->EndStream();
@@ -363,7 +359,9 @@
 }
 
 void RouteRelay::EndAttempt(AttemptHealth health, TimePoint now) {
-  ForwardHeldEvents();
+  if (m_attempt->m_delivered_events) {
+    ForwardHeldEvents();
+  }
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
@@ -385,7 +383,9 @@
          {"upstream", attempt.m_upstream.str()},
          {"how", std::string(AttemptHealthName(health))},
          {"status", std::int64_t{attempt.m_status}},
-         {"after_ms", Milliseconds(now - attempt.m_sent_at)}});
+         {"after_ms", Milliseconds(now - attempt.m_sent_at)},
+         {"time_left_ms", Milliseconds(TimeLeft(now))},
+         {"events", std::int64_t{m_event_splitter.Events()}}});
   }
 }
 
