--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -87,12 +87,22 @@
                  digest.m_permit_response = response;
                  SendMessage(to, std::move(digest));
                }}),
+      m_leases(m_self,
+               m_directory,
+               &m_pool->RefusalLimits(),
+               LeaseHooks(),
+               {.m_max_wait = kLeaseWait}),
+      m_lease_timer(loop, [this] { CheckLeases(); }),
       m_permit_timer(loop, [this] { CheckPermitTimeouts(); }) {
   m_timer.Start(kMinPeriod);
   m_load_timer.StartRepeating(kLoadPeriod);
+  m_pool->OnRoomReport(
+      [this](const RoomReport& report) { SendRoomReports({report}); });
 }
 
-FleetLink::~FleetLink() = default;
+FleetLink::~FleetLink() {
+  m_pool->OnRoomReport(nullptr);
+}
 
 void FleetLink::RegisterGauges(MetricsRegistry* metrics) {
   metrics->SetGauge("nutmeg_gateway_instances", "", [this] {
@@ -162,7 +172,7 @@
   }
   Peer& peer = m_peers[id];
   if (peer.m_endpoint != endpoint || peer.m_leaving) {
-    peer = Peer{endpoint, BootTime(), std::nullopt, false};
+    peer = Peer{endpoint, BootTime(), std::nullopt, false, std::nullopt};
   }
 }
 
@@ -171,6 +181,11 @@
   return peer == m_peers.end() ? Endpoint() : peer->second.m_endpoint;
 }
 
+std::optional<Duration> FleetLink::ClockOffsetOf(const InstanceId& id) const {
+  const auto peer = m_peers.find(id);
+  return peer == m_peers.end() ? std::nullopt : peer->second.m_clock_offset;
+}
+
 void FleetLink::NoteLeaving(const InstanceId& id) {
   const auto peer = m_peers.find(id);
   if (peer != m_peers.end()) {
@@ -188,6 +203,8 @@
   FleetDigest digest;
   digest.m_ready = m_hooks.m_ready();
   digest.m_revision = m_hooks.m_revision();
+  digest.m_reach = m_hooks.m_reach();
+  digest.m_clock = BootTime();
   return digest;
 }
 
@@ -240,30 +257,36 @@
 
 void FleetLink::RequestPermit(std::vector<LimitedProcess> processes,
                               std::function<void()> done) {
-  const InstanceId allocator = m_rates.Allocator();
+  RateExchange& exchange = processes.front().m_slots > 0 ? m_leases : m_rates;
+  const InstanceId allocator = exchange.Allocator();
   if (EntryInstance* self = m_directory->Find(m_self)) {
     self->m_ready = m_hooks.m_ready();
   }
-  m_rates.Request(std::move(processes), std::move(done), BootTime());
-  if (m_rates.Allocator() != allocator) {
+  exchange.Request(std::move(processes), std::move(done), BootTime());
+  if (exchange.Allocator() != allocator) {
     Log(LogLevel::kInfo, "rate_allocator_chosen",
-        {{"allocator", m_rates.Allocator().str()},
+        {{"allocator", exchange.Allocator().str()},
          {"before", allocator.str()}});
   }
-  if (m_rates.HasOpenRequests() && !m_permit_timer.Active()) {
+  if (exchange.HasOpenRequests() && !m_permit_timer.Active()) {
     m_permit_timer.Start(kPermitCheckInterval);
   }
 }
 
 void FleetLink::CheckPermitTimeouts() {
   m_rates.CheckTimeouts(BootTime());
-  if (m_rates.HasOpenRequests() && !m_permit_timer.Active()) {
+  m_leases.CheckTimeouts(BootTime());
+  const bool waits = m_rates.HasOpenRequests() || m_leases.HasOpenRequests();
+  if (waits && !m_permit_timer.Active()) {
     m_permit_timer.Start(kPermitCheckInterval);
   }
 }
 
 void FleetLink::StartLoadRound() {
   m_pool->Limits().RemoveExpired(BootTime());
+  m_pool->RefusalLimits().RemoveExpired(BootTime());
+  m_rooms.RemoveExpired(BootTime());
+  SendRoomReports(m_pool->RoomReports(BootTime()));
   const InstanceId relay = m_loads.Relay();
   m_loads.StartRound(BootTime());
   if (m_loads.Relay() != relay) {
@@ -273,7 +296,7 @@
 }
 
 void FleetLink::SendEvents() {
-  // Two datagrams, since each list may fill one.
+  // Datagrams of their own, since each list may fill one.
   FleetDigest crashes = OwnState();
   crashes.m_events_only = true;
   FleetDigest leaving = crashes;
@@ -286,6 +309,7 @@
   if (!leaving.m_leaving.empty()) {
     SendToPeers(leaving);
   }
+  SendRefusalLimits();
 }
 
 void FleetLink::SendDigest() {
@@ -318,6 +342,7 @@
   for (const StatedRate& stated : digest->m_rates) {
     m_pool->Limits().Merge(stated);
   }
+  HandleRooms(datagram.m_from, *digest);
   if (digest->m_permit_request) {
     m_rates.HandleRequest(datagram.m_from, *digest->m_permit_request, now);
   }
@@ -339,6 +364,9 @@
   if (digest->m_events_only) {
     return;
   }
+  if (digest->m_clock != TimePoint()) {
+    peer->second.m_clock_offset = now - digest->m_clock;
+  }
   m_loads.NoteDigest(datagram.m_from, digest->m_active, now);
   for (const PartPlacement& placement : digest->m_placements) {
     m_pool->NotePeerPlacement(placement, now);
@@ -346,6 +374,7 @@
   if (EntryInstance* entry = m_directory->Find(datagram.m_from)) {
     entry->m_ready = digest->m_ready;
     entry->m_alive = true;
+    entry->m_reach = digest->m_reach;
   }
 }
 
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -35,6 +35,8 @@
   std::function<bool()> m_ready;
   /// @return the revision in force at this instance.
   std::function<Revision()> m_revision;
+  /// @return what this instance says about its paths to upstreams.
+  std::function<UpstreamReach()> m_reach;
   /// Called with streams to record for another instance.
   std::function<void(const InstanceId& from, const StreamReport& report)>
       m_on_stream_report;
@@ -77,6 +79,9 @@
   const net::FleetKeys* Keys() const { return m_keys ? &*m_keys : nullptr; }
   /// @return the peer address of an instance; empty when not known.
   Endpoint AddressOf(const InstanceId& id) const;
+  /// @return this instance's clock less that of another instance, too high by
+  /// the delay of its last digest; nullopt when not known.
+  std::optional<Duration> ClockOffsetOf(const InstanceId& id) const;
   /// Sends a digest without waiting for the timer, for example when this
   /// instance starts to leave.
   void SendDigestNow() { SendDigest(); }
@@ -86,7 +91,10 @@
   void SendStreamReport(const InstanceId& to, const StreamReport& report);
   /// Confirms that the streams of a report are recorded.
   void SendRecorded(const InstanceId& to, std::uint32_t report);
-  /// Requests a permit to send a request to a limited upstream.
+  /// Tells all instances which upstreams are brittle, and the allocator what
+  /// this instance has there. Called when one says that it is.
+  void NoteRefusalLimit();
+  /// Requests a permit or a lease to send a request to a limited upstream.
   /// @param processes in order of preference; not empty.
   /// @param done called once, possibly before this function returns.
   void RequestPermit(std::vector<LimitedProcess> processes,
@@ -103,6 +111,7 @@
     TimePoint m_known_since{};
     std::optional<TimePoint> m_last_digest_at;
     bool m_leaving = false;  ///< Its row is gone.
+    std::optional<Duration> m_clock_offset;
   };
 
   void ProposeKey();
@@ -112,6 +121,20 @@
   /// Adds the rates that upstreams stated, and sends the digest.
   void SendMessage(const InstanceId& to, FleetDigest digest);
   void CheckPermitTimeouts();
+  RateExchange::Hooks LeaseHooks();
+  /// Gives unused leases back and ends waiting, while an upstream is brittle.
+  void CheckLeases();
+  void SendRoomMessage(const InstanceId& to, FleetDigest digest);
+  /// Tells the allocator of leases what this instance has at upstreams.
+  void SendRoomReports(std::vector<RoomReport> reports);
+  void HandleRoomReport(const InstanceId& from, const RoomReport& report);
+  void LogRefusal(const InstanceId& from,
+                  const RoomReport& report,
+                  int room_before);
+  void StartLeaseTimer();
+  void HandleRooms(const InstanceId& from, const FleetDigest& digest);
+  /// Sends to all instances which upstreams are brittle, if any is.
+  void SendRefusalLimits();
   void StartLoadRound();
   FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
@@ -133,6 +156,9 @@
   net::Timer m_load_timer;
   LoadExchange m_loads;
   RateExchange m_rates;
+  RoomLeases m_rooms;
+  RateExchange m_leases;
+  net::Timer m_lease_timer;
   net::Timer m_permit_timer;
   std::map<InstanceId, Peer> m_peers;
   std::optional<net::FleetKeys> m_keys;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -14,9 +14,12 @@
 #include "libnet/http_server.h"
 #include "libnet/log.h"
 #include "nutmegd/fleet_link.h"
+#include "nutmegd/forwarding_setup.h"
 #include "nutmegd/gateway_state.h"
 #include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
+#include "nutmegd/peer_http_server.h"
+#include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_configuration.h"
 #include "nutmegd/route_relay.h"
@@ -97,6 +100,8 @@
   void RegisterGauges();
   void ReloadSettings(const char* cause);
   void HandleCaller(const Exchange& exchange);
+  void StartRelay(const Exchange& exchange,
+                  std::optional<net::ForwardedRequest> forwarded);
   void HandleEntry(const Exchange& exchange);
   void HandleOperator(const Exchange& exchange);
   bool Ready() const;
@@ -105,6 +110,8 @@
   /// @return the services whose streams may be resumed.
   std::set<ServiceId> ResumableServices() const;
 
+  void HandleReachability(ReachabilityState before, ReachabilityState state);
+
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
   TableFollowerEvents ConfigurationEvents();
@@ -128,6 +135,8 @@
   Registrations m_registrations;
   RegistrationReader m_registration_reader;
   EntryDirectory m_directory;
+  ReachabilityMonitor m_reachability;
+  UpstreamReach m_told_reach = UpstreamReach::kReached;
   CrashDetector m_crash_detector;
   StreamRecords m_streams;
   FleetLink m_fleet;
@@ -138,6 +147,7 @@
   int m_exit_code = 0;
 
   PeerFeedServer m_peer_feed_server;
+  PeerHttpServer m_peer_http_server;
   TableFollower m_configuration_follower;
   TableFollower m_registration_follower;
   TableFollower m_instance_follower;
@@ -173,9 +183,23 @@
       m_registration_reader(m_feed,
                             protocol.m_registration_table,
                             protocol.m_read_registration),
-      m_crash_detector(loop,
-                       &m_state.m_metrics,
-                       [this] { m_fleet.SendEvents(); }),
+      m_reachability(loop,
+                     &m_client,
+                     &m_state.m_metrics,
+                     MakeReachabilityHooks(&m_state,
+                                           &m_directory,
+                                           [this](ReachabilityState before,
+                                                  ReachabilityState state) {
+                                             HandleReachability(before, state);
+                                           })),
+      m_crash_detector(
+          loop,
+          &m_state.m_metrics,
+          [this](const std::function<void(bool)>& decided) {
+            m_reachability.Verify(
+                [this, decided] { decided(m_reachability.IsCutOff()); });
+          },
+          [this] { m_fleet.SendEvents(); }),
       m_streams(loop,
                 settings.m_instance.m_id,
                 m_feed,
@@ -205,6 +229,7 @@
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
                    },
+               .m_reach = [this] { return m_reachability.OwnReach(); },
                .m_on_stream_report =
                    [this](const InstanceId& from, const StreamReport& report) {
                      m_streams.HandleReport(from, report);
@@ -221,9 +246,24 @@
                       [this](int instances) {
                         m_state.m_allowance.SetInstances(instances);
                       }),
-      m_peer_feed_server(loop,
+      m_peer_feed_server(loop, [this] { return m_fleet.Keys(); }),
+      m_peer_http_server(loop,
                          settings.m_instance.m_peer_address,
-                         [this] { return m_fleet.Keys(); }),
+                         settings.m_instance.m_id,
+                         {.m_keys = [this] { return m_fleet.Keys(); },
+                          .m_clock_offsets =
+                              [this](const InstanceId& sender) {
+                                return m_fleet.ClockOffsetOf(sender);
+                              },
+                          .m_feed =
+                              [this](const Exchange& exchange) {
+                                m_peer_feed_server.Handle(exchange);
+                              },
+                          .m_forwarded =
+                              [this](const Exchange& exchange,
+                                     net::ForwardedRequest forwarded) {
+                                StartRelay(exchange, std::move(forwarded));
+                              }}),
       m_configuration_follower(loop,
                                m_peer_feed,
                                {.m_table = protocol.m_configuration_table,
@@ -270,8 +310,11 @@
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
   m_state.m_streams = &m_streams;
+  m_state.m_reachability = &m_reachability;
+  m_state.m_forwarding = MakeForwardingState(&m_state, &m_directory, &m_fleet);
   m_state.m_others_ready = [this] { return OthersReady(); };
   m_state.m_registration_reader = &m_registration_reader;
+  m_state.m_on_refusal_limit = [this] { m_fleet.NoteRefusalLimit(); };
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
                                     std::function<void()> done) {
     m_fleet.RequestPermit(std::move(processes), std::move(done));
@@ -384,10 +427,34 @@
              : m_state.m_configuration->ResumableServices();
 }
 
+void Gateway::Impl::HandleReachability(ReachabilityState before,
+                                       ReachabilityState state) {
+  if (m_told_reach != m_reachability.OwnReach()) {
+    m_told_reach = m_reachability.OwnReach();
+    m_fleet.SendDigestNow();
+  }
+  if (state == ReachabilityState::kReturning && state != before) {
+    m_state.m_pool.ForgetFailures();
+  }
+  if (state == ReachabilityState::kCutOff && state != before) {
+    // A relay removes itself when it ends.
+    const auto relays = m_relays;
+    for (const auto& [id, relay] : relays) {
+      relay->HandleCutOff();
+    }
+  }
+}
+
 void Gateway::Impl::HandleCaller(const Exchange& exchange) {
+  StartRelay(exchange, std::nullopt);
+}
+
+void Gateway::Impl::StartRelay(const Exchange& exchange,
+                               std::optional<net::ForwardedRequest> forwarded) {
   const std::uint64_t id = ++m_last_relay_id;
-  auto relay = std::make_shared<RouteRelay>(&m_state, exchange,
-                                            [this, id] { m_relays.erase(id); });
+  auto relay = std::make_shared<RouteRelay>(
+      &m_state, exchange, [this, id] { m_relays.erase(id); },
+      std::move(forwarded));
   m_relays.emplace(id, relay);
   relay->Start();
 }
@@ -405,6 +472,7 @@
   EntryInstance* self = m_directory.Find(m_settings.m_instance.m_id);
   if (self != nullptr) {
     self->m_ready = Ready();
+    self->m_reach = m_reachability.OwnReach();
   }
   json addresses = json::array();
   for (const Endpoint& endpoint : m_directory.Choose(
@@ -519,8 +587,9 @@
 
 void Gateway::Impl::CheckDrain() {
   const auto now = BootTime();
-  const DrainStep step = m_state.m_drain->Next(now, m_relays.size(),
-                                               m_caller_server.OpenRequests());
+  const DrainStep step = m_state.m_drain->Next(
+      now, m_relays.size(),
+      m_caller_server.OpenRequests() + m_peer_http_server.OpenForwarded());
   if (step == DrainStep::kServe) {
     return;
   }
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -11,9 +11,11 @@
 #include <string>
 #include <vector>
 
+#include "libnet/fleet_key.h"
 #include "libnet/http_client.h"
 #include "libnet/route_protocol.h"
 #include "nutmegd/crash_detector.h"
+#include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registration_reader.h"
 #include "nutmegd/settings.h"
 #include "nutmegd/stream_records.h"
@@ -34,12 +36,28 @@
 /// different rates.
 inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(200);
 
+/// Instances to which an instance that is cut off from the upstreams forwards
+/// requests.
+struct ForwardingState {
+  /// @return an instance that is not among those tried; nothing if there is
+  /// none.
+  std::function<std::optional<InstanceId>(const std::vector<InstanceId>& tried)>
+      m_choose;
+  /// @return the peer address of an instance.
+  std::function<Endpoint(const InstanceId&)> m_address_of;
+  /// @return the fleet keys; null until they are known.
+  std::function<const net::FleetKeys*()> m_keys;
+  std::map<InstanceId, int> m_active;  ///< Requests forwarded, in progress.
+};
+
 /// State of a gateway that its requests read and modify.
 struct GatewayState {
   struct ev_loop* m_loop = nullptr;
   net::HttpClient* m_client = nullptr;
   CrashDetector* m_crash_detector = nullptr;
   StreamRecords* m_streams = nullptr;
+  ReachabilityMonitor* m_reachability = nullptr;
+  ForwardingState m_forwarding;
   RegistrationReader* m_registration_reader = nullptr;
   net::RouteProtocol m_protocol;
   const Settings* m_settings = nullptr;
@@ -49,6 +67,8 @@
   /// callback is called once, with or without a permit.
   std::function<void(std::vector<LimitedProcess>, std::function<void()>)>
       m_request_permit;
+  /// Called when an upstream says for the first time that it is brittle.
+  std::function<void()> m_on_refusal_limit;
   /// Set from the start of a planned stop.
   std::optional<GatewayDrain> m_drain;
   /// @return true when another instance accepts callers.
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -47,12 +47,13 @@
 }  // namespace
 
 void RouteRelay::HandleFailure(AttemptFailure failure) {
+  if (m_ending || HoldFailure(failure)) {
+    return;
+  }
   const TimePoint now = BootTime();
   if (ContinueOtherAttempt(ProvesNotRun(failure) ? "the other one was not run"
                                                  : "the other one failed")) {
-    if (ProvesNotRun(failure)) {
-      CheckSilence(failure);
-    }
+    CheckSilence(failure);
     return;
   }
   m_event_splitter.DropPartialEvent();
@@ -92,6 +93,9 @@
 }
 
 bool RouteRelay::TakeRetry(TimePoint now) {
+  if (!NeedsAllowance()) {
+    return true;
+  }
   const RetryUse use = m_state->m_allowance.UseOf(m_service, now);
   if (m_state->m_allowance.Take(m_service, now)) {
     return true;
@@ -113,12 +117,14 @@
   CrashDetector& detector = *m_state->m_crash_detector;
   const bool suspect =
       detector.Suspects().IsSuspect(SuspectOf(Digest()), BootTime());
+  m_awaits_crash_check = m_awaits_crash_check || suspect;
   const std::weak_ptr<RouteRelay> weak = weak_from_this();
   detector.CheckForCrash(
       {Digest(), SharedParts(), m_request.m_id, upstream, endpoint, sent_at},
       [weak, suspect] {
         const auto self = weak.lock();
         if (suspect && self != nullptr && !self->m_done) {
+          self->m_awaits_crash_check = false;
           self->HandleFailure(AttemptFailure::kBroken);
         }
       });
@@ -167,6 +173,7 @@
   }
   CancelAttempts(no_data ? AttemptHealth::kTimedOut
                          : AttemptHealth::kAbandoned);
+  CancelHop();
   EndUnserved(kStatusGatewayTimeout, "no answer in time");
 }
 
@@ -177,11 +184,13 @@
   if (at_once) {
     m_deliverers.clear();
   }
+  m_ending = true;
   const auto self = shared_from_this();
   if (m_attempt) {
     m_progress.m_may_have_run = true;
   }
   CancelAttempts(AttemptHealth::kAbandoned);
+  CancelHop();
   EndUnserved(kStatusBadGateway, "the instance stops");
 }
 
@@ -204,6 +213,7 @@
   }
   m_holds_events = false;
   CancelAttempts(AttemptHealth::kAbandoned);
+  CancelHop();
   Finish("caller_gone", 0, "");
 }
 
@@ -277,6 +287,9 @@
     headers.emplace_back("Retry-After",
                          m_state->m_protocol.m_write_retry_after(retry_after));
   }
+  if (IsForOtherInstance(status)) {
+    headers.emplace_back(net::kNotTakenField, "1");
+  }
   WatchResponse(status);
   m_exchange->Respond(status, headers, ProblemBody(problem, m_request.m_id));
   Finish(status == kStatusUnavailable ? "refused" : "failed", status, reason);
@@ -294,6 +307,9 @@
 
 void RouteRelay::Finish(const char* outcome, int status, const char* reason) {
   const auto self = shared_from_this();
+  m_holds_events = false;
+  CancelAttempts(AttemptHealth::kAbandoned);
+  CancelHop();
   m_done = true;
   m_timer.Stop();
   m_silence_timer.Stop();
@@ -325,7 +341,7 @@
        {"status", std::int64_t{status}},
        {"reason", std::string(reason)},
        {"attempts", std::int64_t{m_progress.m_attempts}},
-       {"upstream", m_tried.empty() ? "" : m_tried.back().str()},
+       {"upstream", m_last_upstream.str()},
        {"first_ms", m_first_event_at == TimePoint()
                         ? std::int64_t{-1}
                         : Milliseconds(m_first_event_at - m_arrived_at)},
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -37,6 +37,7 @@
       m_state->m_protocol.m_read_response(status, headers);
   attempt.m_status = status;
   attempt.m_headers = headers;
+  m_state->m_reachability->NoteHeard(attempt.m_call);
   if (!fields.m_wrong_upstream) {
     // The state is that of the process, even if the response does not belong to
     // this request.
@@ -62,6 +63,9 @@
   if (!fields.m_rate_limit && !fields.m_wrong_upstream) {
     RecordRateLimit(std::nullopt);
   }
+  if (!fields.m_refusal_limit && !fields.m_wrong_upstream) {
+    RecordRefusalLimit(std::nullopt);
+  }
   if (not_run) {
     attempt.m_failure = fields.m_wrong_upstream ? AttemptFailure::kWrongUpstream
                                                 : AttemptFailure::kRefused;
@@ -98,6 +102,9 @@
   if (fields.m_rate_limit) {
     RecordRateLimit(fields.m_rate_limit);
   }
+  if (fields.m_refusal_limit) {
+    RecordRefusalLimit(fields.m_refusal_limit);
+  }
   if (fields.m_refused_for) {
     pool.NoteRefusal(attempt.m_upstream, attempt.m_start_time_ms,
                      *fields.m_refused_for, now);
@@ -122,6 +129,41 @@
   }
 }
 
+void RouteRelay::RecordRefusalLimit(std::optional<double> refusals) {
+  const Attempt& attempt = *m_attempt;
+  const UpstreamProcess process{HashOf(attempt.m_upstream),
+                                attempt.m_start_time_ms};
+  RateLimits& limits = m_state->m_pool.RefusalLimits();
+  if (!limits.NoteResponse(process, refusals, attempt.m_sent_at, BootTime())) {
+    return;
+  }
+  Log(LogLevel::kInfo, "upstream_brittle",
+      {{"upstream", attempt.m_upstream.str()},
+       {"request", m_request.m_id.str()},
+       {"brittle", refusals.has_value()},
+       {"refusals", refusals.value_or(0)}});
+  m_state->m_on_refusal_limit();
+}
+
+void RouteRelay::LogFull() const {
+  const UpstreamPool& pool = m_state->m_pool;
+  const UpstreamProcess process{HashOf(m_attempt->m_upstream),
+                                m_attempt->m_start_time_ms};
+  const std::optional<double> refusals = pool.RefusalLimits().RateOf(process);
+  if (!refusals) {
+    return;
+  }
+  m_state->m_metrics.Count("nutmeg_route_refused_by_brittle");
+  Log(LogLevel::kInfo, "upstream_full",
+      {{"upstream", m_attempt->m_upstream.str()},
+       {"request", m_request.m_id.str()},
+       {"refusals", *refusals},
+       {"leased", m_attempt->m_choice.m_leased},
+       {"own_active", std::int64_t{pool.Active(m_attempt->m_upstream)}},
+       {"load", m_attempt->m_choice.m_load},
+       {"load_age_ms", Milliseconds(m_attempt->m_choice.m_load_age)}});
+}
+
 void RouteRelay::CompareLoad(const LoadReport& report) {
   const UpstreamChoice& choice = m_attempt->m_choice;
   if (!IsEngine()) {
@@ -154,15 +196,24 @@
   const auto refused = [](const Attempt& attempt) {
     return attempt.m_failure && ProvesNotRun(*attempt.m_failure);
   };
-  const auto other =
-      std::find_if(m_other_attempts.begin(), m_other_attempts.end(), refused);
-  if (other != m_other_attempts.end()) {
-    BringToFront(other->m_number);
+  const auto find_other = [&] {
+    return std::find_if(m_other_attempts.begin(), m_other_attempts.end(),
+                        refused);
+  };
+  const bool is_current = m_attempt && refused(*m_attempt);
+  if (!is_current && find_other() != m_other_attempts.end()) {
+    BringToFront(find_other()->m_number);
   }
   if (m_done || !m_attempt || !refused(*m_attempt)) {
     return;
   }
+  if (find_other() != m_other_attempts.end()) {
+    m_refusal_timer.Start(Duration::zero());
+  }
   const AttemptFailure failure = *m_attempt->m_failure;
+  if (failure == AttemptFailure::kRefused) {
+    LogFull();
+  }
   if (failure == AttemptFailure::kWrongUpstream) {
     m_state->m_pool.NoteReplaced(m_attempt->m_upstream, BootTime());
   }
@@ -172,6 +223,7 @@
 
 bool RouteRelay::HandleData(std::string_view data) {
   Attempt& attempt = *m_attempt;
+  m_state->m_reachability->NoteHeard(attempt.m_call);
   if (!attempt.m_data_received) {
     attempt.m_data_received = true;
     m_state->m_pool.NoteFirstResponse(attempt.m_upstream, Prompt());
@@ -221,6 +273,7 @@
   }
   if (m_stream_reader != m_attempt->m_number) {
     CancelOthers();
+    CancelHop();
     m_event_splitter.DropPartialEvent();
     m_stream_reader = m_attempt->m_number;
   }
@@ -228,6 +281,7 @@
   const std::string events = m_event_splitter.Take(data);
   if (m_event_splitter.Events() > events_before) {
     CancelOthers();
+    CancelHop();
     m_attempt->m_last_progress_at = BootTime();
   }
   if (!events.empty()) {
@@ -340,6 +394,7 @@
   }
   CancelOthers();
   EndAttempt(AttemptHealth::kServed, BootTime());
+  CancelHop();
   m_buffered_response = std::move(response);
   SendBufferedResponse();
 }
@@ -353,6 +408,7 @@
   const int status = m_attempt->m_status;
   CancelOthers();
   EndAttempt(AttemptHealth::kServed, BootTime());
+  CancelHop();
   WatchResponse(status);
   m_exchange->EndStream();
   Finish("served", status, "");
@@ -364,8 +420,15 @@
   }
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
+  m_last_upstream = attempt.m_upstream;
   const bool measured = health == AttemptHealth::kServed && !m_route.m_streamed;
-  m_state->m_pool.NoteEnd(attempt.m_upstream, health,
+  ReachabilityMonitor& reachability = *m_state->m_reachability;
+  reachability.NoteEnd(attempt.m_call, attempt.m_upstream, health);
+  // While this instance may be cut off, failures tell nothing about upstreams.
+  m_state->m_pool.NoteEnd(attempt.m_upstream,
+                          reachability.IsInDoubt() && IsPathFailure(health)
+                              ? AttemptHealth::kAbandoned
+                              : health,
                           measured ? now - attempt.m_sent_at : Duration::zero(),
                           Prompt(), attempt.m_data_received, now);
   const bool responded =
--- a/src/nutmegd/route_relay_silence.cpp
+++ b/src/nutmegd/route_relay_silence.cpp
@@ -35,6 +35,7 @@
     if (before) {
       m_other_attempts.push_back(std::move(*before));
     }
+    m_silence_timer.Start(SilenceLimit());
   }
   return m_attempt && m_attempt->m_number == number;
 }
@@ -61,7 +62,7 @@
     return;
   }
   m_silence_timer.Start(SilenceLimit());
-  if (!m_other_attempts.empty() && m_route.m_streamed) {
+  if (m_hop || (!m_other_attempts.empty() && m_route.m_streamed)) {
     return;  // Another upstream is being tried.
   }
   TryAnotherUpstream(failure, now);
@@ -88,10 +89,10 @@
     m_silence_timer.Stop();
     return;
   }
+  m_progress.m_may_have_run = true;
   if (!TakeRetry(now)) {
     return;  // One may be left at the next check.
   }
-  m_progress.m_may_have_run = true;
   const ServiceId service = m_service;
   const int attempts = m_progress.m_attempts;
   m_other_attempts.push_back(std::move(*m_attempt));
@@ -103,15 +104,14 @@
 }
 
 bool RouteRelay::ContinueOtherAttempt(const char* reason) {
-  if (m_attempt) {
-    return true;  // It made progress after the other one failed.
+  if (m_attempt || m_hop) {
+    return true;  // It goes on after the other one failed.
   }
   if (m_other_attempts.empty()) {
     return false;
   }
   m_release_timer.Stop();
   BringToFront(LatestOther());
-  m_silence_timer.Start(SilenceLimit());
   Log(LogLevel::kInfo, "other_attempt_continues",
       {{"request", m_request.m_id.str()},
        {"upstream", m_attempt->m_upstream.str()},
@@ -147,12 +147,18 @@
 }
 
 void RouteRelay::ReleaseEarlierAttempts() {
-  if (m_done || !m_attempt || m_other_attempts.empty()) {
+  if (m_done) {
+    return;
+  }
+  if (m_hop) {
+    CancelAttempts(AttemptHealth::kTimedOut);
+    return;
+  }
+  if (!m_attempt || m_other_attempts.empty()) {
     return;
   }
   if (LatestOther() > m_attempt->m_number) {
     BringToFront(LatestOther());
-    m_silence_timer.Start(SilenceLimit());
   }
   CancelOthers();
 }
