--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "libnet/log.h"
-#include "libnet/text.h"
 #include "nutmeghollow/hashing.h"
 
 namespace nutmeghollow {
@@ -15,63 +14,13 @@
 using net::Log;
 using net::LogLevel;
 
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusUnauthorized = 401;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusTooLarge = 413;
-constexpr int kStatusHeaderTooLarge = 431;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
 
-/// A connection within the region takes a few milliseconds. An upstream that
-/// takes longer than this timeout is down or unreachable.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 /// Maximum idle time of a connection that is reused. Upstreams close idle
 /// connections after some seconds, and a connection lost unnoticed costs an
 /// attempt.
 constexpr std::chrono::seconds kReuseMaxIdle{2};
-/// An unknown route or key is denied only if the configuration was confirmed
-/// less than this ago, the time within which a change must be in force.
-/// Otherwise the response is 503 with Retry-After.
-constexpr Duration kMaxAgeForDenial = std::chrono::milliseconds(2000);
-/// The response is sent this long before the caller's deadline or the route's
-/// timeout.
-constexpr Duration kDeadlineMargin = std::chrono::milliseconds(10);
-
-/// Retry-After of a request that another instance can serve at once.
-constexpr Duration kRetryElsewhereDelay = std::chrono::milliseconds(50);
-
-std::size_t HeaderSize(const net::HttpRequest& request) {
-  std::size_t size = request.m_method.size() + request.m_target.size();
-  for (const auto& [name, value] : request.m_headers) {
-    size += name.size() + value.size() + 4;
-  }
-  return size;
-}
-
-/// @return true when the request's target or a header field could be
-/// misinterpreted by an upstream, so that it must not be forwarded.
-bool IsMalformed(const net::HttpRequest& request) {
-  constexpr unsigned char kDelete = 0x7f;
-  const bool bad_target = std::any_of(
-      request.m_target.begin(), request.m_target.end(), [](unsigned char byte) {
-        return byte <= ' ' || byte == kDelete || byte == '#';
-      });
-  return bad_target ||
-         std::any_of(request.m_headers.begin(), request.m_headers.end(),
-                     [](const auto& field) {
-                       return net::HasLineBreak(field.first) ||
-                              net::HasLineBreak(field.second);
-                     });
-}
-
-std::string_view PathOf(const std::string& target) {
-  return std::string_view(target).substr(0, target.find('?'));
-}
-
-std::int64_t Milliseconds(Duration duration) {
-  return duration.count() / 1000;
-}
 
 }  // namespace
 
@@ -162,114 +111,6 @@
   }
 }
 
-RouteRelay::Rejection RouteRelay::CheckRequest(TimePoint now) {
-  m_configuration = m_state->m_configuration;
-  if (m_configuration == nullptr) {
-    return {kStatusUnavailable, "no configuration yet"};
-  }
-  const net::HttpRequest& request = m_exchange->Request();
-  if (IsMalformed(request)) {
-    return {kStatusBadRequest, "malformed target or field"};
-  }
-  const CallerLimits& limits = m_configuration->m_limits;
-  if (HeaderSize(request) > static_cast<std::size_t>(limits.m_header.value())) {
-    return {kStatusHeaderTooLarge, "header too large"};
-  }
-  if (request.m_body.size() > static_cast<std::size_t>(limits.m_body.value())) {
-    return {kStatusTooLarge, "body too large"};
-  }
-  const HttpRoute* route =
-      m_configuration->FindRoute(m_request.m_host, PathOf(request.m_target));
-  if (route == nullptr) {
-    return {m_state->m_freshness.Within(kMaxAgeForDenial, now)
-                ? kStatusNotFound
-                : kStatusUnavailable,
-            "no such route"};
-  }
-  m_route = *route;
-  const double draw =
-      static_cast<double>(HashText(m_request.m_id.str()) >> 11) /
-      static_cast<double>(std::uint64_t{1} << 53);
-  m_service = ChooseService(m_route, draw);
-  Duration timeout = m_route.m_timeout;
-  if (m_request.m_deadline) {
-    timeout = std::min(timeout, *m_request.m_deadline);
-  }
-  m_deadline = now + std::max(timeout - kDeadlineMargin, Duration(1));
-  if (MayBeCutByDrain(now)) {
-    return {kStatusUnavailable, "the instance stops too soon",
-            m_state->m_others_ready() ? std::optional(kRetryElsewhereDelay)
-                                      : std::nullopt};
-  }
-  if (!request.m_body.empty()) {
-    m_body = std::make_shared<const std::string>(request.m_body);
-  }
-  return CheckKey(m_route, now);
-}
-
-bool RouteRelay::MayBeCutByDrain(TimePoint now) const {
-  if (!m_state->m_drain) {
-    return false;
-  }
-  const auto durations = m_state->m_durations.find(m_route.m_name);
-  return !m_state->m_drain->MayAccept(now, TimeLeft(now),
-                                      durations == m_state->m_durations.end()
-                                          ? std::nullopt
-                                          : durations->second.UpperBound(),
-                                      m_state->m_others_ready());
-}
-
-RouteRelay::Rejection RouteRelay::CheckKey(const HttpRoute& route,
-                                           TimePoint now) {
-  m_priority = route.m_priority;
-  m_customer = CustomerId();
-  if (!m_configuration->HasCustomers()) {
-    return {};
-  }
-  const CustomerKeys* customer = m_configuration->FindCustomer(m_request.m_key);
-  if (customer != nullptr && m_state->MayServeKeyedRequests(now)) {
-    m_customer = customer->m_id;
-    m_priority = customer->m_priority.value_or(route.m_priority);
-    return {};
-  }
-  if (route.m_anonymous) {
-    return {};
-  }
-  const bool confirmed = m_state->m_freshness.Within(kMaxAgeForDenial, now);
-  if (customer == nullptr && confirmed) {
-    return {kStatusUnauthorized, "unknown key"};
-  }
-  return {kStatusUnavailable, "configuration not proven current"};
-}
-
-bool RouteRelay::RefreshConfiguration(TimePoint now) {
-  m_configuration = m_state->m_configuration;
-  const HttpRoute* route = m_configuration->FindRoute(
-      m_request.m_host, PathOf(m_exchange->Request().m_target));
-  if (route == nullptr) {
-    EndUnserved(kStatusBadGateway, "route was removed");
-    return false;
-  }
-  const Rejection rejection = CheckKey(*route, now);
-  if (rejection.m_status != 0) {
-    EndUnserved(kStatusBadGateway, rejection.m_reason);
-    return false;
-  }
-  const bool service_remains =
-      std::any_of(route->m_shares.begin(), route->m_shares.end(),
-                  [this](const TrafficShare& share) {
-                    return share.m_service == m_service;
-                  });
-  if (!service_remains && m_origin) {
-    EndUnserved(kStatusBadGateway, "service was removed from the route");
-    return false;
-  }
-  if (!service_remains) {
-    m_service = ChooseService(*route, m_state->Draw(0, 1));
-  }
-  return true;
-}
-
 bool RouteRelay::IsEngine() const {
   const ServicePolicy* service = m_configuration->FindService(m_service);
   return service != nullptr && service->m_engine.has_value();
@@ -408,7 +249,7 @@
   call.m_path = request.m_target;
   call.m_headers = m_state->m_protocol.m_upstream_headers(request, fields);
   call.m_body = m_body;
-  call.m_connect_timeout = std::min(kConnectTimeout, time_left);
+  call.m_connect_timeout = std::min(kUpstreamConnectTimeout, time_left);
   // A silent upstream may go on until another one takes over.
   call.m_head_timeout = time_left;
   call.m_idle_timeout = time_left;
@@ -448,35 +289,6 @@
   return events;
 }
 
-void RouteRelay::CheckBeforeSend() {
-  const TimePoint now = BootTime();
-  // The configuration may have been replaced during connection setup.
-  m_configuration = m_state->m_configuration;
-  const HttpRoute* route = m_configuration->FindRoute(
-      m_request.m_host, PathOf(m_exchange->Request().m_target));
-  const bool allowed = route != nullptr && CheckKey(*route, now).m_status == 0;
-  const bool late = now - m_attempt->m_sent_at > kConnectTimeout;
-  const bool takes_requests = m_state->m_pool.TakesRequests(
-      m_attempt->m_upstream, m_attempt->m_start_time_ms);
-  const bool within_rate = m_state->m_pool.MaySend(m_attempt->m_choice);
-  if (allowed && takes_requests && within_rate && !late) {
-    m_attempt->m_request_written = true;
-    if (!m_other_attempts.empty() && m_route.m_streamed) {
-      m_release_timer.Start(kMaxStreamOverlap);
-    }
-    return;
-  }
-  Log(LogLevel::kInfo, "send_withheld",
-      {{"request", m_request.m_id.str()},
-       {"upstream", m_attempt->m_upstream.str()},
-       {"allowed", allowed},
-       {"takes_requests", takes_requests},
-       {"within_rate", within_rate},
-       {"after_ms", Milliseconds(now - m_attempt->m_sent_at)}});
-  CancelAttempt(AttemptHealth::kAbandoned);
-  HandleFailure(AttemptFailure::kUnreachable);
-}
-
 void RouteRelay::Send(const UpstreamChoice& choice, TimePoint now) {
   const UpstreamId& upstream = choice.m_id;
   const RegisteredUpstream* registration = m_state->m_pool.Find(upstream);
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -56,6 +56,11 @@
  private:
   using AttemptNumber = Number<struct AttemptNumberTag>;
 
+  /// A connection within the region takes a few milliseconds. An upstream that
+  /// takes longer than this timeout is down or unreachable.
+  static constexpr Duration kUpstreamConnectTimeout =
+      std::chrono::milliseconds(300);
+
   /// Error response to a request that may not be sent.
   struct Rejection {
     int m_status = 0;  ///< 0: none.
