Do not check the paths at upstreams that leave or refuse requests

An upstream that leaves gets nothing new, and one that refuses for a stated time at most one trial, so checks go to the others only.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -209,6 +209,10 @@
   /// @return the registration, or null.
   const RegisteredUpstream* Find(const UpstreamId& id) const;
 
+  /// @return the registrations of upstreams that neither leave nor refuse
+  /// requests for a stated time.
+  std::vector<RegisteredUpstream> Accepting(TimePoint now) const;
+
   /// @return true when another process is registered under an upstream's id.
   bool IsReplaced(const UpstreamId& id, std::int64_t start_time_ms) const;
   /// @return the service whose upstreams have an origin; empty when none has.
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -115,6 +115,16 @@
   return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+std::vector<RegisteredUpstream> UpstreamPool::Accepting(TimePoint now) const {
+  std::vector<RegisteredUpstream> accepting;
+  for (const auto& [id, row] : m_upstreams) {
+    if (!row.m_leaving && row.m_refused_until <= now) {
+      accepting.push_back(row.m_registration);
+    }
+  }
+  return accepting;
+}
+
 bool UpstreamPool::IsReplaced(const UpstreamId& id,
                               std::int64_t start_time_ms) const {
   const RegisteredUpstream* registration = Find(id);
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -408,5 +408,20 @@
   EXPECT_DOUBLE_EQ(occupancy.m_used_slots, 5);
 }
 
+TEST(UpstreamPool, LeavingAndRefusingUpstreamsGetNoChecks) {
+  UpstreamPool pool = MakePool(3);
+  pool.NoteLeaving({HashOf(UpstreamId("u0")), 0}, At({}));
+  pool.NoteRefusal(UpstreamId("u1"), 0, seconds(2), At({}));
+  const auto ids = [&](Duration at) {
+    std::set<UpstreamId> accepting;
+    for (const RegisteredUpstream& upstream : pool.Accepting(At(at))) {
+      accepting.insert(upstream.m_id);
+    }
+    return accepting;
+  };
+  EXPECT_EQ(ids(seconds(1)), std::set{UpstreamId("u2")});
+  EXPECT_EQ(ids(seconds(3)), (std::set{UpstreamId("u1"), UpstreamId("u2")}));
+}
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/nutmegd/forwarding_setup.cpp
+++ b/src/nutmegd/forwarding_setup.cpp
@@ -14,11 +14,7 @@
     std::function<void(ReachabilityState, ReachabilityState)> on_round) {
   ReachabilityHooks hooks;
   hooks.m_upstreams = [state] {
-    std::vector<RegisteredUpstream> upstreams;
-    for (const UpstreamId& id : state->m_pool.Ids()) {
-      upstreams.push_back(*state->m_pool.Find(id));
-    }
-    return upstreams;
+    return state->m_pool.Accepting(net::BootTime());
   };
   hooks.m_others_reaching = [state, directory] {
     std::vector<InstanceId> others;
--- a/src/nutmegd/reachability_monitor.h
+++ b/src/nutmegd/reachability_monitor.h
@@ -25,7 +25,7 @@
 
 /// What the monitor needs of the gateway.
 struct ReachabilityHooks {
-  /// @return the registered upstreams.
+  /// @return the upstreams that may be checked.
   std::function<std::vector<RegisteredUpstream>()> m_upstreams;
   /// @return the live instances, other than this one, that reach upstreams.
   std::function<std::vector<InstanceId>()> m_others_reaching;
