--- a/src/include/nutmeghollow/types.h
+++ b/src/include/nutmeghollow/types.h
@@ -123,6 +123,9 @@
 using Bytes = Number<struct BytesTag, std::int64_t>;
 /// A count of model tokens.
 using Tokens = Number<struct TokensTag, std::int64_t>;
+/// Duration of work on a machine at a moment, relative to its usual duration:
+/// 1.0 is as usual, 2.5 takes two and a half times as long.
+using WorkFactor = Number<struct WorkFactorTag, double>;
 
 /// An IP address and port, such as "127.0.0.1:80" or "[::1]:80".
 using Endpoint = Name<struct EndpointTag>;
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -81,6 +81,8 @@
   int m_running = 0;
   int m_waiting = 0;
   int m_slots = 1;
+  /// Speed of the upstream's machine when it reported; unset: not stated.
+  std::optional<WorkFactor> m_work_factor = std::nullopt;
 };
 
 /// Result of an attempt with respect to the upstream's health.
