Ask one set of rules where a request may be sent; obey evacuations, home regions and cold states

Change: SendRules answers whether a request may be sent to a process; the choice and the check before the first byte use it. Evacuated data centres and homes are rules of it. A cold process has the request rate of its service as a limit, with the permits that stated rates use.

--- a/src/include/nutmeghollow/forwarding_choice.h
+++ b/src/include/nutmeghollow/forwarding_choice.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/home_regions.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow {
@@ -19,10 +20,13 @@
   DataCentreId m_data_centre;          ///< Of this instance.
   std::vector<InstanceId> m_tried;     ///< Not to be chosen.
   std::map<InstanceId, int> m_active;  ///< Forwarded requests in progress.
+  RegionId m_region;                   ///< Of this instance.
+  /// Regions that the request's body may be sent to besides this one.
+  HomeRegions m_homes;
 };
 
-/// @return instances other than this one that accept callers, are alive and
-/// reach upstreams.
+/// @return instances other than this one that accept callers, are alive, reach
+/// upstreams, and are in a region that the request may be sent to.
 std::vector<InstanceId> ForwardingInstances(const EntryDirectory& directory,
                                             const ForwardingQuery& query);
 
--- a/src/include/nutmeghollow/rate_limits.h
+++ b/src/include/nutmeghollow/rate_limits.h
@@ -3,8 +3,10 @@
 ///
 /// An upstream in need states its rate in its responses, for as long as it is
 /// in need. A limit belongs to one process: an upstream that is restarted has
-/// none until it states one. Requests are sent to a limited process with
-/// permits only, which RateExchange distributes among the instances.
+/// none until it states one. A cold process has the rate of its service while
+/// it is cold, and the lower rate when it states one too. Requests are sent to
+/// a limited process with permits only, which RateExchange distributes among
+/// the instances.
 #pragma once
 
 #include <cstddef>
@@ -13,6 +15,7 @@
 #include <optional>
 #include <vector>
 
+#include "nutmeghollow/cold_rate.h"
 #include "nutmeghollow/leaving_upstreams.h"
 #include "nutmeghollow/types.h"
 
@@ -31,6 +34,9 @@
   /// A permit that was not used for this long is void, so that permits cannot
   /// accumulate at idle instances and be used all at once.
   Duration m_permit_lifetime = std::chrono::milliseconds(1000);
+  /// The same for a cold process: what it tolerates is counted by the second,
+  /// so permits of one second must not be used in the next.
+  Duration m_cold_permit_lifetime = std::chrono::milliseconds(100);
   /// A limit ends when no instance received a response of the process for this
   /// long. Until then permits let requests through, whose responses tell.
   Duration m_expiry = std::chrono::seconds(60);
@@ -62,8 +68,19 @@
   /// @return recent statements to send to other instances. Successive calls go
   /// through all of them in turn.
   std::vector<StatedRate> ToReport(std::size_t limit, TimePoint now);
-  /// Removes limits that no response has confirmed for too long.
-  void RemoveExpired(TimePoint now);
+  /// Removes limits that no response has confirmed for too long, and brings
+  /// those of cold processes up to date. Called several times a second.
+  void Update(TimePoint now);
+  /// Records that a process stays cold for a time.
+  /// @param rate requests per second that it tolerates; above zero.
+  /// @return false when the time is not plausible; it is then not used.
+  bool NoteCold(const UpstreamProcess& process,
+                double rate,
+                Duration remaining,
+                TimePoint now);
+  bool IsCold(const UpstreamProcess& process, TimePoint now) const;
+  /// @return number of cold processes.
+  std::size_t ColdProcesses(TimePoint now) const;
 
   bool IsLimited(const UpstreamProcess& process) const {
     return RateOf(process).has_value();
@@ -93,13 +110,17 @@
 
  private:
   struct Entry {
-    std::optional<double> m_rate;
+    std::optional<double> m_rate;  ///< As stated.
     TimePoint m_stated_at{};
-    std::deque<TimePoint> m_permits;   ///< Times of receipt, ascending.
-    std::deque<TimePoint> m_received;  ///< The same, used permits included.
+    ColdRate m_cold;
+    std::optional<double> m_cold_rate;  ///< In force since the last update.
+    std::deque<TimePoint> m_permits;    ///< Times of receipt, ascending.
+    std::deque<TimePoint> m_received;   ///< The same, used permits included.
     TimePoint m_exhausted_until{};
   };
 
+  static std::optional<double> RateOf(const Entry& entry);
+  Duration PermitLifetime(const Entry& entry) const;
   /// @return number of ascending times after another.
   static std::size_t CountAfter(const std::deque<TimePoint>& times,
                                 TimePoint oldest);
--- a/src/include/nutmeghollow/routing.h
+++ b/src/include/nutmeghollow/routing.h
@@ -13,6 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "nutmeghollow/cold_rate.h"
+#include "nutmeghollow/home_regions.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow {
@@ -44,6 +46,7 @@
   Duration m_latency_target{};
   Duration m_gap_target{};  ///< Target for the time between two events.
   std::vector<TrafficShare> m_shares;
+  HomeRegions m_homes;  ///< Regions that its requests may reach.
 
   /// @return true when a request may be retried although it may have run.
   bool MayRepeat() const {
@@ -62,6 +65,7 @@
   ServiceId m_id;
   int m_max_connections = 0;  ///< Per upstream, fleet-wide; 0: unlimited.
   std::optional<EngineCapacity> m_engine;  ///< Unset for plain services.
+  ColdPolicy m_cold;  ///< What its upstreams tolerate while they are cold.
 };
 
 /// Limits on requests of callers.
@@ -76,6 +80,7 @@
   CustomerId m_id;
   std::vector<std::string> m_keys;
   std::optional<int> m_priority;  ///< Overrides the route's priority.
+  HomeRegions m_homes;            ///< Regions that its requests may reach.
 };
 
 /// One version of the operators' configuration.
@@ -98,6 +103,8 @@
                              std::string_view path) const;
   /// @return the service, or null.
   const ServicePolicy* FindService(const ServiceId& id) const;
+  /// @return what the upstreams of each service tolerate while they are cold.
+  std::map<ServiceId, ColdPolicy> ColdPolicies() const;
   /// @return the customer with an API key, or null.
   const CustomerKeys* FindCustomer(const std::string& key) const;
   /// @return true when callers must present an API key.
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -23,7 +23,9 @@
 #include "nutmeghollow/rate_limits.h"
 #include "nutmeghollow/room_leases.h"
 #include "nutmeghollow/routing.h"
+#include "nutmeghollow/send_rules.h"
 #include "nutmeghollow/types.h"
+#include "nutmeghollow/upstream_pool_parameters.h"
 
 namespace nutmeghollow {
 
@@ -65,13 +67,10 @@
   SoftwareVersion m_version;  ///< Empty when not stated.
   int m_slots = 1;
   bool m_draining = false;
-  Duration m_cold{};  ///< Remaining time of its warm-up.
+  /// Time for which it stays cold; unset: not stated.
+  std::optional<Duration> m_cold = Duration::zero();
 };
 
-/// A service and the software of one of its upstreams: what one of them began,
-/// only an upstream of the same origin can continue.
-using OriginHash = Number<struct OriginTag>;
-
 /// @return the origin of an upstream's responses. The version is that of the
 /// software; an upstream that states none is an origin by itself.
 OriginHash OriginOf(const RegisteredUpstream& upstream);
@@ -102,68 +101,6 @@
 /// @return name of a result in logs.
 const char* AttemptHealthName(AttemptHealth health);
 
-/// Settings of upstream selection and health tracking.
-struct UpstreamPoolParameters {
-  /// Backoff after the first failure: long enough for the request's retry to go
-  /// elsewhere, short enough to detect a restarted upstream soon.
-  Duration m_min_backoff = std::chrono::milliseconds(300);
-  /// Maximum backoff: the registration of a dead upstream lasts a few seconds.
-  Duration m_max_backoff = std::chrono::seconds(4);
-  /// Share of the refusal time stated by an upstream after which one trial
-  /// request may be sent to it, when no other upstream accepts the request.
-  /// Some upstreams recover before the stated time.
-  double m_refusal_trial_share = 0.5;
-  /// Longest wait that is stated to a caller who was refused for want of
-  /// permits.
-  Duration m_max_permit_wait = std::chrono::seconds(2);
-  /// Longest step from one wait to the next when the permits are leases.
-  Duration m_max_lease_wait = std::chrono::milliseconds(100);
-  /// Upper limit of a stated refusal time. An upstream that is unavailable for
-  /// longer registers again.
-  Duration m_max_refusal = std::chrono::minutes(10);
-  /// Share of a request's candidates that may back off at the same time.
-  double m_max_backoff_share = 0.5;
-  /// Maximum load of an engine as a multiple of the mean load, as required by
-  /// the users.
-  double m_load_bound = 2.0;
-  /// A hot chat is spread when more of its requests than this are sent within
-  /// the age of the loads: the loads do not show to which engine they went.
-  double m_max_unseen_requests = 4.0;
-  /// Requests allowed above the multiple. One less than the three that the
-  /// users allow, since each instance sees the loads of others with a delay.
-  double m_load_slack = 2.0;
-  /// Older load reports are ignored: the loads reported by other instances are
-  /// as recent, and an instance that is cut off from them has at least an upper
-  /// bound.
-  Duration m_max_report_age = std::chrono::milliseconds(1000);
-  /// A prompt part that has not been sent to an engine for this long counts as
-  /// evicted from its cache.
-  Duration m_max_part_age = std::chrono::seconds(60);
-  /// Prompt tokens that an engine processes per millisecond.
-  double m_prefill_rate = 56.0;
-  /// Increase of the time to first token per running request, in milliseconds.
-  double m_wait_per_request = 2.0;
-  /// Share of the latency target up to which a predicted time to first token
-  /// has no cost. Processing a shared part again delays every caller of the
-  /// engine, while waiting within the target harms no caller.
-  double m_free_wait_share = 0.4;
-  /// Cost of a millisecond beyond that, relative to a millisecond of prefill.
-  double m_wait_cost = 3.0;
-  /// Cost per running request, in milliseconds. It moves the requests with the
-  /// cheapest prefill elsewhere away from a loaded engine first.
-  double m_load_cost = 2.5;
-  /// Weight of the newest result in the moving averages.
-  double m_average_weight = 0.15;
-  /// Cost of using a permit of a limited engine, in milliseconds, for a request
-  /// whose shared prefix is shorter than the mean. It leaves the permits to the
-  /// requests that would take most memory and time at other engines.
-  double m_permit_cost = 120.0;
-  /// The same for a server of a plain service, relative to its cost when idle.
-  double m_service_permit_cost = 1.0;
-  /// Relative cost increase of an upstream with a failure rate of 1.
-  double m_failure_cost = 8.0;
-};
-
 /// Criteria for choosing an upstream for a request.
 struct UpstreamQuery {
   ServiceId m_service;
@@ -174,6 +111,7 @@
   int m_priority = 0;           ///< Rank; 0 is the most urgent.
   /// Origin that the upstream must have; unset for any.
   std::optional<OriginHash> m_origin;
+  HomeRegions m_homes;  ///< Regions that the request may reach.
 };
 
 /// Chosen upstream and the figures behind the choice.
@@ -212,7 +150,7 @@
   const RegisteredUpstream* Find(const UpstreamId& id) const;
 
   /// @return the registrations of upstreams that neither leave nor refuse
-  /// requests for a stated time.
+  /// requests for a stated time, outside evacuated data centres.
   std::vector<RegisteredUpstream> Accepting(TimePoint now) const;
 
   /// @return true when another process is registered under an upstream's id.
@@ -224,9 +162,38 @@
   /// @return nothing when the service has none.
   std::optional<UpstreamChoice> Choose(const UpstreamQuery& upstream_query,
                                        TimePoint now);
-  /// @return true when requests may still be sent to the chosen process of an
-  /// upstream; false when it is leaving, removed or replaced.
-  bool TakesRequests(const UpstreamId& id, std::int64_t start_time_ms) const;
+  /// @return true when a request may still be sent to the chosen process of an
+  /// upstream; false when it is removed or replaced, or when there is a lasting
+  /// obstacle.
+  bool TakesRequests(const UpstreamQuery& upstream_query,
+                     const UpstreamId& id,
+                     std::int64_t start_time_ms) const;
+  /// Evacuated data centres.
+  const Evacuations& EvacuatedDataCentres() const {
+    return m_tables.m_evacuations;
+  }
+  /// Upstreams in a data centre, and requests of this instance in progress
+  /// there.
+  struct DataCentreUse {
+    int m_upstreams = 0;
+    int m_active = 0;
+  };
+  DataCentreUse UseOf(const DataCentreId& data_centre) const;
+  /// Stops sending new requests to the upstreams of a data centre.
+  /// @return false when the name cannot be that of a data centre.
+  bool BeginEvacuation(const DataCentreId& data_centre) {
+    return m_tables.m_evacuations.Begin(data_centre);
+  }
+  /// @return false when the data centre was not evacuated.
+  bool EndEvacuation(const DataCentreId& data_centre) {
+    return m_tables.m_evacuations.End(data_centre);
+  }
+  /// @return number of upstreams in evacuated data centres.
+  int EvacuatedUpstreams() const;
+  /// Sets the region of each data centre, for requests with home regions.
+  void SetRegions(RegionMap regions) {
+    m_tables.m_regions = std::move(regions);
+  }
   /// Counts a new request, and decides whether it may use a permit: less urgent
   /// requests leave them to the more urgent ones when there are too few.
   bool AdmitRequest(const UpstreamQuery& upstream_query, TimePoint now);
@@ -287,12 +254,12 @@
                    Duration wait,
                    TimePoint now);
   /// Rates that upstreams stated.
-  RateLimits& Limits() { return m_limits; }
-  const RateLimits& Limits() const { return m_limits; }
+  RateLimits& Limits() { return m_tables.m_limits; }
+  const RateLimits& Limits() const { return m_tables.m_limits; }
   /// Refusals in a second at which upstreams fall over, as stated by brittle
   /// ones, and leases as permits.
-  RateLimits& RefusalLimits() { return m_refusal_limits; }
-  const RateLimits& RefusalLimits() const { return m_refusal_limits; }
+  RateLimits& RefusalLimits() { return m_tables.m_refusal_limits; }
+  const RateLimits& RefusalLimits() const { return m_tables.m_refusal_limits; }
   /// Sets what is called when a request to a brittle upstream has ended.
   void OnRoomReport(std::function<void(const RoomReport& report)> hook) {
     m_on_room_report = std::move(hook);
@@ -304,6 +271,28 @@
   std::vector<RoomReport> RoomReports(TimePoint now) const;
   /// @return the id of a registered upstream; empty when there is none.
   UpstreamId IdOf(UpstreamHash upstream) const;
+  /// Change of an upstream's cold state.
+  struct ColdChange {
+    UpstreamId m_id;
+    bool m_is_cold = false;
+    Duration m_remaining{};
+    bool m_is_used = true;  ///< False for a time that is not plausible.
+  };
+  /// Sets what is called when an upstream becomes cold or warm, or states a
+  /// time that is not plausible.
+  void OnColdChange(std::function<void(const ColdChange& change)> hook) {
+    m_on_cold_change = std::move(hook);
+  }
+  /// Sets what the upstreams of each service tolerate while they are cold.
+  /// Services that are not listed have no limit.
+  void SetColdPolicies(std::map<ServiceId, ColdPolicy> policies, TimePoint now);
+  /// Records that a process stated for how long it stays cold.
+  void NoteCold(const UpstreamId& id,
+                std::int64_t start_time_ms,
+                Duration remaining,
+                TimePoint now);
+  /// Brings limits up to date. Called several times a second.
+  void UpdateLimits(TimePoint now);
   /// Records that another upstream responded at this one's address.
   void NoteReplaced(const UpstreamId& id, TimePoint now);
 
@@ -338,7 +327,8 @@
     RegisteredUpstream m_registration;
     UpstreamHash m_hash;
     OriginHash m_origin;
-    TimePoint m_cold_until{};
+    TimePoint m_cold_until{};  ///< As stated, whatever its service tolerates.
+    bool m_limited_as_cold = false;
     int m_active = 0;
     double m_pending_prefill = 0;  ///< Tokens sent, not processed yet.
     int m_failures = 0;            ///< Consecutive.
@@ -399,6 +389,14 @@
                                  bool trials,
                                  TimePoint now);
   bool MayTry(const Upstream& upstream, TimePoint now) const;
+  /// @param query null when no particular request is meant.
+  SendQuestion QuestionFor(const Upstream& upstream,
+                           const UpstreamQuery* query,
+                           TimePoint now) const;
+  /// Limits a process as its service's policy says while it is cold.
+  void ApplyColdPolicy(Upstream& upstream, TimePoint now);
+  /// @return true when there is a lasting obstacle for all requests.
+  bool IsOutOfUse(const Upstream& upstream) const;
   static UpstreamProcess ProcessOf(const Upstream& upstream) {
     return {upstream.m_hash, upstream.m_registration.m_start_time_ms};
   }
@@ -440,10 +438,10 @@
   UpstreamPoolParameters m_parameters;
   std::map<UpstreamId, Upstream> m_upstreams;
   LeavingUpstreams m_leaving;
-  RateLimits m_limits;
-  RateLimits m_refusal_limits{
-      {.m_permit_lifetime = std::chrono::milliseconds(40)}};
+  SendTables m_tables;
   std::function<void(const RoomReport& report)> m_on_room_report;
+  std::function<void(const ColdChange& change)> m_on_cold_change;
+  std::map<ServiceId, ColdPolicy> m_cold_policies;
   std::map<ServiceId, PriorityDemand> m_demand;
   /// Moving averages of the tokens of the shared prefixes of prompts.
   std::map<ServiceId, double> m_mean_prefix;
--- a/src/libnet/route_protocol.h
+++ b/src/libnet/route_protocol.h
@@ -53,6 +53,8 @@
   PublicRequestId m_echoed_id;
   std::optional<LoadReport> m_load;
   bool m_leaving = false;  ///< The upstream accepts no new requests.
+  /// Time for which the upstream stays cold; unset when not given.
+  std::optional<Duration> m_cold_for;
   /// Time for which the upstream refuses requests; unset when not given.
   std::optional<Duration> m_refused_for;
   /// Requests per second that the upstream accepts from all instances together;
@@ -91,6 +93,9 @@
 
   std::string m_configuration_table;
   std::string m_configuration_key;
+  /// Rows of the configuration's table whose keys begin with this name
+  /// evacuated data centres; the data centre's name follows.
+  std::string m_evacuation_prefix;
   std::string m_registration_table;
 };
 
--- a/src/libnutmeg/forwarding_choice.cpp
+++ b/src/libnutmeg/forwarding_choice.cpp
@@ -20,7 +20,9 @@
     const bool tried = std::find(query.m_tried.begin(), query.m_tried.end(),
                                  id) != query.m_tried.end();
     if (id == query.m_self || tried || !instance.m_ready || !instance.m_alive ||
-        instance.m_reach != UpstreamReach::kReached) {
+        instance.m_reach != UpstreamReach::kReached ||
+        (instance.m_region != query.m_region &&
+         !Allows(query.m_homes, instance.m_region))) {
       continue;
     }
     all.push_back(id);
--- a/src/libnutmeg/rate_limits.cpp
+++ b/src/libnutmeg/rate_limits.cpp
@@ -4,6 +4,40 @@
 
 namespace nutmeghollow {
 
+std::optional<double> RateLimits::RateOf(const Entry& entry) {
+  if (entry.m_rate && entry.m_cold_rate) {
+    return std::min(*entry.m_rate, *entry.m_cold_rate);
+  }
+  return entry.m_rate ? entry.m_rate : entry.m_cold_rate;
+}
+
+Duration RateLimits::PermitLifetime(const Entry& entry) const {
+  return entry.m_cold_rate ? std::min(m_parameters.m_permit_lifetime,
+                                      m_parameters.m_cold_permit_lifetime)
+                           : m_parameters.m_permit_lifetime;
+}
+
+bool RateLimits::NoteCold(const UpstreamProcess& process,
+                          double rate,
+                          Duration remaining,
+                          TimePoint now) {
+  Entry& entry = m_entries[process];
+  const bool is_plausible = entry.m_cold.Extend(rate, remaining, now);
+  entry.m_cold_rate = entry.m_cold.RateAt(now);
+  return is_plausible;
+}
+
+bool RateLimits::IsCold(const UpstreamProcess& process, TimePoint now) const {
+  const auto found = m_entries.find(process);
+  return found != m_entries.end() && found->second.m_cold.IsCold(now);
+}
+
+std::size_t RateLimits::ColdProcesses(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_entries.begin(), m_entries.end(),
+      [&](const auto& entry) { return entry.second.m_cold.IsCold(now); }));
+}
+
 bool RateLimits::NoteResponse(const UpstreamProcess& process,
                               std::optional<double> rate,
                               TimePoint sent_at,
@@ -14,7 +48,11 @@
         sent_at <= found->second.m_stated_at) {
       return false;
     }
-    found->second = Entry{std::nullopt, now, {}, {}, {}};
+    Entry ended;
+    ended.m_stated_at = now;
+    ended.m_cold = found->second.m_cold;
+    ended.m_cold_rate = found->second.m_cold_rate;
+    found->second = std::move(ended);
     return true;
   }
   Entry& entry = m_entries[process];
@@ -28,8 +66,9 @@
   const auto found = m_entries.find(stated.m_process);
   if (found == m_entries.end()) {
     if (stated.m_rate) {
-      m_entries[stated.m_process] = {
-          stated.m_rate, stated.m_stated_at, {}, {}, {}};
+      Entry& entry = m_entries[stated.m_process];
+      entry.m_rate = stated.m_rate;
+      entry.m_stated_at = stated.m_stated_at;
     }
     return;
   }
@@ -56,20 +95,24 @@
   return report;
 }
 
-void RateLimits::RemoveExpired(TimePoint now) {
+void RateLimits::Update(TimePoint now) {
+  for (auto& [process, entry] : m_entries) {
+    entry.m_cold_rate = entry.m_cold.RateAt(now);
+  }
   std::erase_if(m_entries, [&](const auto& entry) {
-    return now - entry.second.m_stated_at >= m_parameters.m_expiry;
+    return !entry.second.m_cold_rate &&
+           now - entry.second.m_stated_at >= m_parameters.m_expiry;
   });
 }
 
 std::optional<double> RateLimits::RateOf(const UpstreamProcess& process) const {
   const auto found = m_entries.find(process);
-  return found == m_entries.end() ? std::nullopt : found->second.m_rate;
+  return found == m_entries.end() ? std::nullopt : RateOf(found->second);
 }
 
 bool RateLimits::AnyLimited() const {
   return std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) {
-    return entry.second.m_rate.has_value();
+    return RateOf(entry.second).has_value();
   });
 }
 
@@ -84,7 +127,7 @@
     }
     times->push_back(now);
   };
-  add(&found->second.m_permits, m_parameters.m_permit_lifetime);
+  add(&found->second.m_permits, PermitLifetime(found->second));
   add(&found->second.m_received, m_parameters.m_average_window);
 }
 
@@ -128,9 +171,8 @@
   }
   std::deque<TimePoint>& permits = found->second.m_permits;
   std::size_t removed = 0;
-  for (; !permits.empty() &&
-         now - permits.front() >= m_parameters.m_permit_lifetime;
-       ++removed) {
+  const Duration lifetime = PermitLifetime(found->second);
+  for (; !permits.empty() && now - permits.front() >= lifetime; ++removed) {
     permits.pop_front();
   }
   return removed;
@@ -142,27 +184,27 @@
   return found == m_entries.end()
              ? 0
              : CountAfter(found->second.m_permits,
-                          now - m_parameters.m_permit_lifetime);
+                          now - PermitLifetime(found->second));
 }
 
 bool RateLimits::MaySend(const UpstreamProcess& process, TimePoint now) const {
   const auto found = m_entries.find(process);
-  return found == m_entries.end() || !found->second.m_rate ||
+  return found == m_entries.end() || !RateOf(found->second) ||
          CountAfter(found->second.m_permits,
-                    now - m_parameters.m_permit_lifetime) > 0;
+                    now - PermitLifetime(found->second)) > 0;
 }
 
 bool RateLimits::TakePermit(const UpstreamProcess& process, TimePoint now) {
   const auto found = m_entries.find(process);
   if (found == m_entries.end() ||
       CountAfter(found->second.m_permits,
-                 now - m_parameters.m_permit_lifetime) == 0) {
+                 now - PermitLifetime(found->second)) == 0) {
     return false;
   }
   // The oldest valid one, so that the others last.
   auto& permits = found->second.m_permits;
   permits.erase(std::upper_bound(permits.begin(), permits.end(),
-                                 now - m_parameters.m_permit_lifetime));
+                                 now - PermitLifetime(found->second)));
   return true;
 }
 
--- a/src/libnutmeg/routing.cpp
+++ b/src/libnutmeg/routing.cpp
@@ -57,6 +57,16 @@
   return found == m_services.end() ? nullptr : &found->second;
 }
 
+std::map<ServiceId, ColdPolicy> RoutingConfiguration::ColdPolicies() const {
+  std::map<ServiceId, ColdPolicy> policies;
+  for (const auto& [id, service] : m_services) {
+    if (service.m_cold.m_rate > 0) {
+      policies.emplace(id, service.m_cold);
+    }
+  }
+  return policies;
+}
+
 const CustomerKeys* RoutingConfiguration::FindCustomer(
     const std::string& key) const {
   const auto found = m_keys.find(key);
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -67,24 +67,27 @@
     TimePoint now) {
   std::vector<Candidate> candidates;
   for (auto& [id, row] : m_upstreams) {
-    const bool tried =
-        std::find(upstream_query.m_tried.begin(), upstream_query.m_tried.end(),
-                  id) != upstream_query.m_tried.end();
-    if (row.m_registration.m_service != upstream_query.m_service ||
-        row.m_leaving || tried ||
-        (upstream_query.m_origin && row.m_origin != *upstream_query.m_origin)) {
+    if (row.m_registration.m_service != upstream_query.m_service) {
       continue;
     }
-    if (now < row.m_refused_until && !(trials && MayTry(row, now))) {
+    SendQuestion question = QuestionFor(row, &upstream_query, now);
+    if (trials && MayTry(row, now)) {
+      question.m_refused_until = now;
+    }
+    const SendObstacle obstacle = AllSendRules().Check(question).m_obstacle;
+    if (obstacle != SendObstacle::kNone &&
+        obstacle != SendObstacle::kNeedsPermit &&
+        obstacle != SendObstacle::kNeedsLease) {
       continue;
     }
     Candidate candidate;
     candidate.m_upstream = &row;
     candidate.m_load = EstimatedLoad(row, now);
-    candidate.m_limited = m_limits.IsLimited(ProcessOf(row));
-    candidate.m_needs_permit = !m_limits.MaySend(ProcessOf(row), now);
-    candidate.m_leased = m_refusal_limits.IsLimited(ProcessOf(row));
-    candidate.m_needs_lease = !m_refusal_limits.MaySend(ProcessOf(row), now);
+    candidate.m_limited = m_tables.m_limits.IsLimited(question.m_process);
+    candidate.m_needs_permit = obstacle == SendObstacle::kNeedsPermit;
+    candidate.m_leased =
+        m_tables.m_refusal_limits.IsLimited(question.m_process);
+    candidate.m_needs_lease = obstacle == SendObstacle::kNeedsLease;
     candidates.push_back(candidate);
   }
   MarkBackingOff(candidates, now);
--- a/src/libnutmeg/upstream_permits.cpp
+++ b/src/libnutmeg/upstream_permits.cpp
@@ -27,19 +27,21 @@
     TimePoint now) {
   std::vector<LimitedProcess> permits;
   std::vector<LimitedProcess> leases;
-  if (!m_limits.AnyLimited() && !m_refusal_limits.AnyLimited()) {
+  if (!m_tables.m_limits.AnyLimited() &&
+      !m_tables.m_refusal_limits.AnyLimited()) {
     return permits;
   }
   const Evaluation evaluation = Evaluate(upstream_query, now);
   for (const Candidate* candidate : BetterWithPermit(evaluation.m_candidates)) {
     const UpstreamProcess process = ProcessOf(*candidate->m_upstream);
     if (candidate->m_needs_permit) {
-      if (m_limits.MayRequestPermit(process, now)) {
-        permits.push_back({process, m_limits.RateOf(process).value_or(0)});
+      if (m_tables.m_limits.MayRequestPermit(process, now)) {
+        permits.push_back(
+            {process, m_tables.m_limits.RateOf(process).value_or(0)});
       }
-    } else if (m_refusal_limits.MayRequestPermit(process, now)) {
+    } else if (m_tables.m_refusal_limits.MayRequestPermit(process, now)) {
       leases.push_back(
-          {process, m_refusal_limits.RateOf(process).value_or(0),
+          {process, m_tables.m_refusal_limits.RateOf(process).value_or(0),
            std::max(1, candidate->m_upstream->m_registration.m_slots)});
     }
   }
@@ -47,8 +49,8 @@
 }
 
 int UpstreamPool::Held(const Upstream& upstream, TimePoint now) const {
-  return upstream.m_active +
-         static_cast<int>(m_refusal_limits.Permits(ProcessOf(upstream), now));
+  return upstream.m_active + static_cast<int>(m_tables.m_refusal_limits.Permits(
+                                 ProcessOf(upstream), now));
 }
 
 void UpstreamPool::EndLease(const Upstream& upstream,
@@ -56,15 +58,15 @@
                             TimePoint now) {
   const UpstreamProcess process = ProcessOf(upstream);
   const bool refused = health == AttemptHealth::kRefused;
-  if (m_on_room_report && m_refusal_limits.IsLimited(process)) {
+  if (m_on_room_report && m_tables.m_refusal_limits.IsLimited(process)) {
     m_on_room_report({process, Held(upstream, now), 1, refused ? 1 : 0});
   }
 }
 
 void UpstreamPool::ReturnLeases(TimePoint now) {
   for (const auto& [id, row] : m_upstreams) {
-    const auto unused =
-        static_cast<int>(m_refusal_limits.RemoveUnused(ProcessOf(row), now));
+    const auto unused = static_cast<int>(
+        m_tables.m_refusal_limits.RemoveUnused(ProcessOf(row), now));
     if (unused > 0 && m_on_room_report) {
       m_on_room_report({ProcessOf(row), Held(row, now), unused, 0});
     }
@@ -73,11 +75,11 @@
 
 std::vector<RoomReport> UpstreamPool::RoomReports(TimePoint now) const {
   std::vector<RoomReport> reports;
-  if (!m_refusal_limits.AnyLimited()) {
+  if (!m_tables.m_refusal_limits.AnyLimited()) {
     return reports;
   }
   for (const auto& [id, row] : m_upstreams) {
-    if (m_refusal_limits.IsLimited(ProcessOf(row))) {
+    if (m_tables.m_refusal_limits.IsLimited(ProcessOf(row))) {
       reports.push_back({ProcessOf(row), Held(row, now), 0, 0});
     }
   }
--- a/src/libnutmeg/upstream_pool.cpp
+++ b/src/libnutmeg/upstream_pool.cpp
@@ -84,7 +84,13 @@
   row.m_hash = HashOf(registration.m_id);
   row.m_origin = OriginOf(registration);
   m_ids[row.m_hash] = registration.m_id;
-  row.m_cold_until = now + registration.m_cold;
+  const auto policy = m_cold_policies.find(registration.m_service);
+  const Duration unstated = !same && policy != m_cold_policies.end()
+                                ? policy->second.m_duration
+                                : Duration::zero();
+  row.m_cold_until =
+      std::max(row.m_cold_until, now + registration.m_cold.value_or(unstated));
+  ApplyColdPolicy(row, now);
   const UpstreamProcess process{row.m_hash, registration.m_start_time_ms};
   if (registration.m_draining) {
     m_leaving.Add(process, false, now);
@@ -118,7 +124,7 @@
 std::vector<RegisteredUpstream> UpstreamPool::Accepting(TimePoint now) const {
   std::vector<RegisteredUpstream> accepting;
   for (const auto& [id, row] : m_upstreams) {
-    if (!row.m_leaving && row.m_refused_until <= now) {
+    if (!IsOutOfUse(row) && row.m_refused_until <= now) {
       accepting.push_back(row.m_registration);
     }
   }
@@ -141,21 +147,14 @@
   return ServiceId();
 }
 
-bool UpstreamPool::TakesRequests(const UpstreamId& id,
-                                 std::int64_t start_time_ms) const {
-  const auto found = m_upstreams.find(id);
-  return found != m_upstreams.end() && !found->second.m_leaving &&
-         found->second.m_registration.m_start_time_ms == start_time_ms;
-}
-
 bool UpstreamPool::MaySend(const UpstreamChoice& choice) const {
   const auto found = m_upstreams.find(choice.m_id);
   if (found == m_upstreams.end()) {
     return true;
   }
   const UpstreamProcess process = ProcessOf(found->second);
-  return (choice.m_limited || !m_limits.IsLimited(process)) &&
-         (choice.m_leased || !m_refusal_limits.IsLimited(process));
+  return (choice.m_limited || !m_tables.m_limits.IsLimited(process)) &&
+         (choice.m_leased || !m_tables.m_refusal_limits.IsLimited(process));
 }
 
 std::optional<double> UpstreamPool::PermitRate(const ServiceId& service,
@@ -164,14 +163,14 @@
   double rate = 0;
   bool limited = false;
   for (const auto& [id, row] : m_upstreams) {
-    if (row.m_registration.m_service != service || row.m_leaving) {
+    if (row.m_registration.m_service != service || IsOutOfUse(row)) {
       continue;
     }
     const UpstreamProcess process = ProcessOf(row);
-    if (m_limits.IsLimited(process)) {
-      rate += m_limits.ReceivedRate(process, now);
-    } else if (leases && m_refusal_limits.IsLimited(process)) {
-      rate += m_refusal_limits.ReceivedRate(process, now);
+    if (m_tables.m_limits.IsLimited(process)) {
+      rate += m_tables.m_limits.ReceivedRate(process, now);
+    } else if (leases && m_tables.m_refusal_limits.IsLimited(process)) {
+      rate += m_tables.m_refusal_limits.ReceivedRate(process, now);
     } else {
       return std::nullopt;
     }
@@ -182,7 +181,7 @@
 
 bool UpstreamPool::AdmitRequest(const UpstreamQuery& upstream_query,
                                 TimePoint now) {
-  if (!m_limits.AnyLimited()) {
+  if (!m_tables.m_limits.AnyLimited()) {
     return true;
   }
   ++m_choice_count;
@@ -228,7 +227,7 @@
                                                  TimePoint now) const {
   std::optional<Duration> least;
   for (const auto& [id, row] : m_upstreams) {
-    if (row.m_registration.m_service != service || row.m_leaving) {
+    if (row.m_registration.m_service != service || IsOutOfUse(row)) {
       continue;
     }
     if (row.m_refused_until <= now) {
@@ -257,10 +256,10 @@
     return;
   }
   ++row->m_active;
-  if (m_limits.IsLimited(ProcessOf(*row))) {
-    m_limits.TakePermit(ProcessOf(*row), now);
+  if (m_tables.m_limits.IsLimited(ProcessOf(*row))) {
+    m_tables.m_limits.TakePermit(ProcessOf(*row), now);
   }
-  m_refusal_limits.TakePermit(ProcessOf(*row), now);
+  m_tables.m_refusal_limits.TakePermit(ProcessOf(*row), now);
   row->m_refusal_tried |= now < row->m_refused_until;
   if (prompt != nullptr && !prompt->empty()) {
     row->m_pending_prefill += UnreadTokens(*row, *prompt, false, now);
@@ -362,17 +361,6 @@
   row->m_active_at_report = row->m_active;
 }
 
-bool UpstreamPool::NoteLeaving(const UpstreamProcess& process, TimePoint now) {
-  const bool is_new = m_leaving.Add(process, true, now);
-  const auto id = m_ids.find(process.m_upstream);
-  Upstream* row = id == m_ids.end() ? nullptr : FindRow(id->second);
-  if (row != nullptr &&
-      row->m_registration.m_start_time_ms == process.m_start_time_ms) {
-    row->m_leaving = true;
-  }
-  return is_new;
-}
-
 void UpstreamPool::NoteRefusal(const UpstreamId& id,
                                std::int64_t start_time_ms,
                                Duration wait,
@@ -473,7 +461,7 @@
                                                   TimePoint now) const {
   Occupancy occupancy;
   for (const auto& [id, row] : m_upstreams) {
-    if (row.m_registration.m_service == service && !row.m_leaving) {
+    if (row.m_registration.m_service == service && !IsOutOfUse(row)) {
       occupancy.m_used_slots += EstimatedLoad(row, now);
       occupancy.m_total_slots += row.m_registration.m_slots;
     }
--- a/src/libnutmeg/upstream_pool_test.cpp
+++ b/src/libnutmeg/upstream_pool_test.cpp
@@ -64,7 +64,7 @@
 TEST(UpstreamPool, ChoosesNothingWithoutUpstreams) {
   UpstreamPool pool;
   EXPECT_FALSE(pool.Choose(MakeQuery(), At({})));
-  EXPECT_FALSE(pool.TakesRequests(UpstreamId("u0"), 0));
+  EXPECT_FALSE(pool.TakesRequests(MakeQuery(), UpstreamId("u0"), 0));
 }
 
 TEST(UpstreamPool, SkipsDrainingAndTriedUpstreams) {
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -283,8 +283,7 @@
 }
 
 void FleetLink::StartLoadRound() {
-  m_pool->Limits().RemoveExpired(BootTime());
-  m_pool->RefusalLimits().RemoveExpired(BootTime());
+  m_pool->UpdateLimits(BootTime());
   m_rooms.RemoveExpired(BootTime());
   SendRoomReports(m_pool->RoomReports(BootTime()));
   const InstanceId relay = m_loads.Relay();
--- a/src/nutmegd/forwarding_setup.cpp
+++ b/src/nutmegd/forwarding_setup.cpp
@@ -45,12 +45,13 @@
                                     const EntryDirectory* directory,
                                     const FleetLink* fleet) {
   ForwardingState forwarding;
-  forwarding.m_choose = [state,
-                         directory](const std::vector<InstanceId>& tried) {
+  forwarding.m_choose = [state, directory](const std::vector<InstanceId>& tried,
+                                           const HomeRegions& homes) {
     const InstanceSettings& self = state->m_settings->m_instance;
     return ChooseForwardingInstance(
         *directory,
-        {self.m_id, self.m_data_centre, tried, state->m_forwarding.m_active},
+        {self.m_id, self.m_data_centre, tried, state->m_forwarding.m_active,
+         self.m_region, homes},
         [state] { return state->Draw(0, 1); });
   };
   forwarding.m_address_of = [fleet](const InstanceId& id) {
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -13,6 +13,7 @@
 #include "libnet/event_loop.h"
 #include "libnet/http_server.h"
 #include "libnet/log.h"
+#include "nutmegd/evacuation_rows.h"
 #include "nutmegd/fleet_link.h"
 #include "nutmegd/forwarding_setup.h"
 #include "nutmegd/gateway_state.h"
@@ -82,6 +83,18 @@
   return options;
 }
 
+void LogColdChange(const UpstreamPool::ColdChange& change) {
+  if (!change.m_is_used) {
+    Log(LogLevel::kWarning, "cold_time_not_used",
+        {{"upstream", change.m_id.str()},
+         {"remaining_ms", change.m_remaining.count() / 1000}});
+    return;
+  }
+  Log(LogLevel::kInfo, change.m_is_cold ? "upstream_cold" : "upstream_warm",
+      {{"upstream", change.m_id.str()},
+       {"remaining_ms", change.m_remaining.count() / 1000}});
+}
+
 }  // namespace
 
 class Gateway::Impl {
@@ -327,6 +340,8 @@
   m_peer_feed_server.Add(kInstanceTable, &m_instance_follower);
   m_state.m_settings = &m_settings;
   m_state.m_pool.SetSeed(m_state.m_random());
+  m_state.m_pool.SetRegions(m_settings.m_regions);
+  m_state.m_pool.OnColdChange(LogColdChange);
   ApplySettings();
   RegisterGauges();
   m_settings_timer.StartRepeating(kSettingsCheckInterval);
@@ -362,6 +377,13 @@
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
   });
+  metrics.SetGauge("nutmeg_gateway_evacuated_upstreams", "", [this] {
+    return static_cast<double>(m_state.m_pool.EvacuatedUpstreams());
+  });
+  metrics.SetGauge("nutmeg_gateway_cold_upstreams", "", [this] {
+    return static_cast<double>(
+        m_state.m_pool.Limits().ColdProcesses(BootTime()));
+  });
   metrics.SetGauge("nutmeg_gateway_crash_suspects", "", [this] {
     return static_cast<double>(m_crash_detector.Suspects().size());
   });
@@ -515,7 +537,9 @@
 TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
-    AdoptConfigurationRow(m_state, row);
+    if (!HandleEvacuationRow(m_state, row)) {
+      AdoptConfigurationRow(m_state, row);
+    }
   };
   events.m_on_confirmed = [this](TimePoint confirmed_at) {
     m_state.m_freshness.Confirm(confirmed_at);
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -39,9 +39,11 @@
 /// Instances to which an instance that is cut off from the upstreams forwards
 /// requests.
 struct ForwardingState {
+  /// @param homes regions that the request's body may be sent to.
   /// @return an instance that is not among those tried; nothing if there is
   /// none.
-  std::function<std::optional<InstanceId>(const std::vector<InstanceId>& tried)>
+  std::function<std::optional<InstanceId>(const std::vector<InstanceId>& tried,
+                                          const HomeRegions& homes)>
       m_choose;
   /// @return the peer address of an instance.
   std::function<Endpoint(const InstanceId&)> m_address_of;
--- a/src/nutmegd/route_configuration.cpp
+++ b/src/nutmegd/route_configuration.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "libnet/event_loop.h"
 #include "libnet/log.h"
 
 namespace nutmeghollow {
@@ -30,6 +31,8 @@
               static_cast<std::int64_t>(configuration.RouteCount())}});
         state.m_configuration = std::make_shared<const RoutingConfiguration>(
             std::move(configuration));
+        state.m_pool.SetColdPolicies(state.m_configuration->ColdPolicies(),
+                                     net::BootTime());
         return {};
       },
       [&](const net::DocumentError& error) {
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -192,6 +192,7 @@
   upstream_query.m_latency_target = m_route.m_latency_target;
   upstream_query.m_priority = m_priority;
   upstream_query.m_origin = m_origin;
+  upstream_query.m_homes = m_homes;
   upstream_query.m_data_centre = m_state->m_settings->m_instance.m_data_centre;
   return upstream_query;
 }
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -348,6 +348,7 @@
   HttpRoute m_route;
   ServiceId m_service;
   CustomerId m_customer;
+  HomeRegions m_homes;  ///< Of the route and the customer together.
   int m_priority = 0;
   TimePoint m_arrived_at{};
   TimePoint m_deadline{};
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -130,12 +130,14 @@
                                            TimePoint now) {
   m_priority = route.m_priority;
   m_customer = CustomerId();
+  m_homes = route.m_homes;
   if (!m_configuration->HasCustomers()) {
     return {};
   }
   const CustomerKeys* customer = m_configuration->FindCustomer(m_request.m_key);
   if (customer != nullptr && m_state->MayServeKeyedRequests(now)) {
     m_customer = customer->m_id;
+    m_homes = Intersect(route.m_homes, customer->m_homes);
     m_priority = customer->m_priority.value_or(route.m_priority);
     return {};
   }
@@ -186,7 +188,7 @@
   const bool allowed = route != nullptr && CheckKey(*route, now).m_status == 0;
   const bool late = now - m_attempt->m_sent_at > kUpstreamConnectTimeout;
   const bool takes_requests = m_state->m_pool.TakesRequests(
-      m_attempt->m_upstream, m_attempt->m_start_time_ms);
+      MakeQuery(), m_attempt->m_upstream, m_attempt->m_start_time_ms);
   const bool within_rate = m_state->m_pool.MaySend(m_attempt->m_choice);
   if (allowed && takes_requests && within_rate && !late) {
     m_attempt->m_request_written = true;
--- a/src/nutmegd/route_relay_forwarding.cpp
+++ b/src/nutmegd/route_relay_forwarding.cpp
@@ -127,7 +127,7 @@
   }
   const std::optional<InstanceId> instance =
       m_tried_instances.size() < kMaxInstances
-          ? m_state->m_forwarding.m_choose(m_tried_instances)
+          ? m_state->m_forwarding.m_choose(m_tried_instances, m_homes)
           : std::nullopt;
   if (instance) {
     SendToInstance(*instance, now);
@@ -405,7 +405,7 @@
 void RouteRelay::HandleCutOff() {
   if (m_done || !MayForward() || !m_attempt || !m_other_attempts.empty() ||
       m_hop || m_attempt->m_status != 0 || m_progress.m_response_started ||
-      !m_state->m_forwarding.m_choose(m_tried_instances)) {
+      !m_state->m_forwarding.m_choose(m_tried_instances, m_homes)) {
     return;
   }
   const TimePoint now = BootTime();
--- a/src/nutmegd/route_relay_responses.cpp
+++ b/src/nutmegd/route_relay_responses.cpp
@@ -99,6 +99,10 @@
         {{"upstream", attempt.m_upstream.str()},
          {"request", m_request.m_id.str()}});
   }
+  if (fields.m_cold_for) {
+    pool.NoteCold(attempt.m_upstream, attempt.m_start_time_ms,
+                  *fields.m_cold_for, now);
+  }
   if (fields.m_rate_limit) {
     RecordRateLimit(fields.m_rate_limit);
   }
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -199,6 +199,7 @@
   Settings Read() {
     ReadGateway();
     ReadInstance();
+    ReadRegions();
     ReadFleet();
     ReadPlatform();
     ReadPlacement();
@@ -241,6 +242,22 @@
     }
   }
 
+  void ReadRegions() {
+    SectionReader reader = Open("regions");
+    reader.ForEachString([&](const std::string& data_centre,
+                             const std::string& region,
+                             const toml::node& node) {
+      if (region.empty()) {
+        reader.AddFinding(&node, data_centre,
+                          "must be a text that is not empty");
+        return;
+      }
+      m_settings.m_regions[DataCentreId(data_centre)] = RegionId(region);
+    });
+    const InstanceSettings& self = m_settings.m_instance;
+    m_settings.m_regions.emplace(self.m_data_centre, self.m_region);
+  }
+
   void ReadGateway() {
     GatewaySettings& target = m_settings.m_gateway;
     target.m_enabled = m_root.contains("gateway");
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -124,6 +124,11 @@
   Duration m_idle_timeout = std::chrono::seconds(10);
 };
 
+/// [regions]: DATA_CENTRE = "REGION", of all data centres in which upstreams
+/// run. Requests of routes and customers with home regions reach upstreams in
+/// these data centres only.
+using RegionSettings = std::map<DataCentreId, RegionId>;
+
 /// [gateway]: serves HTTP routes that operators configure, with upstreams that
 /// register themselves. Without this section the instance serves chats.
 struct GatewaySettings {
@@ -150,6 +155,7 @@
 /// Content of a settings file.
 struct Settings {
   GatewaySettings m_gateway;
+  RegionSettings m_regions;
   InstanceSettings m_instance;
   FleetSettings m_fleet;
   PlatformSettings m_platform;
