--- a/src/include/nutmeghollow/rate_exchange.h
+++ b/src/include/nutmeghollow/rate_exchange.h
@@ -68,6 +68,10 @@
   Duration m_response_timeout = std::chrono::milliseconds(60);
   /// Permits of this long are kept while nobody requests them, and one more.
   Duration m_burst = std::chrono::milliseconds(500);
+  /// The same for cold processes. With 500 ms, two allocators that did not know
+  /// of each other for 0.8 s let 22 requests through in a second where 21.5 are
+  /// tolerated.
+  Duration m_cold_burst = std::chrono::milliseconds(100);
   /// Permits of this long, and one more, are there when an allocator begins:
   /// requests that arrive together are not refused because it has just begun.
   Duration m_first_burst = std::chrono::milliseconds(20);
--- a/src/libnutmeg/rate_exchange.cpp
+++ b/src/libnutmeg/rate_exchange.cpp
@@ -206,9 +206,12 @@
       process.m_process,
       Bucket{1.0 + rate * Seconds(m_parameters.m_first_burst), rate, now});
   Bucket& bucket = entry->second;
+  const Duration burst = m_limits->IsCold(process.m_process, now)
+                             ? m_parameters.m_cold_burst
+                             : m_parameters.m_burst;
   bucket.m_permits =
       std::min(bucket.m_permits + rate * Seconds(now - bucket.m_filled_at),
-               1.0 + rate * Seconds(m_parameters.m_burst));
+               1.0 + rate * Seconds(burst));
   bucket.m_rate = rate;
   bucket.m_filled_at = now;
   return bucket;
