--- a/src/libnutmeg/send_rules_test.cpp
+++ b/src/libnutmeg/send_rules_test.cpp
@@ -192,6 +192,7 @@
 TEST_P(Homes, OfRouteAndCustomerBothBind) {
   const auto homes = [](const std::vector<const char*>& names) {
     std::vector<RegionId> regions;
+    regions.reserve(names.size());
     for (const char* name : names) {
       regions.emplace_back(name);
     }
