Elect readers of the tables by whether they can read them

Cause: ChooseReaders elected by liveness and a hash. Change: digests state the age of the proof of the configuration and whether the store fails for the sender's own reads.

--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "nutmeghollow/reachability.h"
@@ -21,6 +22,11 @@
   double m_link_mbps = 0;  ///< Bandwidth of its link; 0 when not known.
   /// As last reported by the instance itself.
   UpstreamReach m_reach = UpstreamReach::kUnknown;
+  /// Age of its proof of the configuration when it last reported it; unset when
+  /// it has none or its build does not report it.
+  std::optional<Duration> m_proof_age;
+  /// The store refused or did not answer its own reads, as last reported.
+  bool m_store_fails = false;
 };
 
 /// Directory of instances, keyed by id.
--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -55,6 +55,11 @@
   UpstreamReach m_reach = UpstreamReach::kUnknown;
   /// Monotonic clock of the sender; zero when not stated.
   TimePoint m_clock{};
+  /// Age of the sender's proof that its configuration is current; unset when
+  /// it has none or does not state it.
+  std::optional<Duration> m_proof_age;
+  /// The store refused or did not answer the sender's own reads recently.
+  bool m_store_fails = false;
 };
 
 /// Maximum entries of each list, so that a digest fits into one datagram.
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -135,4 +135,9 @@
   roomRequest @16 :PermitRequest;
   roomResponse @17 :PermitResponse;
   roomReports @18 :List(RoomReport);
+  # Age of the sender's proof that its copy of the configuration is current, in
+  # milliseconds, plus 1; 0: not stated.
+  proofAgeMs @19 :UInt32;
+  # The store refused or did not answer the sender's own reads recently.
+  storeFails @20 :Bool;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -256,7 +256,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 3, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 4, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1604,6 +1604,10 @@
   inline bool hasRoomReports() const;
   inline  ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>::Reader getRoomReports() const;
 
+  inline  ::uint32_t getProofAgeMs() const;
+
+  inline bool getStoreFails() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1741,6 +1745,12 @@
   inline void adoptRoomReports(::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::nutmeghollow::wire::RoomReport,  ::capnp::Kind::STRUCT>> disownRoomReports();
 
+  inline  ::uint32_t getProofAgeMs();
+  inline void setProofAgeMs( ::uint32_t value);
+
+  inline bool getStoreFails();
+  inline void setStoreFails(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3145,6 +3155,34 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Digest::Reader::getProofAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Digest::Builder::getProofAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setProofAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Digest::Reader::getStoreFails() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getStoreFails() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStoreFails(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -33,6 +33,35 @@
   EXPECT_EQ(read->m_clock, digest.m_clock);
 }
 
+struct ProofCase {
+  std::optional<Duration> m_sent;
+  std::optional<Duration> m_received;
+};
+
+class ProofAge : public testing::TestWithParam<ProofCase> {};
+
+// Failure: a digest of an older build, which states no proof, must not be taken
+// for one with a new proof, nor the reverse.
+TEST_P(ProofAge, IsKeptInARoundTrip) {
+  FleetDigest digest;
+  digest.m_proof_age = GetParam().m_sent;
+  digest.m_store_fails = GetParam().m_sent.has_value();
+  const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->m_proof_age, GetParam().m_received);
+  EXPECT_EQ(read->m_store_fails, digest.m_store_fails);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ages,
+    ProofAge,
+    testing::Values(ProofCase{std::nullopt, std::nullopt},
+                    ProofCase{Duration::zero(), Duration::zero()},
+                    ProofCase{std::chrono::milliseconds(1600),
+                              std::chrono::milliseconds(1600)},
+                    ProofCase{std::chrono::hours(24 * 365),
+                              std::chrono::milliseconds(0xFFFFFFFEU)}));
+
 TEST(FleetDigest, FitsIntoADatagramWhenFull) {
   FleetDigest digest;
   for (std::uint32_t index = 0; index < 200; ++index) {
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -205,9 +205,18 @@
   digest.m_revision = m_hooks.m_revision();
   digest.m_reach = m_hooks.m_reach();
   digest.m_clock = BootTime();
+  digest.m_proof_age = m_hooks.m_proof_age();
+  digest.m_store_fails = m_hooks.m_store_fails();
   return digest;
 }
 
+void FleetLink::UpdateOwnEntry() {
+  if (EntryInstance* self = m_directory->Find(m_self)) {
+    self->m_proof_age = m_hooks.m_proof_age();
+    self->m_store_fails = m_hooks.m_store_fails();
+  }
+}
+
 void FleetLink::SendToPeers(const FleetDigest& digest) {
   if (m_transport == nullptr) {
     return;
@@ -374,6 +383,8 @@
     entry->m_ready = digest->m_ready;
     entry->m_alive = true;
     entry->m_reach = digest->m_reach;
+    entry->m_proof_age = digest->m_proof_age;
+    entry->m_store_fails = digest->m_store_fails;
   }
 }
 
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -37,6 +37,11 @@
   std::function<Revision()> m_revision;
   /// @return what this instance says about its paths to upstreams.
   std::function<UpstreamReach()> m_reach;
+  /// @return the age of its proof that its configuration is current; unset when
+  /// it has none.
+  std::function<std::optional<Duration>()> m_proof_age;
+  /// @return true when the store fails for this instance's own reads.
+  std::function<bool()> m_store_fails;
   /// Called with streams to record for another instance.
   std::function<void(const InstanceId& from, const StreamReport& report)>
       m_on_stream_report;
@@ -85,6 +90,9 @@
   /// Sends a digest without waiting for the timer, for example when this
   /// instance starts to leave.
   void SendDigestNow() { SendDigest(); }
+  /// Updates in the directory what this instance reports about its reads of the
+  /// tables.
+  void UpdateOwnEntry();
   /// Sends reports of requests that crash upstreams and of upstreams that are
   /// leaving, if there are any.
   void SendEvents();
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -24,6 +24,7 @@
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_configuration.h"
 #include "nutmegd/route_relay.h"
+#include "nutmegd/store_reads.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
 
@@ -127,6 +128,8 @@
 
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
+  /// @return the hooks of the feed through other instances.
+  PeerFeedHooks FeedHooks();
   TableFollowerEvents ConfigurationEvents();
   TableFollowerEvents RegistrationEvents();
   TableFollowerEvents InstanceEvents();
@@ -143,6 +146,7 @@
   std::string m_settings_text;
   net::HttpClient m_client;
   GatewayState m_state;
+  StoreReads m_store_reads;
   net::RowFeed m_feed;
   net::RowFeed m_peer_feed;
   Registrations m_registrations;
@@ -184,14 +188,11 @@
       m_settings_file(std::move(settings_file)),
       m_settings_text(ReadFile(m_settings_file)),
       m_client(loop),
-      m_feed(make_feed(m_client,
-                       [this] { return m_settings.m_platform.m_address; })),
-      m_peer_feed(MakePeerFeed(
-          loop,
-          m_client,
-          m_feed,
-          {.m_keys = [this] { return m_fleet.Keys(); },
-           .m_readers = [this] { return m_instance_rows.Readers(); }})),
+      m_store_reads(&m_state.m_metrics, [this] { m_fleet.SendDigestNow(); }),
+      m_feed(m_store_reads.Counted(
+          make_feed(m_client,
+                    [this] { return m_settings.m_platform.m_address; }))),
+      m_peer_feed(MakePeerFeed(loop, m_client, m_feed, FeedHooks())),
       m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
       m_registration_reader(m_feed,
                             protocol.m_registration_table,
@@ -243,6 +244,8 @@
                                 : m_state.m_configuration->m_revision;
                    },
                .m_reach = [this] { return m_reachability.OwnReach(); },
+               .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
+               .m_store_fails = [this] { return m_store_reads.Fails(); },
                .m_on_stream_report =
                    [this](const InstanceId& from, const StreamReport& report) {
                      m_streams.HandleReport(from, report);
@@ -258,6 +261,7 @@
                       &m_fleet,
                       [this](int instances) {
                         m_state.m_allowance.SetInstances(instances);
+                        m_store_reads.SetInstances(instances);
                       }),
       m_peer_feed_server(loop, [this] { return m_fleet.Keys(); }),
       m_peer_http_server(loop,
@@ -369,10 +373,8 @@
                      m_state.m_configuration->m_revision.value());
   });
   metrics.SetGauge("nutmeg_gateway_proof_age_seconds", "", [this] {
-    const auto confirmed = m_state.m_freshness.ConfirmedAt();
-    return confirmed
-               ? std::chrono::duration<double>(BootTime() - *confirmed).count()
-               : -1.0;
+    const auto age = m_state.ProofAge(BootTime());
+    return age ? std::chrono::duration<double>(*age).count() : -1.0;
   });
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
@@ -534,6 +536,14 @@
   }
 }
 
+PeerFeedHooks Gateway::Impl::FeedHooks() {
+  PeerFeedHooks hooks;
+  hooks.m_keys = [this] { return m_fleet.Keys(); };
+  hooks.m_readers = [this] { return m_instance_rows.Readers(); };
+  m_store_reads.Connect(&hooks);
+  return hooks;
+}
+
 TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -92,6 +92,12 @@
     return m_freshness.Within(
         m_settings->m_gateway.m_revocation_limit - kRevocationMargin, now);
   }
+  /// @return the time since the configuration was last confirmed to be
+  /// current; nothing before the first confirmation.
+  std::optional<Duration> ProofAge(TimePoint now) const {
+    const auto& confirmed = m_freshness.ConfirmedAt();
+    return confirmed ? std::optional<Duration>(now - *confirmed) : std::nullopt;
+  }
   /// @return a uniformly distributed number in [min, max).
   double Draw(double min, double max) {
     return std::uniform_real_distribution<double>(min, max)(m_random);
--- a/src/nutmegd/instance_rows.cpp
+++ b/src/nutmegd/instance_rows.cpp
@@ -97,13 +97,13 @@
   }
 }
 
-std::vector<Endpoint> InstanceRows::Readers() const {
-  const InstanceSettings& self = m_settings->m_instance;
+std::vector<Endpoint> InstanceRows::Readers() {
+  m_fleet->UpdateOwnEntry();
+  const std::vector<InstanceId> sources =
+      ChooseSources(*m_directory, m_settings->m_instance.m_id);
+  LogSources(sources);
   std::vector<Endpoint> addresses;
-  for (const InstanceId& id : ChooseReaders(*m_directory, self.m_data_centre)) {
-    if (id == self.m_id) {
-      break;  // Later ones follow the tables through this one.
-    }
+  for (const InstanceId& id : sources) {
     const Endpoint address = m_fleet->AddressOf(id);
     if (!address.empty()) {
       addresses.push_back(address);
@@ -112,6 +112,18 @@
   return addresses;
 }
 
+void InstanceRows::LogSources(const std::vector<InstanceId>& sources) {
+  const InstanceId preferred = sources.empty() ? InstanceId() : sources.front();
+  if (preferred == m_preferred_source) {
+    return;
+  }
+  Log(LogLevel::kInfo, "reader_chosen",
+      {{"reader", preferred.empty() ? std::string("none, reads itself")
+                                    : preferred.str()},
+       {"sources", static_cast<std::int64_t>(sources.size())}});
+  m_preferred_source = preferred;
+}
+
 void InstanceRows::WriteOwnRow() {
   m_leaving = false;
   SyncOwnRow();
--- a/src/nutmegd/instance_rows.h
+++ b/src/nutmegd/instance_rows.h
@@ -8,6 +8,7 @@
 #include <ev.h>
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "libnet/event_loop.h"
@@ -41,7 +42,7 @@
   /// @return peer addresses of the instances through which to follow the
   /// platform's tables, in the order of preference; empty when this instance
   /// reads them itself.
-  std::vector<Endpoint> Readers() const;
+  std::vector<Endpoint> Readers();
   /// Writes the row of this instance, with retries until it succeeds.
   void WriteOwnRow();
   /// Removes the row of this instance, with retries until it succeeds.
@@ -52,6 +53,7 @@
   void HandleRemoved(const InstanceId& id);
   void SyncOwnRow();
   void RemoveLostRows();
+  void LogSources(const std::vector<InstanceId>& sources);
 
   const Settings* m_settings;
   net::RowFeed m_feed;
@@ -59,6 +61,9 @@
   FleetLink* m_fleet;
   std::function<void(int)> m_on_count;
   bool m_leaving = false;
+  /// Through which the tables were followed last; unset before the first call
+  /// of Readers(), empty when this instance reads them itself.
+  std::optional<InstanceId> m_preferred_source;
   net::Timer m_write_timer;
   net::Timer m_cleanup_timer;
 };
--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -187,6 +187,37 @@
 
 namespace {
 
+/// @return the callback, with the result reported before it is called.
+net::FeedCallback ReportResult(const PeerFeedHooks& hooks,
+                               const net::FeedCallback& callback) {
+  if (!hooks.m_on_store_result) {
+    return callback;
+  }
+  return [on_result = hooks.m_on_store_result, callback](FeedResult result) {
+    on_result(result.m_status == FeedStatus::kDone ||
+              result.m_status == FeedStatus::kHistoryNotRetained);
+    callback(std::move(result));
+  };
+}
+
+/// @return the reads of the feed, with their results reported to the hooks.
+net::RowFeed ReportReads(const net::RowFeed& direct,
+                         const PeerFeedHooks& hooks) {
+  net::RowFeed feed = direct;
+  feed.m_read_all = [direct, hooks](const std::string& table, Duration timeout,
+                                    const net::FeedCallback& callback) {
+    direct.m_read_all(table, timeout, ReportResult(hooks, callback));
+  };
+  feed.m_wait_changes = [direct, hooks](const std::string& table,
+                                        net::FeedVersion after, Duration wait,
+                                        Duration timeout,
+                                        const net::FeedCallback& callback) {
+    direct.m_wait_changes(table, after, wait, timeout,
+                          ReportResult(hooks, callback));
+  };
+  return feed;
+}
+
 /// A feed that requests changes from readers first.
 class PeerFeed : public std::enable_shared_from_this<PeerFeed> {
  public:
@@ -342,9 +373,8 @@
                           net::HttpClient& client,
                           net::RowFeed direct,
                           PeerFeedHooks hooks) {
-  net::RowFeed feed = direct;
-  auto peers = std::make_shared<PeerFeed>(loop, client, std::move(direct),
-                                          std::move(hooks));
+  net::RowFeed feed = ReportReads(direct, hooks);
+  auto peers = std::make_shared<PeerFeed>(loop, client, feed, std::move(hooks));
   feed.m_wait_changes =
       [peers](const std::string& table, net::FeedVersion after, Duration wait,
               Duration timeout, const net::FeedCallback& callback) {
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -69,6 +69,9 @@
   /// @return peer addresses of the readers to send requests to, in the order of
   /// preference; empty when this instance should read from the platform itself.
   std::function<std::vector<Endpoint>()> m_readers;
+  /// Called with each result of a read from the platform. May be empty.
+  /// @param answered false when the read was refused or not answered.
+  std::function<void(bool answered)> m_on_store_result;
 };
 
 /// Makes a feed whose requests for changes are sent to a reader. When the
