Try other sources of the tables before the store, and bound refused calls

Cause: a follower whose reader refused it queried the store at once and repeated that every 50 ms for each table, since a direct request after a failure has no wait. The next readers were used for 5 s at most, and the backup had the primary's copy. Change: a request goes to up to two readers, of any data centre, that have not failed recently (0.5 to 4 s of backoff), then to the store. A reader that follows another request's silence is asked for what it has, without a wait. Withheld calls are counted. The format of the responses moved to peer_feed_format.

--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -4,12 +4,12 @@
 
 #include <algorithm>
 #include <charconv>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "libnet/log.h"
 #include "libnet/text.h"
+#include "nutmegd/peer_feed_format.h"
 
 namespace nutmeghollow {
 namespace {
@@ -20,7 +20,6 @@
 using net::Log;
 using net::LogLevel;
 using net::ToHex;
-using nlohmann::json;
 
 constexpr const char* kMacHeader = "nutmeg-mac";
 constexpr const char* kFeedPath = "/feed";
@@ -31,9 +30,20 @@
 /// Requests wait for the follower's next confirmation, which happens within
 /// this time while the platform responds.
 constexpr Duration kMaxWait = std::chrono::milliseconds(6000);
-/// The next readers are used for this long after a failure: the time of a
-/// restart or a freeze.
-constexpr Duration kFailoverDuration = std::chrono::seconds(5);
+/// A reader that failed is not asked for this long, doubled with each further
+/// failure. The upper bound is about the time of a restart or a freeze.
+constexpr Duration kMinReaderBackoff = std::chrono::milliseconds(500);
+constexpr Duration kMaxReaderBackoff = std::chrono::milliseconds(4000);
+constexpr int kMaxDoublings = 3;
+/// Number of readers that may fail for one request before the platform is
+/// called: a silent one takes up to 1.2 s, the next one 0.4 s, and a change has
+/// to be in force within 3 s.
+constexpr int kMaxReadersPerRequest = 2;
+/// A source that fails within this time did not delay the request.
+constexpr Duration kQuickFailure = std::chrono::milliseconds(200);
+/// Asks a reader for what it has, without a wait for the next confirmation.
+/// Older builds ignore it.
+constexpr const char* kWithoutWait = "&wait=0";
 /// Time for a reader's response beyond its own wait for the platform.
 constexpr Duration kReaderTimeoutMargin = std::chrono::milliseconds(400);
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(250);
@@ -45,58 +55,6 @@
 /// fleet.
 constexpr Bytes kResponseLimit{8 << 20};
 
-std::string HexMac(const net::FleetKeys& keys, std::string_view text) {
-  const net::Mac mac = net::ComputeMac(keys.m_keys.front(), text);
-  return ToHex({reinterpret_cast<const char*>(mac.data()), mac.size()});
-}
-
-/// @return true when a MAC in hex was made with one of the keys.
-bool HasValidMac(const net::FleetKeys& keys,
-                 std::string_view text,
-                 const std::string& hex) {
-  return std::any_of(
-      keys.m_keys.begin(), keys.m_keys.end(),
-      [&](const std::string& key) { return HexMac({{key}}, text) == hex; });
-}
-
-/// Serializes rows as MessagePack.
-/// @param offset time from the receipt of the request to the confirmation of
-/// the rows; negative when they were confirmed earlier.
-std::string Serialize(const FeedResult& result, Duration offset) {
-  json rows = json::array();
-  for (const net::FeedRow& row : result.m_rows) {
-    const std::vector<std::uint8_t> value(row.m_value.begin(),
-                                          row.m_value.end());
-    rows.push_back(
-        {row.m_key, json::binary(value), row.m_version.value(), row.m_removed});
-  }
-  const std::vector<std::uint8_t> packed = json::to_msgpack(
-      {result.m_version.value(), offset.count(), std::move(rows)});
-  return {packed.begin(), packed.end()};
-}
-
-FeedResult Deserialize(const std::string& body, TimePoint requested_at) {
-  FeedResult result;
-  try {
-    const json message = json::from_msgpack(body);
-    result.m_version = net::FeedVersion(message.at(0).get<std::uint64_t>());
-    result.m_confirmed_at =
-        requested_at + Duration(message.at(1).get<std::int64_t>());
-    for (const json& item : message.at(2)) {
-      const auto& value = item.at(1).get_binary();
-      result.m_rows.push_back(
-          {item.at(0).get<std::string>(),
-           std::string(value.begin(), value.end()),
-           net::FeedVersion(item.at(2).get<std::uint64_t>()),
-           item.at(3).get<bool>()});
-    }
-    result.m_status = FeedStatus::kDone;
-  } catch (const json::exception& error) {
-    return {FeedStatus::kUnknown, {}, {}, error.what(), {}};
-  }
-  return result;
-}
-
 }  // namespace
 
 PeerFeedServer::PeerFeedServer(struct ev_loop* loop, FleetKeysHook keys)
@@ -135,7 +93,8 @@
                                net::FeedVersion(version), parameter("nonce"),
                                BootTime()};
   if (!follower->second->IsCurrent() ||
-      follower->second->Version() > pending.m_after) {
+      follower->second->Version() > pending.m_after ||
+      parameter("wait") == "0") {
     Respond(pending);
     return;
   }
@@ -155,7 +114,7 @@
     return;
   }
   std::string body =
-      Serialize(result, follower.ConfirmedAt() - pending.m_received_at);
+      SerializeRows(result, follower.ConfirmedAt() - pending.m_received_at);
   const std::string mac = HexMac(*keys, pending.m_nonce + body);
   pending.m_exchange->Respond(200, {{kMacHeader, mac}}, std::move(body));
 }
@@ -218,7 +177,7 @@
   return feed;
 }
 
-/// A feed that requests changes from readers first.
+/// A feed that requests changes from other instances first.
 class PeerFeed : public std::enable_shared_from_this<PeerFeed> {
  public:
   PeerFeed(struct ev_loop* loop,
@@ -235,81 +194,200 @@
                    Duration wait,
                    Duration timeout,
                    const net::FeedCallback& callback) {
-    const TimePoint requested_at = BootTime();
-    const net::FleetKeys* keys = m_hooks.m_keys();
-    const std::vector<Endpoint> readers = m_hooks.m_readers();
-    if (keys == nullptr || readers.empty()) {
-      m_direct.m_wait_changes(table, after, wait, timeout, callback);
+    const auto request = std::make_shared<Request>();
+    request->m_table = table;
+    request->m_after = after;
+    request->m_wait = wait;
+    request->m_timeout = timeout;
+    request->m_callback = callback;
+    TryNext(request, {FeedStatus::kRejected, {}, {}, "no source", {}});
+  }
+
+  /// Reads a whole table from the platform, which only it has for certain.
+  void ReadAll(const std::string& table,
+               Duration timeout,
+               const net::FeedCallback& callback) {
+    if (!MayCallStore()) {
+      callback(Withheld());
       return;
     }
-    // After a while, the preferred reader is tried again.
-    if (requested_at - m_failed_over_at > kFailoverDuration) {
-      m_reader_index = 0;
-    }
-    const Endpoint& reader = readers[m_reader_index % readers.size()];
-    const std::string nonce = ToHex(net::RandomBytes(kNonceBytes));
-    net::HttpCall call;
-    call.m_endpoint = reader;
-    call.m_path = fmt::format("{}?table={}&after={}&nonce={}", kFeedPath, table,
-                              after.value(), nonce);
-    call.m_headers = {{kMacHeader, HexMac(*keys, call.m_path)}};
-    call.m_connect_timeout = kConnectTimeout;
-    call.m_head_timeout = wait + kReaderTimeoutMargin;
-    call.m_total_timeout = wait + timeout;
-    const std::uint64_t number = ++m_last_wait;
-    const net::HttpCallId id =
-        net::Fetch(m_client, std::move(call), kResponseLimit,
-                   [=, this, self = shared_from_this()](
-                       const net::HttpResponse& response) {
-                     Wait done = std::move(m_waits.at(number));
-                     m_waits.erase(number);
-                     FeedResult result = Read(response, nonce, requested_at);
-                     if (result.m_status == FeedStatus::kDone ||
-                         result.m_status == FeedStatus::kHistoryNotRetained) {
-                       callback(std::move(result));
-                       return;
-                     }
-                     ++m_reader_index;
-                     m_failed_over_at = BootTime();
-                     UseDirect(done, result.m_detail);
-                   });
-    m_waits.emplace(number, Wait{id, reader, table, [=, this] {
-                                   AskPlatform(table, after, timeout, callback);
-                                 }});
-    if (!m_timer.Active()) {
-      m_timer.StartRepeating(kReaderCheckPeriod);
-    }
+    m_direct.m_read_all(table, timeout, callback);
   }
 
  private:
+  /// A request of a follower, which is sent to one source after the other.
+  struct Request {
+    std::string m_table;
+    net::FeedVersion m_after;
+    Duration m_wait{};
+    Duration m_timeout{};
+    TimePoint m_started_at = BootTime();
+    net::FeedCallback m_callback;
+    int m_failed_sources = 0;
+    std::vector<Endpoint> m_tried;
+    bool m_store_tried = false;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
   /// A request that a reader has not answered yet.
   struct Wait {
     net::HttpCallId m_call;
     Endpoint m_reader;
-    std::string m_table;
-    std::function<void()> m_use_direct;
+    RequestPtr m_request;
   };
 
-  /// Asks without a wait: the copy of a table whose reader failed must be
-  /// confirmed to be current before keys may no longer be used.
-  void AskPlatform(const std::string& table,
-                   net::FeedVersion after,
-                   Duration timeout,
-                   const net::FeedCallback& callback) {
+  /// A reader that failed.
+  struct Backoff {
+    int m_failures = 0;
+    TimePoint m_until{};
+  };
+
+  bool MayCallStore() const {
+    return !m_hooks.m_may_call_store || m_hooks.m_may_call_store();
+  }
+
+  static FeedResult Withheld() {
+    return {FeedStatus::kRejected,
+            {},
+            {},
+            "withheld, since the store refused this instance",
+            {}};
+  }
+
+  /// Sends the request to the next source.
+  /// @param failure result of the previous one.
+  void TryNext(const RequestPtr& request, FeedResult failure) {
+    const net::FleetKeys* keys = m_hooks.m_keys();
+    const bool may_ask_reader =
+        keys != nullptr && request->m_failed_sources < kMaxReadersPerRequest;
+    const std::optional<Endpoint> reader =
+        may_ask_reader ? NextReader(*request) : std::nullopt;
+    if (reader) {
+      AskReader(request, *reader, *keys);
+    } else if (request->m_store_tried) {
+      request->m_callback(std::move(failure));
+    } else {
+      AskStore(request);
+    }
+  }
+
+  /// @return the first source that was not tried for the request and is not in
+  /// backoff.
+  std::optional<Endpoint> NextReader(const Request& request) {
+    const TimePoint now = BootTime();
+    for (const Endpoint& reader : m_hooks.m_readers()) {
+      const auto backoff = m_backoffs.find(reader);
+      const bool tried =
+          std::find(request.m_tried.begin(), request.m_tried.end(), reader) !=
+          request.m_tried.end();
+      if (!tried &&
+          (backoff == m_backoffs.end() || backoff->second.m_until <= now)) {
+        return reader;
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// Once another source was silent, the copy must be confirmed to be current
+  /// without a further wait, before keys may no longer be used.
+  static bool AsksWithoutWait(const Request& request) {
+    return request.m_wait == Duration::zero() ||
+           BootTime() - request.m_started_at > kQuickFailure;
+  }
+
+  void AskStore(const RequestPtr& request) {
+    request->m_store_tried = true;
+    if (!MayCallStore()) {
+      TryNext(request, Withheld());
+      return;
+    }
+    const Duration wait =
+        request->m_failed_sources > 0 ? Duration::zero() : request->m_wait;
     m_direct.m_wait_changes(
-        table, after, Duration::zero(), timeout,
-        [callback, requested_at = BootTime()](FeedResult result) {
-          result.m_confirmed_at = requested_at;
-          callback(std::move(result));
+        request->m_table, request->m_after, wait, request->m_timeout,
+        [request, weak = weak_from_this(),
+         requested_at = BootTime()](FeedResult result) {
+          const auto self = weak.lock();
+          const bool answered =
+              result.m_status == FeedStatus::kDone ||
+              result.m_status == FeedStatus::kHistoryNotRetained;
+          if (answered) {
+            result.m_confirmed_at = requested_at;
+          }
+          if (answered && self != nullptr) {
+            self->NoteConfirmed(request->m_table, result);
+          }
+          if (answered || self == nullptr) {
+            request->m_callback(std::move(result));
+            return;
+          }
+          self->TryNext(request, std::move(result));
         });
   }
 
-  static void UseDirect(const Wait& wait, const std::string& reason) {
+  void AskReader(const RequestPtr& request,
+                 const Endpoint& reader,
+                 const net::FleetKeys& keys) {
+    request->m_tried.push_back(reader);
+    const bool without_wait = AsksWithoutWait(*request);
+    const std::string nonce = ToHex(net::RandomBytes(kNonceBytes));
+    net::HttpCall call;
+    call.m_endpoint = reader;
+    call.m_path = fmt::format("{}?table={}&after={}&nonce={}{}", kFeedPath,
+                              request->m_table, request->m_after.value(), nonce,
+                              without_wait ? kWithoutWait : "");
+    call.m_headers = {{kMacHeader, HexMac(keys, call.m_path)}};
+    call.m_connect_timeout = kConnectTimeout;
+    call.m_head_timeout = without_wait ? kReaderTimeoutMargin
+                                       : request->m_wait + kReaderTimeoutMargin;
+    call.m_total_timeout = request->m_wait + request->m_timeout;
+    const std::uint64_t number = ++m_last_wait;
+    const net::HttpCallId id = net::Fetch(
+        m_client, std::move(call), kResponseLimit,
+        [=, this, self = shared_from_this(),
+         requested_at = BootTime()](const net::HttpResponse& response) {
+          const Wait done = std::move(m_waits.at(number));
+          m_waits.erase(number);
+          FeedResult result = Read(response, nonce, requested_at);
+          if (result.m_status == FeedStatus::kDone && without_wait &&
+              !IsNewer(request->m_table, result)) {
+            // Not a failure of the reader: it needs no backoff.
+            HandleFailure(
+                done,
+                {FeedStatus::kUnknown, {}, {}, "its copy is not newer", {}});
+            return;
+          }
+          HandleResponse(done, std::move(result));
+        });
+    m_waits.emplace(number, Wait{id, reader, request});
+    if (!m_timer.Active()) {
+      m_timer.StartRepeating(kReaderCheckPeriod);
+    }
+  }
+
+  void HandleResponse(const Wait& done, FeedResult result) {
+    if (result.m_status == FeedStatus::kDone) {
+      m_backoffs.erase(done.m_reader);
+      NoteConfirmed(done.m_request->m_table, result);
+      done.m_request->m_callback(std::move(result));
+      return;
+    }
+    Backoff& backoff = m_backoffs[done.m_reader];
+    backoff.m_until =
+        BootTime() + std::min(kMinReaderBackoff * (1 << backoff.m_failures),
+                              kMaxReaderBackoff);
+    backoff.m_failures = std::min(backoff.m_failures + 1, kMaxDoublings);
+    HandleFailure(done, std::move(result));
+  }
+
+  void HandleFailure(const Wait& wait, FeedResult failure) {
     Log(LogLevel::kInfo, "reader_failed",
         {{"reader", wait.m_reader.str()},
-         {"table", wait.m_table},
-         {"reason", reason}});
-    wait.m_use_direct();
+         {"table", wait.m_request->m_table},
+         {"reason", failure.m_detail}});
+    ++wait.m_request->m_failed_sources;
+    failure.m_status = FeedStatus::kUnknown;
+    TryNext(wait.m_request, std::move(failure));
   }
 
   /// Ends the requests to instances that are silent or stop: their answers may
@@ -331,10 +409,23 @@
       m_timer.Stop();
     }
     for (const Wait& wait : ended) {
-      UseDirect(wait, "no longer a reader");
+      HandleFailure(wait,
+                    {FeedStatus::kUnknown, {}, {}, "no longer a reader", {}});
     }
   }
 
+  void NoteConfirmed(const std::string& table, const FeedResult& result) {
+    TimePoint& newest = m_confirmed_at[table];
+    newest = std::max(newest, result.m_confirmed_at.value_or(newest));
+  }
+
+  /// @return true when the result has rows, or a later confirmation than those
+  /// before it: a copy as old as the one here must not end the search.
+  bool IsNewer(const std::string& table, const FeedResult& result) {
+    return !result.m_rows.empty() ||
+           result.m_confirmed_at > m_confirmed_at[table];
+  }
+
   FeedResult Read(const net::HttpResponse& response,
                   const std::string& nonce,
                   TimePoint requested_at) const {
@@ -354,14 +445,15 @@
                      net::HeaderValue(response.m_headers, kMacHeader))) {
       return failed;
     }
-    return Deserialize(response.m_body, requested_at);
+    return DeserializeRows(response.m_body, requested_at);
   }
 
   net::HttpClient& m_client;
   net::RowFeed m_direct;
   PeerFeedHooks m_hooks;
-  std::size_t m_reader_index = 0;  ///< Modulo the number of readers.
-  TimePoint m_failed_over_at{};
+  std::map<Endpoint, Backoff> m_backoffs;
+  /// Latest confirmation of each table that was received.
+  std::map<std::string, TimePoint> m_confirmed_at;
   std::uint64_t m_last_wait = 0;
   std::map<std::uint64_t, Wait> m_waits;
   net::Timer m_timer;
@@ -375,6 +467,10 @@
                           PeerFeedHooks hooks) {
   net::RowFeed feed = ReportReads(direct, hooks);
   auto peers = std::make_shared<PeerFeed>(loop, client, feed, std::move(hooks));
+  feed.m_read_all = [peers](const std::string& table, Duration timeout,
+                            const net::FeedCallback& callback) {
+    peers->ReadAll(table, timeout, callback);
+  };
   feed.m_wait_changes =
       [peers](const std::string& table, net::FeedVersion after, Duration wait,
               Duration timeout, const net::FeedCallback& callback) {
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -69,14 +69,18 @@
   /// @return peer addresses of the readers to send requests to, in the order of
   /// preference; empty when this instance should read from the platform itself.
   std::function<std::vector<Endpoint>()> m_readers;
+  /// @return true when a read may be sent to the platform now; it then counts
+  /// as sent. May be empty: then reads may be sent at any time.
+  std::function<bool()> m_may_call_store;
   /// Called with each result of a read from the platform. May be empty.
   /// @param answered false when the read was refused or not answered.
   std::function<void(bool answered)> m_on_store_result;
 };
 
-/// Makes a feed whose requests for changes are sent to a reader. When the
-/// reader fails or is no longer one, and for all other calls, the platform is
-/// used directly.
+/// Makes a feed whose requests for changes are sent to the first reader that
+/// has not failed recently. When it fails or is no longer one, the next reader
+/// is used, then the platform itself. Reads of whole tables and writes are sent
+/// to the platform. Reads that m_may_call_store forbids are rejected.
 /// @param client must outlive the feed.
 /// @param direct feed that calls the platform.
 net::RowFeed MakePeerFeed(struct ev_loop* loop,
--- a/src/nutmegd/store_reads.cpp
+++ b/src/nutmegd/store_reads.cpp
@@ -75,6 +75,13 @@
 }
 
 void StoreReads::Connect(PeerFeedHooks* hooks) {
+  hooks->m_may_call_store = [this] {
+    const bool allowed = m_access.MayCall(BootTime(), Draw());
+    if (!allowed) {
+      m_metrics->Count("nutmeg_gateway_store_calls_withheld", "");
+    }
+    return allowed;
+  };
   hooks->m_on_store_result = [this](bool answered) { HandleResult(answered); };
 }
 
