Return free memory after a change of the configuration

Cause: parsing a document of 1,400 routes (304,236 bytes) takes 2.58 MB at its peak and 0.49 MB afterwards; of 3.3 MB more resident memory, the rest stays with the allocator. Change: malloc_trim 2 s after a change, when the responses to followers are freed too.

--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -1,5 +1,7 @@
 #include "nutmegd/gateway.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
@@ -58,6 +60,18 @@
 /// Longer than any caller waits before it reuses an idle connection.
 constexpr Duration kCallerIdleTimeout = std::chrono::seconds(120);
 
+/// Time from a change of the configuration to the return of free memory: by
+/// then its document and the responses to the followers have been freed.
+constexpr Duration kTrimDelay = std::chrono::seconds(2);
+
+/// Returns free memory to the system. The allocator keeps what was freed
+/// between other blocks: after a document of 300 kB, 2.3 MB.
+void ReleaseFreeMemory() {
+#ifdef __GLIBC__
+  malloc_trim(0);
+#endif
+}
+
 std::string ReadFile(const std::string& name) {
   std::ifstream stream(name);
   std::stringstream text;
@@ -176,6 +190,7 @@
   net::SignalWatcher m_hangup;
   net::Timer m_settings_timer;
   net::Timer m_drain_timer;
+  net::Timer m_trim_timer;
 };
 
 Gateway::Impl::Impl(struct ev_loop* loop,
@@ -322,7 +337,8 @@
                            ReloadSettings("file changed");
                          }
                        }),
-      m_drain_timer(loop, [this] { CheckDrain(); }) {
+      m_drain_timer(loop, [this] { CheckDrain(); }),
+      m_trim_timer(loop, ReleaseFreeMemory) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
@@ -549,6 +565,7 @@
   events.m_on_row = [this](const net::FeedRow& row) {
     if (!HandleEvacuationRow(m_state, row)) {
       AdoptConfigurationRow(m_state, row);
+      m_trim_timer.Start(kTrimDelay);
     }
   };
   events.m_on_confirmed = [this](TimePoint confirmed_at) {
