--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -51,15 +51,24 @@
     net::FeedVersion m_after;
     std::string m_nonce;
     TimePoint m_received_at{};
+    bool m_packed = false;  ///< The response may be compressed.
+  };
+  /// The last packed response for a table, without its time.
+  struct PackedChanges {
+    net::FeedVersion m_after;
+    net::FeedVersion m_version;
+    std::string m_body;  ///< Empty when there is none.
   };
 
   void Respond(const PendingRequest& pending);
+  void RespondPacked(const PendingRequest& pending, Duration offset);
   void ExpirePending();
   bool Authentic(const net::HttpRequest& request) const;
 
   FleetKeysHook m_keys;
   std::map<std::string, const TableFollower*> m_followers;
   std::vector<PendingRequest> m_pending;
+  std::map<std::string, PackedChanges> m_packed;
   net::Timer m_timer;
 };
 
@@ -69,11 +78,18 @@
   /// @return peer addresses of the readers to send requests to, in the order of
   /// preference; empty when this instance should read from the platform itself.
   std::function<std::vector<Endpoint>()> m_readers;
+  /// @return true when a read may be sent to the platform now; it then counts
+  /// as sent. May be empty: then reads may be sent at any time.
+  std::function<bool()> m_may_call_store;
+  /// Called with each result of a read from the platform. May be empty.
+  /// @param answered false when the read was refused or not answered.
+  std::function<void(bool answered)> m_on_store_result;
 };
 
-/// Makes a feed whose requests for changes are sent to a reader. When the
-/// reader fails or is no longer one, and for all other calls, the platform is
-/// used directly.
+/// Makes a feed whose requests for changes are sent to the first reader that
+/// has not failed recently. When it fails or is no longer one, the next reader
+/// is used, then the platform itself. Reads of whole tables and writes are sent
+/// to the platform. Reads that m_may_call_store forbids are rejected.
 /// @param client must outlive the feed.
 /// @param direct feed that calls the platform.
 net::RowFeed MakePeerFeed(struct ev_loop* loop,
