Reject invalid statuses, and responses that end with the connection during an upload

Cause: an upstream that ends while it receives a long upload closes its connection normally when it has read all that had arrived. libcurl then reports the part of a response without a length as complete, and a caller that accepts such responses (the relay of routes) passed it on. libcurl also accepts the statuses 600 to 999, and reads "200.5" and "200OK" as 200.

Change: the client compares the bytes of the request that were written and acknowledged with its size before it accepts such an end, and accepts only statuses of three digits from 100 to 599. ScriptedServer can reply before the body of a request and end its output.

HTTP/1.0, "Connection: close" with a length that is not reached, resets and the statuses 000, 099, 00, 1000 and -20 had no fault; their tests stay.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -182,9 +182,13 @@
 void HttpClient::Impl::HandleSocketEvents(HttpCallId id,
                                           curl_socket_t descriptor,
                                           int mask) {
-  const Call* before = Find(id);
+  Call* before = Find(id);
   const std::uint64_t progress =
       before == nullptr ? 0 : before->m_progress_count;
+  if (before != nullptr) {
+    before->m_descriptor = descriptor;
+    NoteUnacknowledged(*before);
+  }
   SocketAction(descriptor, mask);
   Call* call = Find(id);
   if (call == nullptr || (mask & CURL_CSELECT_IN) == 0) {
@@ -211,6 +215,24 @@
   }
 }
 
+void HttpClient::Impl::NoteUnacknowledged(Call& call) {
+  // The end of a response with a length or chunks does not depend on it.
+  const bool matters = !call.m_headers_done || call.m_close_delimited;
+  if (matters && call.m_call.m_body && call.m_descriptor >= 0) {
+    call.m_unacknowledged_bytes = UnacknowledgedBytes(call.m_descriptor);
+  }
+}
+
+bool HttpClient::Impl::IsRequestReceived(const Call& call) {
+  if (!call.m_call.m_body) {
+    return true;
+  }
+  curl_off_t written = 0;
+  curl_easy_getinfo(call.m_easy, CURLINFO_SIZE_UPLOAD_T, &written);
+  return call.m_unacknowledged_bytes == 0 &&
+         static_cast<std::size_t>(written) >= call.m_call.m_body->size();
+}
+
 bool HttpClient::Impl::ReserveHead(Call& call, std::size_t bytes) {
   if (!m_head_memory_budget.MayReserve(call.m_head_memory, bytes)) {
     call.m_head_too_large = true;
@@ -272,8 +294,11 @@
   result.m_may_have_been_sent = call.m_sent;
   result.m_detail = curl_easy_strerror(code);
   result.m_close_delimited = call.m_close_delimited;
+  // A process that dies while it receives a request may close its connection
+  // normally, so the end of the connection is then not that of the response.
   const bool end_known =
-      !call.m_close_delimited || call.m_call.m_accept_close_delimited;
+      !call.m_close_delimited ||
+      (call.m_call.m_accept_close_delimited && IsRequestReceived(call));
   if (code == CURLE_OK && call.m_headers_done && end_known) {
     result.m_outcome = HttpCallOutcome::kComplete;
     result.m_detail.clear();
@@ -285,6 +310,8 @@
     result.m_detail = "the reused connection was closed by the server";
   } else if (call.m_head_too_large) {
     result.m_detail = "the head of the response is too large";
+  } else if (call.m_invalid_status) {
+    result.m_detail = "the status of the response is invalid";
   } else if (call.m_invalid_length) {
     result.m_detail = "the length of the response is invalid";
   }
@@ -335,6 +362,7 @@
     return;
   }
   call->m_paused = false;
+  NoteUnacknowledged(*call);
   call->m_last_activity = BootTime();
   m_inside_curl = true;
   curl_easy_pause(call->m_easy, CURLPAUSE_CONT);
--- a/src/libnet/http_client_impl.h
+++ b/src/libnet/http_client_impl.h
@@ -50,8 +50,14 @@
     bool m_resend_attempted = false;  ///< By libcurl; refused.
     bool m_paused = false;
     bool m_headers_done = false;  ///< The final response's head is complete.
+    bool m_status_line_read = false;  ///< Of the current response head.
+    bool m_invalid_status = false;
     bool m_invalid_length = false;
     bool m_close_delimited = false;  ///< The body has no length or chunks.
+    int m_descriptor = -1;  ///< Of the connection, from its first event.
+    /// Bytes of the request that the server's system did not have at the last
+    /// read.
+    std::size_t m_unacknowledged_bytes = 0;
     int m_status = 0;
     HeaderMap m_response_headers;
     TimePoint m_started{};
@@ -105,6 +111,11 @@
   void AddBody(Call& call);
   void AddHeaders(Call& call);
   void HandleHeaderLine(Call& call, std::string_view line);
+  /// Updates m_unacknowledged_bytes. Called before libcurl reads, since it may
+  /// close the connection.
+  static void NoteUnacknowledged(Call& call);
+  /// @return true when the server's system has received the whole request.
+  static bool IsRequestReceived(const Call& call);
   /// Reserves memory for a part of a call's head.
   /// @return false when the limit is reached; the call must end then.
   bool ReserveHead(Call& call, std::size_t bytes);
--- a/src/libnet/http_transfer.cpp
+++ b/src/libnet/http_transfer.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kHeadCopies = 3;
 /// Memory of those copies in addition to the bytes of the line.
 constexpr std::size_t kHeadLineMemory = 320;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 constexpr int kStatusNoContent = 204;
 constexpr int kStatusNotModified = 304;
 
@@ -34,23 +36,27 @@
   return std::max<long>(1, ceil<milliseconds>(duration).count());
 }
 
-/// @return the status of a line such as "HTTP/1.1 200 OK", or nothing.
+/// @return the status of a line such as "HTTP/1.1 200 OK"; nothing when it is
+/// not a number from 100 to 599 (RFC 9110, section 15). libcurl accepts larger
+/// ones and reads only the first digits of some others.
 std::optional<int> ParseStatusLine(std::string_view line) {
-  if (!line.starts_with("HTTP/")) {
-    return std::nullopt;
-  }
   const auto space = line.find(' ');
-  if (space == std::string_view::npos || line.size() < space + 4) {
+  if (!line.starts_with("HTTP/") || space == std::string_view::npos) {
     return std::nullopt;
   }
+  const std::string_view rest = Trim(line.substr(space + 1));
+  const std::string_view digits = rest.substr(0, rest.find(' '));
+  const bool is_number =
+      digits.size() == 3 &&
+      std::all_of(digits.begin(), digits.end(),
+                  [](char digit) { return digit >= '0' && digit <= '9'; });
   int status = 0;
-  for (char digit : line.substr(space + 1, 3)) {
-    if (digit < '0' || digit > '9') {
-      return std::nullopt;
-    }
-    status = status * 10 + (digit - '0');
+  if (is_number) {
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
   }
-  return status;
+  return status >= kMinStatus && status <= kMaxStatus
+             ? std::optional<int>(status)
+             : std::nullopt;
 }
 
 /// @return true when the body's last transfer coding is "chunked".
@@ -220,12 +226,15 @@
   if (!call.m_headers_done) {
     call.m_client->HandleHeaderLine(call, {data, length});
   }
-  return call.m_cancelled || call.m_invalid_length ? 0 : length;
+  const bool invalid = call.m_invalid_status || call.m_invalid_length;
+  return call.m_cancelled || invalid ? 0 : length;
 }
 
 void HttpClient::Impl::HandleHeaderLine(Call& call, std::string_view line) {
-  if (const auto status = ParseStatusLine(line)) {
-    call.m_status = *status;
+  if (!std::exchange(call.m_status_line_read, true)) {
+    const auto status = ParseStatusLine(line);
+    call.m_invalid_status = !status;
+    call.m_status = status.value_or(0);
     call.m_response_headers.clear();
     return;
   }
@@ -239,6 +248,7 @@
     return;
   }
   if (call.m_status < 200) {
+    call.m_status_line_read = false;
     return;  // An interim response; the final one follows.
   }
   const HeaderMap& headers = call.m_response_headers;
--- a/src/libnet/scripted_server.h
+++ b/src/libnet/scripted_server.h
@@ -22,9 +22,15 @@
 
 /// Reply of a scripted server to one request.
 struct ScriptedReply {
-  enum class ConnectionAction { kKeep, kClose, kReset };
+  enum class ConnectionAction {
+    kKeep,
+    kClose,
+    kReset,
+    kEndOutput,  ///< Nothing more is sent; the connection stays open.
+  };
   std::string m_bytes;  ///< Empty to send nothing.
   ConnectionAction m_connection_action = ConnectionAction::kKeep;
+  Duration m_action_delay{};  ///< From the bytes to the action.
 };
 
 /// Listens on a port of 127.0.0.1.
@@ -63,6 +69,14 @@
   /// Closes every connection.
   void CloseAll() { m_connections.clear(); }
 
+  /// Replies as soon as the head of a request is complete and reads nothing
+  /// more, so that a long upload stays unfinished.
+  void ReplyBeforeBody() {
+    m_reply_before_body = true;
+    const int size = 4096;  // Connections inherit the size of the buffer.
+    setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  }
+
   /// Raw text of the requests received so far.
   std::vector<std::string> m_requests;
   int m_accepted = 0;
@@ -76,6 +90,7 @@
     }
     int m_descriptor = -1;
     std::string m_input;
+    std::unique_ptr<Timer> m_action_timer;
     std::unique_ptr<DescriptorWatcher> m_watcher;
   };
 
@@ -106,10 +121,15 @@
       return;
     }
     connection.m_input.append(buffer, static_cast<std::size_t>(count));
-    const std::size_t size = RequestSize(connection.m_input);
+    const std::size_t size = m_reply_before_body
+                                 ? HeadSize(connection.m_input)
+                                 : RequestSize(connection.m_input);
     if (size == 0 || connection.m_input.size() < size) {
       return;
     }
+    if (m_reply_before_body) {
+      connection.m_watcher.reset();
+    }
     m_requests.push_back(connection.m_input.substr(0, size));
     connection.m_input.erase(0, size);
     SendReply(id, m_script(m_requests.back()));
@@ -126,33 +146,54 @@
       }
       remaining.remove_prefix(static_cast<std::size_t>(sent));
     }
-    if (reply.m_connection_action == ScriptedReply::ConnectionAction::kReset) {
+    if (reply.m_action_delay == Duration::zero()) {
+      Act(id, reply.m_connection_action);
+      return;
+    }
+    connection.m_action_timer = std::make_unique<Timer>(
+        m_loop,
+        [this, id, action = reply.m_connection_action] { Act(id, action); });
+    connection.m_action_timer->Start(reply.m_action_delay);
+  }
+
+  void Act(int id, ScriptedReply::ConnectionAction action) {
+    Connection& connection = *m_connections.at(id);
+    if (action == ScriptedReply::ConnectionAction::kEndOutput) {
+      shutdown(connection.m_descriptor, SHUT_WR);
+      return;
+    }
+    if (action == ScriptedReply::ConnectionAction::kReset) {
       const linger reset{1, 0};
       setsockopt(connection.m_descriptor, SOL_SOCKET, SO_LINGER, &reset,
                  sizeof(reset));
     }
-    if (reply.m_connection_action != ScriptedReply::ConnectionAction::kKeep) {
+    if (action != ScriptedReply::ConnectionAction::kKeep) {
       m_connections.erase(id);
     }
   }
 
+  /// @return the size of the first request's head in bytes; zero while it is
+  /// incomplete.
+  static std::size_t HeadSize(const std::string& input) {
+    const auto end = input.find("\r\n\r\n");
+    return end == std::string::npos ? 0 : end + 4;
+  }
+
   /// @return the size of the first request in bytes; zero while its header is
   /// incomplete.
   static std::size_t RequestSize(const std::string& input) {
-    const auto end = input.find("\r\n\r\n");
-    if (end == std::string::npos) {
-      return 0;
-    }
+    const std::size_t head = HeadSize(input);
     std::size_t body = 0;
     const auto length = input.find("Content-Length: ");
-    if (length < end) {
+    if (length < head) {
       body = std::stoul(input.substr(length + 16));
     }
-    return end + 4 + body;
+    return head + body;
   }
 
   struct ev_loop* m_loop;
   Script m_script;
+  bool m_reply_before_body = false;
   int m_listener = -1;
   std::unique_ptr<DescriptorWatcher> m_accept;
   std::map<int, std::unique_ptr<Connection>> m_connections;
--- a/src/libnet/tcp_bytes.cpp
+++ b/src/libnet/tcp_bytes.cpp
@@ -1,5 +1,6 @@
 #include "libnet/tcp_bytes.h"
 
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <sys/ioctl.h>
@@ -22,4 +23,11 @@
   return received - std::min(received, static_cast<std::size_t>(unread));
 }
 
+std::size_t UnacknowledgedBytes(int descriptor) {
+  int count = 0;
+  return ioctl(descriptor, SIOCOUTQ, &count) == 0
+             ? static_cast<std::size_t>(std::max(count, 0))
+             : 0;
+}
+
 }  // namespace nutmeghollow::net
--- a/src/libnet/tcp_bytes.h
+++ b/src/libnet/tcp_bytes.h
@@ -1,5 +1,5 @@
 /// @file
-/// Number of bytes read from a TCP connection.
+/// Numbers of bytes that passed over a TCP connection.
 #pragma once
 
 #include <cstddef>
@@ -11,4 +11,8 @@
 /// nothing when the system does not tell.
 std::optional<std::size_t> BytesRead(int descriptor);
 
+/// @return bytes written to the connection that the peer's system has not
+/// acknowledged; zero when the system does not tell.
+std::size_t UnacknowledgedBytes(int descriptor);
+
 }  // namespace nutmeghollow::net
