Test users of the HTTP client with responses that break off or have no valid status

The chat side, the client of the chats' platform, the client of the table service and the feeds between instances get each kind of truncated response (HTTP/1.0, lengths that are not reached, chunks without an end, resets) and twelve texts that are no status.

--- a/src/libnet/upstream_client_test.cpp
+++ b/src/libnet/upstream_client_test.cpp
@@ -3,7 +3,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "libnet/scripted_server.h"
+#include "libnet/scripted_server_for_test.h"
 
 namespace nutmeghollow::net {
 namespace {
@@ -18,6 +18,10 @@
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     "X-Request-Id: req-1.2\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+constexpr const char* kHttp10StreamHeader =
+    "HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "X-Request-Id: req-1\r\n\r\n";
+
 std::string Chunk(const std::string& data) {
   return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
 }
@@ -230,6 +234,47 @@
                  ConnectionAction::kClose},
                 Kind::kBroken,
                 ""},
+        EndCase{"Http10CutStream",
+                true,
+                {std::string(kHttp10StreamHeader) + kFirst,
+                 ConnectionAction::kClose},
+                Kind::kBroken,
+                kFirst},
+        EndCase{"Http10ResetStream",
+                true,
+                {std::string(kHttp10StreamHeader) + kFirst,
+                 ConnectionAction::kReset},
+                Kind::kBroken,
+                kFirst},
+        EndCase{"Http10WholeStream",
+                true,
+                {std::string(kHttp10StreamHeader) + kRest,
+                 ConnectionAction::kClose},
+                Kind::kComplete,
+                kRest},
+        EndCase{"CloseLengthNotReachedStream",
+                true,
+                {std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                             "Content-Type: text/event-stream\r\n"
+                             "X-Request-Id: req-1\r\n"
+                             "Content-Length: 99\r\n\r\n") +
+                     kFirst,
+                 ConnectionAction::kClose},
+                Kind::kBroken,
+                kFirst},
+        EndCase{"Http10CutWhole",
+                false,
+                {"HTTP/1.0 200 OK\r\nX-Request-Id: req-1\r\n\r\nok",
+                 ConnectionAction::kClose},
+                Kind::kBroken,
+                ""},
+        EndCase{"CloseWithoutLength",
+                false,
+                {"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                 "X-Request-Id: req-1\r\n\r\nok",
+                 ConnectionAction::kClose},
+                Kind::kBroken,
+                ""},
         EndCase{"NoAnswer",
                 false,
                 {"", ConnectionAction::kReset},
@@ -251,6 +296,50 @@
   EXPECT_EQ(m_client->Registered(), 0U);
 }
 
+/// A response without a valid status must reach no caller, be no refusal that
+/// allows another run, and not continue a stream.
+TEST_F(UpstreamClientTest, UsesNoResponseWithoutAValidStatus) {
+  for (const std::string& status : InvalidStatuses()) {
+    for (const bool streamed : {false, true}) {
+      m_events.clear();
+      m_caller = Caller();
+      m_replies = {ReplyWithStatus(status,
+                                   "X-Request-Id: req-1\r\nX-Not-Run: 1\r\n"
+                                   "Content-Type: text/event-stream\r\n",
+                                   kRest)};
+      Register(RequestKind::kChat, streamed, "POST");
+      EXPECT_EQ(Run(Attempt(1)).m_kind, Kind::kBroken) << status;
+      m_client->Finish({kId, Outcome::kUnknown});
+      EXPECT_EQ(m_caller.m_status, 0) << status;
+      EXPECT_EQ(m_caller.m_body, "") << status;
+      EXPECT_FALSE(m_caller.m_ended) << status;
+    }
+  }
+}
+
+TEST_F(UpstreamClientTest, ContinuesNoStreamWithAFaultyResponse) {
+  std::vector<FaultyReply> faulty = TruncatedReplies(
+      "X-Request-Id: req-1\r\nContent-Type: text/event-stream\r\n", kFirst);
+  for (const std::string& status : InvalidStatuses()) {
+    faulty.push_back({status, ReplyWithStatus(status, "", kRest)});
+  }
+  for (const FaultyReply& second : faulty) {
+    m_events.clear();
+    m_caller = Caller();
+    m_replies = {{kStreamHeader + Chunk(kFirst), ConnectionAction::kClose},
+                 second.m_reply};
+    Register(RequestKind::kChat, true, "POST");
+    EXPECT_EQ(Run(Attempt(1)).m_kind, Kind::kBroken);
+    EXPECT_EQ(Run(Attempt(2, ReportedBytes())).m_kind, Kind::kBroken)
+        << second.m_name;
+    m_client->Finish({kId, Outcome::kUnknown});
+    EXPECT_TRUE(m_caller.m_aborted) << second.m_name;
+    EXPECT_FALSE(m_caller.m_ended) << second.m_name;
+    EXPECT_TRUE((std::string(kFirst) + kFirst).starts_with(m_caller.m_body))
+        << second.m_name << m_caller.m_body;
+  }
+}
+
 TEST_F(UpstreamClientTest, ReportsThatAStreamIsNotRetained) {
   m_replies = {{kStreamHeader + Chunk(kFirst), ConnectionAction::kClose},
                {"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}};
