Explain the choice of an upstream in the pool

Cause: nothing explained a placement in a gateway. Evaluate and Collect are const, and Choose counts after its draws, so that the explanation uses the same draws. Behaviour of choices is otherwise unchanged.

--- a/src/include/nutmeghollow/routing.h
+++ b/src/include/nutmeghollow/routing.h
@@ -107,6 +107,8 @@
   std::map<ServiceId, ColdPolicy> ColdPolicies() const;
   /// @return the customer with an API key, or null.
   const CustomerKeys* FindCustomer(const std::string& key) const;
+  /// @return the customer, or null.
+  const CustomerKeys* FindCustomer(const CustomerId& id) const;
   /// @return true when callers must present an API key.
   bool HasCustomers() const { return !m_customers.empty(); }
   std::size_t RouteCount() const { return m_route_count; }
--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -131,6 +131,8 @@
   bool m_leased = false;   ///< Chosen with a lease of a brittle upstream.
 };
 
+struct ChoiceExplanation;
+
 /// Registered upstreams of all services.
 class UpstreamPool {
  public:
@@ -162,6 +164,9 @@
   /// @return nothing when the service has none.
   std::optional<UpstreamChoice> Choose(const UpstreamQuery& upstream_query,
                                        TimePoint now);
+  /// Explains where a request would be sent now. Changes no state.
+  ChoiceExplanation ExplainChoice(const UpstreamQuery& upstream_query,
+                                  TimePoint now) const;
   /// @return true when a request may still be sent to the chosen process of an
   /// upstream; false when it is removed or replaced, or when there is a lasting
   /// obstacle.
@@ -346,7 +351,7 @@
     std::unordered_map<PartId, TimePoint> m_parts;
   };
   struct Candidate {
-    Upstream* m_upstream = nullptr;
+    const Upstream* m_upstream = nullptr;
     double m_load = 0;
     double m_cost = 0;
     bool m_backing_off = false;
@@ -370,7 +375,11 @@
   /// @return the cost of a permit for a request.
   double PermitCost(const UpstreamQuery& upstream_query) const;
   static double MeanLoad(const std::vector<Candidate>& candidates);
-  Evaluation Evaluate(const UpstreamQuery& upstream_query, TimePoint now);
+  Evaluation Evaluate(const UpstreamQuery& upstream_query, TimePoint now) const;
+  /// Chooses one of the candidates, with the draws of the next request.
+  std::optional<UpstreamChoice> ChooseAmong(const Evaluation& evaluation,
+                                            const UpstreamQuery& upstream_query,
+                                            TimePoint now) const;
   /// @return the best of the candidates that need no permit, or null.
   const Candidate* Best(const std::vector<Candidate>& candidates) const;
   /// @return candidates that need a permit or lease and would be better than
@@ -387,7 +396,7 @@
   /// trial request.
   std::vector<Candidate> Collect(const UpstreamQuery& upstream_query,
                                  bool trials,
-                                 TimePoint now);
+                                 TimePoint now) const;
   bool MayTry(const Upstream& upstream, TimePoint now) const;
   /// @param query null when no particular request is meant.
   SendQuestion QuestionFor(const Upstream& upstream,
--- a/src/libnutmeg/routing.cpp
+++ b/src/libnutmeg/routing.cpp
@@ -73,6 +73,12 @@
   return found == m_keys.end() ? nullptr : &m_customers.at(found->second);
 }
 
+const CustomerKeys* RoutingConfiguration::FindCustomer(
+    const CustomerId& id) const {
+  const auto found = m_customers.find(id);
+  return found == m_customers.end() ? nullptr : &found->second;
+}
+
 ServiceId ChooseService(const HttpRoute& route, double draw) {
   double total = 0;
   for (const TrafficShare& share : route.m_shares) {
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -64,9 +64,9 @@
 std::vector<UpstreamPool::Candidate> UpstreamPool::Collect(
     const UpstreamQuery& upstream_query,
     bool trials,
-    TimePoint now) {
+    TimePoint now) const {
   std::vector<Candidate> candidates;
-  for (auto& [id, row] : m_upstreams) {
+  for (const auto& [id, row] : m_upstreams) {
     if (row.m_registration.m_service != upstream_query.m_service) {
       continue;
     }
@@ -310,7 +310,7 @@
 
 UpstreamPool::Evaluation UpstreamPool::Evaluate(
     const UpstreamQuery& upstream_query,
-    TimePoint now) {
+    TimePoint now) const {
   Evaluation evaluation;
   std::vector<Candidate>& candidates = evaluation.m_candidates;
   candidates = Collect(upstream_query, false, now);
@@ -356,11 +356,19 @@
 std::optional<UpstreamChoice> UpstreamPool::Choose(
     const UpstreamQuery& upstream_query,
     TimePoint now) {
-  ++m_choice_count;
   if (upstream_query.m_prompt != nullptr && !upstream_query.m_prompt->empty()) {
     NotePrefix(upstream_query);
   }
-  const Evaluation evaluation = Evaluate(upstream_query, now);
+  std::optional<UpstreamChoice> choice =
+      ChooseAmong(Evaluate(upstream_query, now), upstream_query, now);
+  ++m_choice_count;
+  return choice;
+}
+
+std::optional<UpstreamChoice> UpstreamPool::ChooseAmong(
+    const Evaluation& evaluation,
+    const UpstreamQuery& upstream_query,
+    TimePoint now) const {
   const std::vector<Candidate>& candidates = evaluation.m_candidates;
   const bool engines =
       upstream_query.m_prompt != nullptr && !upstream_query.m_prompt->empty();
