Explain routes at the operator address of gateways and in nutmegctl

GET /v1/explain-route describes as JSON where a request with a host, path, prompt parts, customer name and priority would go now: each upstream of each service of the route with its verdict, the choice, evacuated data centres and cold upstreams. It changes no state and neither takes nor returns API keys. "nutmegctl explain-route HOST PATH" prints it as tables; it needs no token, as the operator address of a gateway takes none.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "nutmeghollow/hot_parts.h"
@@ -167,6 +168,10 @@
   /// Explains where a request would be sent now. Changes no state.
   ChoiceExplanation ExplainChoice(const UpstreamQuery& upstream_query,
                                   TimePoint now) const;
+  /// @return upstreams that are cold, whether their service has a policy or
+  /// not, and for how long.
+  std::vector<std::pair<UpstreamId, Duration>> ColdUpstreams(
+      TimePoint now) const;
   /// @return true when a request may still be sent to the chosen process of an
   /// upstream; false when it is removed or replaced, or when there is a lasting
   /// obstacle.
--- a/src/libnutmeg/choice_explanation.cpp
+++ b/src/libnutmeg/choice_explanation.cpp
@@ -50,4 +50,15 @@
   return explanation;
 }
 
+std::vector<std::pair<UpstreamId, Duration>> UpstreamPool::ColdUpstreams(
+    TimePoint now) const {
+  std::vector<std::pair<UpstreamId, Duration>> cold;
+  for (const auto& [id, row] : m_upstreams) {
+    if (row.m_cold_until > now) {
+      cold.emplace_back(id, row.m_cold_until - now);
+    }
+  }
+  return cold;
+}
+
 }  // namespace nutmeghollow
--- a/src/libnutmeg/choice_explanation_test.cpp
+++ b/src/libnutmeg/choice_explanation_test.cpp
@@ -175,6 +175,10 @@
   EXPECT_FALSE(Of(explanation, "u0").m_report_age);
   EXPECT_EQ(Of(explanation, "u2").m_cold_for, milliseconds(3900));
   EXPECT_EQ(loaded.m_cold_for, Duration::zero());
+  const auto cold = pool.ColdUpstreams(kNow + milliseconds(100));
+  ASSERT_EQ(cold.size(), 1U);
+  EXPECT_EQ(cold[0].first, UpstreamId("u2"));
+  EXPECT_EQ(cold[0].second, milliseconds(3900));
   EXPECT_EQ(explanation.m_peer_load_age, milliseconds(300));
 }
 
--- a/src/nutmegctl/command_line.cpp
+++ b/src/nutmegctl/command_line.cpp
@@ -249,6 +249,27 @@
   return call;
 }
 
+Parsed ParseExplainRoute(const Arguments& arguments, const Options& options) {
+  if (arguments.size() != 3) {
+    return UsageError{
+        "explain-route takes: HOST PATH [--prompt=ID:TOKENS,...] "
+        "[--customer=C] [--priority=N]"};
+  }
+  Call call = MakeGetCall("/v1/explain-route", View::kExplainRoute);
+  call.m_needs_token = false;
+  call.m_query = {{"host", arguments[1]}, {"path", arguments[2]}};
+  const std::map<std::string, std::string> optional{
+      {"prompt", options.m_prompt},
+      {"customer", options.m_customer},
+      {"priority", options.m_priority}};
+  for (const auto& [name, value] : optional) {
+    if (!value.empty()) {
+      call.m_query[name] = value;
+    }
+  }
+  return call;
+}
+
 Parsed ParseAudit(const Arguments& arguments, const Options& options) {
   if (arguments.size() != 1) {
     return UsageError{"audit takes --after=REVISION and --limit=N only"};
@@ -307,6 +328,9 @@
   if (command == "explain") {
     return ParseExplain(arguments);
   }
+  if (command == "explain-route") {
+    return ParseExplainRoute(arguments, options);
+  }
   if (command == "audit") {
     return ParseAudit(arguments, options);
   }
@@ -345,6 +369,8 @@
   audit [--after=REVISION] [--limit=N]
   command show ID                 whether a command took effect
   explain CHAT [MODEL]            why a chat is placed on its upstream
+  explain-route HOST PATH [--prompt=ID:TOKENS,...] [--customer=C] [--priority=N]
+                                  where a gateway would send a request now
   request show KEY --customer=C --service=S
   request resolve KEY --customer=C --service=S --outcome=completed|not-run
   drain                           starts the planned stop of that instance
--- a/src/nutmegctl/command_line.h
+++ b/src/nutmegctl/command_line.h
@@ -26,6 +26,7 @@
   kAudit,
   kCommand,
   kExplain,
+  kExplainRoute,
   kRequest,
   kDrain,
 };
@@ -37,6 +38,8 @@
   std::map<std::string, std::string> m_query;
   std::string m_body;
   View m_view = View::kObject;
+  /// False for calls that are open to all, such as those to a gateway.
+  bool m_needs_token = true;
 
   /// @return true when the call may modify the state of the fleet.
   bool IsModifying() const { return m_method != "GET"; }
@@ -52,6 +55,8 @@
   std::string m_customer;
   std::string m_service;
   std::string m_outcome;
+  std::string m_prompt;
+  std::string m_priority;
   /// Reads a file. @return its content, or nothing when it cannot be read.
   std::function<std::optional<std::string>(const std::string&)> m_read_file;
   WallTime m_now;
--- a/src/nutmegctl/main/nutmegctl.cpp
+++ b/src/nutmegctl/main/nutmegctl.cpp
@@ -31,7 +31,15 @@
 DEFINE_string(at, "", "time of a planned change");
 DEFINE_string(after, "", "audit: only changes after this revision");
 DEFINE_string(limit, "", "audit: at most this many changes");
-DEFINE_string(customer, "", "request: customer of the idempotency key");
+DEFINE_string(
+    customer,
+    "",
+    "request: customer of the idempotency key; explain-route: name of "
+    "the customer");
+DEFINE_string(prompt, "", "explain-route: parts of the prompt, ID:TOKENS,...");
+DEFINE_string(priority,
+              "",
+              "explain-route: rank instead of the configured one");
 DEFINE_string(service, "", "request: service of the idempotency key");
 DEFINE_string(outcome, "", "request resolve: completed or not-run");
 
@@ -85,13 +93,17 @@
           .m_customer = FLAGS_customer,
           .m_service = FLAGS_service,
           .m_outcome = FLAGS_outcome,
+          .m_prompt = FLAGS_prompt,
+          .m_priority = FLAGS_priority,
           .m_read_file = ReadFile,
           .m_now = CurrentWallTime()};
 }
 
 /// Reads the target from the flags, or from the environment where one is empty.
 /// @return the target, or an error when a value is missing or invalid.
-std::variant<Target, UsageError> TargetFromFlagsOrEnvironment() {
+/// @param needs_token false when the token may be missing.
+std::variant<Target, UsageError> TargetFromFlagsOrEnvironment(
+    bool needs_token) {
   Target target;
   target.m_address = FlagOrEnvironment(FLAGS_address, "NUTMEG_ADDRESS");
   if (target.m_address.empty()) {
@@ -101,10 +113,12 @@
       FlagOrEnvironment(FLAGS_token_file, "NUTMEG_TOKEN_FILE");
   const std::optional<std::string> token =
       file.empty() ? std::nullopt : ReadFile(file);
-  if (!token) {
+  if (!token && needs_token) {
     return UsageError{"--token_file must name a file that can be read"};
   }
-  target.m_token = token->substr(0, token->find_first_of("\r\n"));
+  if (token && needs_token) {
+    target.m_token = token->substr(0, token->find_first_of("\r\n"));
+  }
   target.m_timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   return target;
 }
@@ -171,11 +185,11 @@
   if (const auto* error = std::get_if<UsageError>(&parsed)) {
     return ReportUsageError(error->m_message);
   }
-  const auto target_or_error = TargetFromFlagsOrEnvironment();
+  const Call& call = std::get<Call>(parsed);
+  const auto target_or_error = TargetFromFlagsOrEnvironment(call.m_needs_token);
   if (const auto* error = std::get_if<UsageError>(&target_or_error)) {
     return ReportUsageError(error->m_message);
   }
-  const Call& call = std::get<Call>(parsed);
   const Target& target = std::get<Target>(target_or_error);
   const std::string id =
       FLAGS_command_id.empty() ? NewCommandId() : FLAGS_command_id;
--- a/src/nutmegctl/view.cpp
+++ b/src/nutmegctl/view.cpp
@@ -196,6 +196,70 @@
   return text;
 }
 
+/// @return a list of strings separated by commas, or "-" when it is empty.
+std::string JoinStrings(const std::vector<std::string>& list) {
+  std::string text;
+  for (const std::string& item : list) {
+    text += (text.empty() ? "" : ", ") + item;
+  }
+  return text.empty() ? "-" : text;
+}
+
+/// Formats one service of an explanation as a table of its upstreams; the
+/// chosen one is marked.
+std::string FormatExplainedService(const Json& service) {
+  std::string text = fmt::format(
+      "\nservice {} (weight {}): {}{}; mean load {}, bound {}\n",
+      FormatField(service, "service"), FormatField(service, "weight"),
+      service.value("chosen", Json()).is_null()
+          ? "no upstream"
+          : "to " + FormatField(service, "chosen"),
+      service.value("spread", false) ? " (spread)" : "",
+      FormatField(service, "mean_load"), FormatField(service, "bound"));
+  TextTable table({"", "upstream", "data_centre", "load", "age_ms", "cost",
+                   "rank", "unread", "cold_ms", "verdict", "ends_ms"});
+  for (const Json& one : service.value("upstreams", Json::array())) {
+    table.Add({one.value("chosen", false) ? "*" : "", FormatField(one, "id"),
+               FormatField(one, "data_centre"), FormatField(one, "load"),
+               FormatField(one, "report_age_ms"), FormatField(one, "cost"),
+               FormatField(one, "rank"), FormatField(one, "unread_tokens"),
+               FormatField(one, "cold_ms"), FormatField(one, "verdict"),
+               FormatField(one, "verdict_ends_ms")});
+  }
+  return text + table.ToText();
+}
+
+std::string FormatExplainedRoute(const Json& response) {
+  std::vector<std::string> evacuated;
+  for (const Json& one : response.value("evacuated", Json::array())) {
+    evacuated.push_back(fmt::format(
+        "{} ({} upstreams, {} requests here)", FormatField(one, "data_centre"),
+        FormatField(one, "upstreams"), FormatField(one, "own_active")));
+  }
+  std::vector<std::string> cold;
+  for (const Json& one : response.value("cold", Json::array())) {
+    cold.push_back(fmt::format("{} ({} ms)", FormatField(one, "id"),
+                               FormatField(one, "remaining_ms")));
+  }
+  std::string text = fmt::format(
+      "route {} at {}, revision {}, customer {}, priority {}, homes {}\n",
+      FormatField(response, "route"), FormatField(response, "instance"),
+      FormatField(response, "revision"), FormatField(response, "customer"),
+      FormatField(response, "priority"), FormatField(response, "homes"));
+  if (response.value("cut_off", false)) {
+    text +=
+        "the instance is cut off from the upstreams and forwards requests\n";
+  }
+  text += fmt::format("evacuated: {}\ncold: {}\n", JoinStrings(evacuated),
+                      JoinStrings(cold));
+  text += fmt::format("loads of other instances are {} ms old\n",
+                      FormatField(response, "peer_load_age_ms"));
+  for (const Json& service : response.value("services", Json::array())) {
+    text += FormatExplainedService(service);
+  }
+  return text;
+}
+
 std::string FormatSuccess(View view, const Json& response) {
   switch (view) {
     case View::kChange:
@@ -223,6 +287,8 @@
     case View::kDrain:
       return "the planned stop of " + FormatField(response, "instance") +
              " has begun\n";
+    case View::kExplainRoute:
+      return FormatExplainedRoute(response);
     case View::kStatus:
     case View::kExplain:
     case View::kRequest:
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -23,6 +23,7 @@
 #include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registrations.h"
 #include "nutmegd/route_configuration.h"
+#include "nutmegd/route_explanation.h"
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/entry_directory.h"
@@ -521,6 +522,12 @@
     exchange->Respond(ready ? 200 : 503, text, ready ? "ok\n" : "not ready\n");
   } else if (path == "/metrics") {
     exchange->Respond(200, text, m_state.m_metrics.Render());
+  } else if (path == kExplainRoutePath) {
+    RouteExplanation explanation =
+        ExplainRoute(m_state, exchange->Request(), BootTime());
+    exchange->Respond(explanation.m_status,
+                      {{"Content-Type", "application/json"}},
+                      std::move(explanation.m_body));
   } else {
     exchange->Respond(404, text, "unknown path\n");
   }
