--- a/src/include/nutmeghollow/routing.h
+++ b/src/include/nutmeghollow/routing.h
@@ -109,8 +109,11 @@
   const CustomerKeys* FindCustomer(const std::string& key) const;
   /// @return the customer, or null.
   const CustomerKeys* FindCustomer(const CustomerId& id) const;
+  /// Requires an API key of callers, also when no customer has one: a list of
+  /// customers that was emptied takes all keys away.
+  void RequireKeys() { m_requires_keys = true; }
   /// @return true when callers must present an API key.
-  bool HasCustomers() const { return !m_customers.empty(); }
+  bool RequiresKeys() const { return m_requires_keys; }
   std::size_t RouteCount() const { return m_route_count; }
   /// @return the services of routes whose streams may be resumed.
   const std::set<ServiceId>& ResumableServices() const {
@@ -126,6 +129,7 @@
   std::unordered_map<std::string, CustomerId> m_keys;
   std::set<ServiceId> m_resumable_services;
   std::size_t m_route_count = 0;
+  bool m_requires_keys = false;
 };
 
 /// Chooses one of a route's services with a probability given by its weight.
--- a/src/libnutmeg/routing.cpp
+++ b/src/libnutmeg/routing.cpp
@@ -23,6 +23,7 @@
 }
 
 void RoutingConfiguration::Add(CustomerKeys customer) {
+  m_requires_keys = true;
   for (const std::string& key : customer.m_keys) {
     m_keys[key] = customer.m_id;
   }
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -449,7 +449,7 @@
 bool Gateway::Impl::Ready() const {
   return !m_state.m_drain && m_state.m_configuration != nullptr &&
          m_registrations_read &&
-         (!m_state.m_configuration->HasCustomers() ||
+         (!m_state.m_configuration->RequiresKeys() ||
           m_state.MayServeKeyedRequests(BootTime()));
 }
 
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -131,7 +131,7 @@
   m_priority = route.m_priority;
   m_customer = CustomerId();
   m_homes = route.m_homes;
-  if (!m_configuration->HasCustomers()) {
+  if (!m_configuration->RequiresKeys()) {
     return {};
   }
   const CustomerKeys* customer = m_configuration->FindCustomer(m_request.m_key);
