Enforce the configuration's body limit while a body arrives

Cause: the server stored up to 16 MiB of each body and read endless bodies for ever; the configuration's maxBodyBytes was checked after the whole body. Change: the limit in force is taken when a request begins. A body whose announced length is over both limits gets 413 at once. The same holds for forwarded requests, whose sender may try another instance. Entry look-ups and operators' requests may have 4 KiB.

--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -81,18 +81,22 @@
 }
 
 bool MhdExchange::AppendBody(std::string_view data) {
-  const auto limit =
-      static_cast<std::size_t>(m_server_state->m_options.m_body_limit.value());
+  const auto limit = static_cast<std::size_t>(m_body_limit);
   if (m_body_too_large || m_request.m_body.size() + data.size() > limit) {
     m_body_too_large = true;
-    m_request.m_body.clear();
-    m_request.m_body.shrink_to_fit();
-    return false;
+    DiscardBody();
+    m_discarded += static_cast<std::int64_t>(data.size());
+    return m_discarded <= m_server_state->m_options.m_discard_limit.value();
   }
   m_request.m_body.append(data);
   return true;
 }
 
+void MhdExchange::DiscardBody() {
+  m_request.m_body.clear();
+  m_request.m_body.shrink_to_fit();
+}
+
 MHD_Result MhdExchange::QueueOrSuspend() {
   if (m_caller_disconnected || (m_aborted && !m_queued)) {
     return MHD_NO;  // Closes the connection.
--- a/src/libnet/http_exchange.h
+++ b/src/libnet/http_exchange.h
@@ -5,6 +5,7 @@
 
 #include <microhttpd.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,7 +49,9 @@
   std::size_t ReadHeader(const char* method,
                          const char* url,
                          std::string target);
-  /// Appends a part of the request body. @return false above the limit.
+  /// Appends a part of the request body.
+  /// @return false if the connection is to be closed, since far more arrives
+  /// than may be stored.
   bool AppendBody(std::string_view data);
   /// Queues the response if it is ready, otherwise suspends the connection.
   /// @return MHD_NO to close the connection.
@@ -78,6 +81,7 @@
   int Descriptor() const { return m_descriptor; }
   bool m_dispatched = false;  ///< Handled, or an error was queued.
   bool m_body_too_large = false;
+  std::int64_t m_body_limit = 0;   ///< In bytes; set with the header.
   bool m_close_delimited = false;  ///< A stream ends with its connection.
 
  private:
@@ -86,11 +90,14 @@
   /// @return bytes that are not passed to libmicrohttpd yet.
   std::size_t Buffered() const { return m_buffer.size() - m_sent; }
   void Suspend();
+  /// Frees a body that is rejected; what follows is dropped.
+  void DiscardBody();
 
   std::shared_ptr<HttpServerState> m_server_state;
   MHD_Connection* m_connection;
   int m_descriptor = -1;
   HttpRequest m_request;
+  std::int64_t m_discarded = 0;  ///< Bytes of a rejected body.
 
   bool m_suspended = false;
   bool m_caller_disconnected = false;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 #include <unordered_set>
@@ -29,8 +30,6 @@
 /// Passes that accept the pending connections when listening ends. Each pass
 /// accepts several, and the system queues about a thousand.
 constexpr int kMaxAcceptPasses = 256;
-/// A body with a larger declared length is rejected without reading it.
-constexpr std::int64_t kMaxDiscardedBodyBytes = 64 << 20;
 
 /// State that libmicrohttpd stores for a request: its target until the header
 /// has been read, and then the exchange, which takes over the target.
@@ -239,10 +238,16 @@
     return exchange->QueueError(431, "the request header is too large");
   }
   const HttpRequest& request = exchange->Request();
+  const HttpServerOptions& options = m_server_state->m_options;
+  exchange->m_body_limit = options.m_body_limit.value();
+  if (options.m_current_body_limit) {
+    exchange->m_body_limit = std::min(exchange->m_body_limit,
+                                      options.m_current_body_limit().value());
+  }
   const std::int64_t length = DeclaredLength(request);
   const bool waits_for_continue = request.m_headers.count("expect") > 0;
-  if (length > m_server_state->m_options.m_body_limit.value() &&
-      (length > kMaxDiscardedBodyBytes || waits_for_continue)) {
+  if (length > exchange->m_body_limit &&
+      (length > options.m_discard_limit.value() || waits_for_continue)) {
     return exchange->QueueError(413, "the request body is too large");
   }
   return MHD_YES;
@@ -252,9 +257,9 @@
                                              const char* upload_data,
                                              std::size_t* upload_size) {
   if (*upload_size > 0) {
-    exchange->AppendBody({upload_data, *upload_size});
+    const bool goes_on = exchange->AppendBody({upload_data, *upload_size});
     *upload_size = 0;
-    return MHD_YES;
+    return goes_on ? MHD_YES : MHD_NO;
   }
   if (m_server_state->m_stopping && !exchange->m_dispatched) {
     return exchange->QueueError(503, "the server stops");
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -95,7 +95,13 @@
 
 /// Limits and error responses of a server.
 struct HttpServerOptions {
-  Bytes m_body_limit{8 << 20};     ///< Larger bodies are rejected with 413.
+  Bytes m_body_limit{8 << 20};  ///< Larger bodies are rejected with 413.
+  /// The limit in force, at most m_body_limit; when unset, m_body_limit.
+  std::function<Bytes()> m_current_body_limit;
+  /// Bytes of a rejected body that are read and dropped: a caller gets the
+  /// response only after it has sent its body. Beyond it the connection is
+  /// closed.
+  Bytes m_discard_limit{64 << 20};
   Bytes m_header_limit{32 << 10};  ///< Larger headers are rejected with 431.
   Bytes m_stream_high_water{256 << 10};  ///< Unsent bytes that pause a writer.
   /// Memory of libmicrohttpd per connection, in addition to m_header_limit.
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::int64_t kBodyLimit = 1000;
+constexpr std::int64_t kDiscardLimit = 20'000;
 /// More than the buffers of the system hold.
 constexpr std::size_t kLargeBodyBytes = 30 << 20;
 
@@ -24,7 +25,9 @@
  public:
   TestServer() : m_loop(ev_loop_new(0)) {
     HttpServerOptions options;
-    options.m_body_limit = Bytes(kBodyLimit);
+    options.m_body_limit = Bytes(2 * kBodyLimit);
+    options.m_current_body_limit = [] { return Bytes(kBodyLimit); };
+    options.m_discard_limit = Bytes(kDiscardLimit);
     options.m_header_limit = Bytes(4096);
     options.m_stream_high_water = Bytes(1024);
     m_server = std::make_unique<HttpServer>(
@@ -154,6 +157,16 @@
          std::to_string(size) + "\r\n\r\n" + std::string(size, 'b');
 }
 
+std::string Chunked(std::size_t chunks) {
+  std::string text =
+      "POST /now HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t index = 0; index < chunks; ++index) {
+    text += "10\r\n" + std::string(16, 'b') + "\r\n";
+  }
+  return text + "0\r\n\r\n";
+}
+
 class HttpServerCases : public testing::TestWithParam<ExchangeCase> {};
 
 TEST_P(HttpServerCases, Responds) {
@@ -175,11 +188,21 @@
         ExchangeCase{"AbortedStreamHasNoEnd", Get("/abort"), "200", "one\r\n"},
         ExchangeCase{"BodyAtLimit", Post(kBodyLimit), "200", "bbb"},
         ExchangeCase{"BodyAboveLimit", Post(kBodyLimit + 1), "413", "\n"},
+        ExchangeCase{"BodyFarAboveLimit", Post(kDiscardLimit + 1), "413", "\n"},
+        ExchangeCase{"ChunkedWithinLimit", Chunked(62), "200", "bbb"},
+        ExchangeCase{"ChunkedAboveLimit", Chunked(63), "413", "\n"},
         ExchangeCase{"HeaderAboveLimit",
                      Get("/now", "X-Long: " + std::string(5000, 'h') + "\r\n"),
                      "431", "\n"}),
     [](const auto& test) { return test.param.m_name; });
 
+// Guards against a body without an end that is read for ever.
+TEST(HttpServer, ClosesTheConnectionOfAChunkedBodyFarAboveTheLimit) {
+  TestServer server;
+  EXPECT_EQ(server.RoundTrip(Chunked(kDiscardLimit / 8)), "");
+  EXPECT_EQ(server.OpenRequests(), 0U);
+}
+
 TEST(HttpServer, StopsAWriterAtTheHighWaterMark) {
   TestServer server;
   server.RoundTrip(Get("/stream"));
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -22,6 +22,7 @@
 #include "nutmegd/peer_http_server.h"
 #include "nutmegd/reachability_monitor.h"
 #include "nutmegd/registrations.h"
+#include "nutmegd/request_bodies.h"
 #include "nutmegd/route_configuration.h"
 #include "nutmegd/route_relay.h"
 #include "nutmegd/table_follower.h"
@@ -47,10 +48,11 @@
 constexpr std::size_t kMaxEntryAddresses = 64;
 /// Memory of the HTTP library per connection, beyond the header limit.
 constexpr Bytes kConnectionMemory{8 << 10};
-/// Limits of the HTTP server. The configuration's own limits are meant to be
-/// lower and are checked for each request.
+/// Limit of the HTTP server. The configuration's own limit is meant to be lower
+/// and is checked for each request.
 constexpr Bytes kHeaderLimit{20 << 10};
-constexpr Bytes kBodyLimit{16 << 20};
+/// Entry look-ups and operators' requests need no body.
+constexpr Bytes kSmallBodyLimit{4 << 10};
 /// Reading from an upstream pauses while the stream of a slow caller has this
 /// many unsent bytes.
 constexpr Bytes kStreamHighWater{64 << 10};
@@ -75,7 +77,8 @@
 
 net::HttpServerOptions ServerOptions() {
   net::HttpServerOptions options;
-  options.m_body_limit = kBodyLimit;
+  options.m_body_limit = kSmallBodyLimit;
+  options.m_discard_limit = kBodyDiscardLimit;
   options.m_header_limit = kHeaderLimit;
   options.m_connection_memory = kConnectionMemory;
   options.m_stream_high_water = kStreamHighWater;
@@ -263,6 +266,7 @@
       m_peer_http_server(loop,
                          settings.m_instance.m_peer_address,
                          settings.m_instance.m_id,
+                         m_state,
                          {.m_keys = [this] { return m_fleet.Keys(); },
                           .m_clock_offsets =
                               [this](const InstanceId& sender) {
@@ -297,7 +301,7 @@
       m_caller_server(
           loop,
           settings.m_instance.m_caller_address,
-          ServerOptions(),
+          WithCallerBodies(ServerOptions(), m_state),
           [this](const Exchange& exchange) { HandleCaller(exchange); }),
       m_entry_server(
           loop,
--- a/src/nutmegd/peer_http_server.cpp
+++ b/src/nutmegd/peer_http_server.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libnet/log.h"
+#include "nutmegd/request_bodies.h"
 
 namespace nutmeghollow {
 namespace {
@@ -16,17 +17,20 @@
 constexpr int kStatusUnavailable = 503;
 /// As for callers, plus the field of a forwarded request.
 constexpr Bytes kHeaderLimit{22 << 10};
-constexpr Bytes kBodyLimit{16 << 20};
 constexpr Bytes kStreamHighWater{64 << 10};
 /// Memory of the HTTP library per connection, beyond the header limit.
 constexpr Bytes kConnectionMemory{2 << 10};
 
-net::HttpServerOptions ServerOptions() {
+net::HttpServerOptions ServerOptions(const GatewayState& state) {
   net::HttpServerOptions options;
-  options.m_body_limit = kBodyLimit;
   options.m_header_limit = kHeaderLimit;
   options.m_connection_memory = kConnectionMemory;
   options.m_stream_high_water = kStreamHighWater;
+  options = WithCallerBodies(std::move(options), state);
+  // The sender may try another instance: the request was not taken.
+  options.m_error_hook = [](int, const std::string&) {
+    return net::HttpErrorResponse{{{net::kNotTakenField, "1"}}, ""};
+  };
   return options;
 }
 
@@ -95,12 +99,13 @@
 PeerHttpServer::PeerHttpServer(struct ev_loop* loop,
                                const Endpoint& endpoint,
                                const InstanceId& self,
+                               const GatewayState& state,
                                PeerHttpHooks hooks)
     : m_hooks(std::move(hooks)),
       m_reader(self),
       m_server(loop,
                endpoint,
-               ServerOptions(),
+               ServerOptions(state),
                [this](const std::shared_ptr<net::HttpExchange>& exchange) {
                  Handle(exchange);
                }) {}
--- a/src/nutmegd/peer_http_server.h
+++ b/src/nutmegd/peer_http_server.h
@@ -11,6 +11,7 @@
 
 #include "libnet/forwarded_request.h"
 #include "libnet/http_server.h"
+#include "nutmegd/gateway_state.h"
 #include "nutmegd/peer_feed.h"
 
 namespace nutmeghollow {
@@ -28,11 +29,12 @@
 /// Server on the peer address.
 class PeerHttpServer {
  public:
-  /// @param self this instance.
+  /// @param self this instance. @param state must outlive this object.
   /// @throws std::runtime_error when the endpoint cannot be listened on.
   PeerHttpServer(struct ev_loop* loop,
                  const Endpoint& endpoint,
                  const InstanceId& self,
+                 const GatewayState& state,
                  PeerHttpHooks hooks);
 
   /// @return the bound port, which the system chooses for port 0.
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -191,7 +191,7 @@
         m_loop, [this] { return &m_server_keys; });
     m_server->Add("table", m_follower.get());
     m_http_server = std::make_unique<PeerHttpServer>(
-        m_loop, Endpoint("127.0.0.1:0"), InstanceId("i"),
+        m_loop, Endpoint("127.0.0.1:0"), InstanceId("i"), m_state,
         PeerHttpHooks{
             .m_keys = [this] { return &m_server_keys; },
             .m_clock_offsets = [](const InstanceId&) { return std::nullopt; },
@@ -225,6 +225,7 @@
 
   net::FleetKeys m_server_keys{{std::string(32, 'k')}};
   net::FleetKeys m_client_keys{{std::string(32, 'k')}};
+  GatewayState m_state;
   std::unique_ptr<net::HttpClient> m_client;
   std::unique_ptr<PeerFeedServer> m_server;
   std::unique_ptr<PeerHttpServer> m_http_server;
