Hold a request body once

Cause: the exchange kept the body until the end of the response, the relay copied it, and a forwarded request had a third copy. Change: HttpExchange::TakeBody moves the body to the relay, which shares it with the calls in progress and releases it when the request has ended, also if the caller reads the response slowly.

--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -92,6 +92,14 @@
   return true;
 }
 
+std::shared_ptr<const std::string> MhdExchange::TakeBody() {
+  if (m_request.m_body.empty()) {
+    return nullptr;
+  }
+  return std::make_shared<const std::string>(
+      std::exchange(m_request.m_body, std::string()));
+}
+
 void MhdExchange::DiscardBody() {
   m_request.m_body.clear();
   m_request.m_body.shrink_to_fit();
--- a/src/libnet/http_exchange.h
+++ b/src/libnet/http_exchange.h
@@ -33,6 +33,7 @@
 
   // HttpExchange:
   const HttpRequest& Request() const override { return m_request; }
+  std::shared_ptr<const std::string> TakeBody() override;
   void Respond(int status,
                const HeaderList& headers,
                std::string body) override;
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -47,6 +47,10 @@
   virtual ~HttpExchange() = default;
 
   virtual const HttpRequest& Request() const = 0;
+  /// Moves the body out of the request, whose m_body is empty afterwards. The
+  /// body is freed with the last reference to it.
+  /// @return the body; null when it is empty or was taken before.
+  virtual std::shared_ptr<const std::string> TakeBody() = 0;
 
   /// Sends a complete response. Call it at most once, and not together with
   /// BeginStream.
--- a/src/nutmegd/peer_http_server.cpp
+++ b/src/nutmegd/peer_http_server.cpp
@@ -43,6 +43,7 @@
                     std::string mac,
                     const std::shared_ptr<std::size_t>& open)
       : m_exchange(std::move(exchange)),
+        m_body(m_exchange->TakeBody()),
         m_request(m_exchange->Request()),
         m_mac(std::move(mac)),
         m_on_end(std::make_shared<std::function<void(bool)>>()) {
@@ -58,6 +59,9 @@
 
   // net::HttpExchange:
   const net::HttpRequest& Request() const override { return m_request; }
+  std::shared_ptr<const std::string> TakeBody() override {
+    return std::exchange(m_body, nullptr);
+  }
   void Respond(int status,
                const net::HeaderList& headers,
                std::string body) override {
@@ -89,7 +93,8 @@
   }
 
   std::shared_ptr<net::HttpExchange> m_exchange;
-  net::HttpRequest m_request;
+  std::shared_ptr<const std::string> m_body;
+  net::HttpRequest m_request;  ///< Without the body.
   std::string m_mac;
   std::shared_ptr<std::function<void(bool)>> m_on_end;
 };
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -61,6 +61,7 @@
   m_deadline = now + std::chrono::seconds(60);
   m_request = m_state->m_protocol.m_read_request(m_exchange->Request());
   ApplyForwarded();
+  m_body = m_exchange->TakeBody();
   const Rejection rejection = CheckRequest(now);
   m_rejected = rejection.m_status != 0;
   if (rejection.m_status == kStatusUnavailable && rejection.m_retry_after) {
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -343,6 +343,7 @@
   net::Timer m_refusal_timer;
 
   net::RouteRequest m_request;
+  /// The only copy; shared with the calls in progress. Null if there is none.
   std::shared_ptr<const std::string> m_body;
   std::shared_ptr<const RoutingConfiguration> m_configuration;
   HttpRoute m_route;
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -82,7 +82,9 @@
   if (HeaderSize(request) > static_cast<std::size_t>(limits.m_header.value())) {
     return {kStatusHeaderTooLarge, "header too large"};
   }
-  if (request.m_body.size() > static_cast<std::size_t>(limits.m_body.value())) {
+  // The server's limit is that of the time at which the request began.
+  if (m_body != nullptr &&
+      m_body->size() > static_cast<std::size_t>(limits.m_body.value())) {
     return {kStatusTooLarge, "body too large"};
   }
   const HttpRoute* route =
@@ -108,9 +110,6 @@
             m_state->m_others_ready() ? std::optional(kRetryElsewhereDelay)
                                       : std::nullopt};
   }
-  if (!request.m_body.empty()) {
-    m_body = std::make_shared<const std::string>(request.m_body);
-  }
   return CheckKey(m_route, now);
 }
 
--- a/src/nutmegd/route_relay_endings.cpp
+++ b/src/nutmegd/route_relay_endings.cpp
@@ -311,6 +311,7 @@
   CancelAttempts(AttemptHealth::kAbandoned);
   CancelHop();
   m_done = true;
+  m_body.reset();
   m_timer.Stop();
   m_silence_timer.Stop();
   m_release_timer.Stop();
