Bound the memory of request bodies

Cause: nothing bounded the bodies that are stored together. Change: BodyMemory (library) counts the capacity of all bodies of callers and of forwarded requests, and reserves it before bytes are stored. When it is used up, the incomplete body without progress for longest, or else the largest, gives way and its connection is closed; otherwise the request gets 503 with Retry-After and is not run. Bodies of dispatched requests stay. Log lines body_refused and body_closed, gauges nutmeg_gateway_body_bytes and _body_refusals. Callers' connections are bounded by descriptors and memory. Blocks of 128 KiB and more go back to the system when freed.

Unit tests of BodyMemory and HttpServer pass.

--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -1,11 +1,14 @@
 #include "libnet/http_exchange.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <utility>
 
+#include "libnet/event_loop.h"
 #include "libnet/log.h"
 #include "libnet/socket_address.h"
 #include "libnet/text.h"
@@ -15,6 +18,10 @@
 
 /// Bytes that libmicrohttpd requests from a stream at once.
 constexpr std::size_t kStreamBlockSize = 16 << 10;
+/// Reserved at most for a body of a declared length before its bytes arrive.
+constexpr std::size_t kFirstBodyBytes = 64 << 10;
+/// Smallest capacity of a body whose length is not known.
+constexpr std::size_t kMinBodyBytes = 512;
 
 MHD_Result CollectHeader(void* target,
                          MHD_ValueKind /*kind*/,
@@ -80,29 +87,108 @@
   return size;
 }
 
+bool MhdExchange::OpenBody(std::int64_t limit, std::int64_t declared) {
+  m_body_limit = static_cast<std::size_t>(limit);
+  m_declared = static_cast<std::size_t>(std::max<std::int64_t>(declared, 0));
+  m_reservation = BodyReservation(
+      m_server_state->m_options.m_body_memory, [this] { DropBody(); },
+      BootTime());
+  if (m_declared > m_body_limit) {
+    m_body_too_large = true;
+    return true;
+  }
+  return m_declared == 0 || GrowBody(std::min(m_declared, kFirstBodyBytes));
+}
+
 bool MhdExchange::AppendBody(std::string_view data) {
-  const auto limit = static_cast<std::size_t>(m_body_limit);
-  if (m_body_too_large || m_request.m_body.size() + data.size() > limit) {
+  const HttpServerOptions& options = m_server_state->m_options;
+  if (m_body_dropped) {
+    return false;
+  }
+  const std::size_t size = m_request.m_body.size() + data.size();
+  if (!m_body_refused && !m_body_too_large && size > m_body_limit) {
     m_body_too_large = true;
     DiscardBody();
-    m_discarded += static_cast<std::int64_t>(data.size());
-    return m_discarded <= m_server_state->m_options.m_discard_limit.value();
   }
+  if (!m_body_refused && !m_body_too_large && !GrowBody(size)) {
+    RefuseBody("no memory for its next part");
+  }
+  if (m_body_too_large || m_body_refused) {
+    // A refused body is read to its end, so that the caller gets the response.
+    m_discarded += data.size();
+    const auto limit =
+        static_cast<std::size_t>(options.m_discard_limit.value());
+    if (m_discarded <= (m_body_refused ? m_body_limit : limit)) {
+      return true;
+    }
+    Log(LogLevel::kInfo, "body_closed",
+        {{"reason", std::string("far over the limit")}});
+    return false;
+  }
+  m_reservation.NoteProgress(BootTime());
   m_request.m_body.append(data);
   return true;
 }
 
+bool MhdExchange::GrowBody(std::size_t size) {
+  if (size <= m_reserved) {
+    return true;
+  }
+  const std::size_t most = m_declared > 0 ? m_declared : m_body_limit;
+  const std::size_t preferred =
+      std::max({size, std::min(2 * m_reserved, most), kMinBodyBytes});
+  const TimePoint now = BootTime();
+  std::size_t capacity = preferred;
+  if (!m_reservation.Reserve(capacity, now)) {
+    capacity = size;
+    if (preferred == size || !m_reservation.Reserve(capacity, now)) {
+      return false;
+    }
+  }
+  m_reserved = capacity;
+  // A string that holds data would at least double its capacity.
+  std::string larger;
+  larger.reserve(capacity);
+  larger.append(m_request.m_body);
+  m_request.m_body = std::move(larger);
+  return true;
+}
+
+void MhdExchange::RefuseBody(const char* reason) {
+  m_body_refused = true;
+  Log(LogLevel::kWarning, "body_refused",
+      {{"reason", std::string(reason)},
+       {"bytes", static_cast<std::int64_t>(m_request.m_body.size())}});
+  DiscardBody();
+}
+
+void MhdExchange::DropBody() {
+  Log(LogLevel::kWarning, "body_closed",
+      {{"reason", std::string("gave way to others")},
+       {"bytes", static_cast<std::int64_t>(m_request.m_body.size())}});
+  m_body_dropped = true;
+  DiscardBody();
+  // libmicrohttpd reads the end of the connection and closes it.
+  shutdown(m_descriptor, SHUT_RDWR);
+}
+
 std::shared_ptr<const std::string> MhdExchange::TakeBody() {
   if (m_request.m_body.empty()) {
     return nullptr;
   }
-  return std::make_shared<const std::string>(
-      std::exchange(m_request.m_body, std::string()));
+  struct HeldBody {
+    std::string m_text;
+    BodyReservation m_reservation;
+  };
+  auto held = std::make_shared<HeldBody>();
+  held->m_text = std::exchange(m_request.m_body, std::string());
+  held->m_reservation = std::move(m_reservation);
+  return {held, &held->m_text};
 }
 
 void MhdExchange::DiscardBody() {
-  m_request.m_body.clear();
-  m_request.m_body.shrink_to_fit();
+  m_request.m_body = std::string();
+  m_reservation = BodyReservation();
 }
 
 MHD_Result MhdExchange::QueueOrSuspend() {
--- a/src/libnet/http_exchange.h
+++ b/src/libnet/http_exchange.h
@@ -50,6 +50,16 @@
   std::size_t ReadHeader(const char* method,
                          const char* url,
                          std::string target);
+  /// Sets the limit of the body and reserves memory for its start.
+  /// @param declared Content-Length, or 0. @return false without memory.
+  bool OpenBody(std::int64_t limit, std::int64_t declared);
+  /// Notes that the whole body has arrived.
+  void CompleteBody() { m_reservation.Complete(); }
+  bool BodyIsTooLarge() const { return m_body_too_large; }
+  bool BodyIsRefused() const { return m_body_refused; }
+  bool BodyIsDropped() const { return m_body_dropped; }
+  /// Frees a body for which there is no memory; the rest of it is dropped.
+  void RefuseBody(const char* reason);
   /// Appends a part of the request body.
   /// @return false if the connection is to be closed, since far more arrives
   /// than may be stored.
@@ -80,9 +90,7 @@
   /// closed normally.
   void ResetIfCloseDelimited();
   int Descriptor() const { return m_descriptor; }
-  bool m_dispatched = false;  ///< Handled, or an error was queued.
-  bool m_body_too_large = false;
-  std::int64_t m_body_limit = 0;   ///< In bytes; set with the header.
+  bool m_dispatched = false;       ///< Handled, or an error was queued.
   bool m_close_delimited = false;  ///< A stream ends with its connection.
 
  private:
@@ -91,14 +99,26 @@
   /// @return bytes that are not passed to libmicrohttpd yet.
   std::size_t Buffered() const { return m_buffer.size() - m_sent; }
   void Suspend();
-  /// Frees a body that is rejected; what follows is dropped.
+  /// Makes room for a body of this size.
+  /// @return false if there is no memory for it.
+  bool GrowBody(std::size_t size);
+  /// Frees the body and what it has reserved.
   void DiscardBody();
+  /// Closes the connection of a body that gives way to others.
+  void DropBody();
 
   std::shared_ptr<HttpServerState> m_server_state;
   MHD_Connection* m_connection;
   int m_descriptor = -1;
   HttpRequest m_request;
-  std::int64_t m_discarded = 0;  ///< Bytes of a rejected body.
+  BodyReservation m_reservation;  ///< Until TakeBody.
+  std::size_t m_reserved = 0;     ///< Capacity of the body.
+  std::size_t m_body_limit = 0;
+  std::size_t m_declared = 0;   ///< Content-Length, or 0.
+  std::size_t m_discarded = 0;  ///< Bytes of a rejected body.
+  bool m_body_too_large = false;
+  bool m_body_refused = false;  ///< There was no memory for it.
+  bool m_body_dropped = false;  ///< It gave way to others.
 
   bool m_suspended = false;
   bool m_caller_disconnected = false;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -31,6 +31,8 @@
 /// accepts several, and the system queues about a thousand.
 constexpr int kMaxAcceptPasses = 256;
 
+constexpr const char* kNoMemory = "no memory for the request body";
+
 /// State that libmicrohttpd stores for a request: its target until the header
 /// has been read, and then the exchange, which takes over the target.
 struct RequestState {
@@ -239,17 +241,23 @@
   }
   const HttpRequest& request = exchange->Request();
   const HttpServerOptions& options = m_server_state->m_options;
-  exchange->m_body_limit = options.m_body_limit.value();
+  std::int64_t limit = options.m_body_limit.value();
   if (options.m_current_body_limit) {
-    exchange->m_body_limit = std::min(exchange->m_body_limit,
-                                      options.m_current_body_limit().value());
+    limit = std::min(limit, options.m_current_body_limit().value());
   }
   const std::int64_t length = DeclaredLength(request);
   const bool waits_for_continue = request.m_headers.count("expect") > 0;
-  if (length > exchange->m_body_limit &&
+  const bool has_memory = exchange->OpenBody(limit, length);
+  if (length > limit &&
       (length > options.m_discard_limit.value() || waits_for_continue)) {
     return exchange->QueueError(413, "the request body is too large");
   }
+  if (!has_memory) {
+    exchange->RefuseBody("no memory for its start");
+    if (waits_for_continue) {
+      return exchange->QueueError(503, kNoMemory);
+    }
+  }
   return MHD_YES;
 }
 
@@ -264,11 +272,18 @@
   if (m_server_state->m_stopping && !exchange->m_dispatched) {
     return exchange->QueueError(503, "the server stops");
   }
-  if (exchange->m_body_too_large && !exchange->m_dispatched) {
+  if (exchange->BodyIsDropped()) {
+    return MHD_NO;  // Closes the connection.
+  }
+  if (exchange->BodyIsTooLarge() && !exchange->m_dispatched) {
     return exchange->QueueError(413, "the request body is too large");
   }
+  if (exchange->BodyIsRefused() && !exchange->m_dispatched) {
+    return exchange->QueueError(503, kNoMemory);
+  }
   if (!exchange->m_dispatched) {
     exchange->m_dispatched = true;
+    exchange->CompleteBody();
     m_handler(exchange);
   }
   return exchange->QueueOrSuspend();
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "nutmeghollow/body_memory.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow::net {
@@ -114,6 +115,8 @@
   /// Inactive connections are closed after this time, except while the
   /// response is being prepared.
   Duration m_idle_timeout = std::chrono::seconds(120);
+  /// Budget for request bodies, shared by servers; null for none.
+  std::shared_ptr<BodyMemory> m_body_memory;
   HttpErrorHook m_error_hook;  ///< When unset, bodies are plain text.
 };
 
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -28,6 +28,7 @@
     options.m_body_limit = Bytes(2 * kBodyLimit);
     options.m_current_body_limit = [] { return Bytes(kBodyLimit); };
     options.m_discard_limit = Bytes(kDiscardLimit);
+    options.m_body_memory = m_body_memory;
     options.m_header_limit = Bytes(4096);
     options.m_stream_high_water = Bytes(1024);
     m_server = std::make_unique<HttpServer>(
@@ -85,6 +86,7 @@
 
   std::size_t OpenRequests() const { return m_server->OpenRequests(); }
 
+  std::shared_ptr<BodyMemory> m_body_memory = std::make_shared<BodyMemory>();
   struct ev_loop* m_loop;
   std::optional<bool> m_complete;  ///< How the large response ended.
   bool m_disconnected = false;
@@ -203,6 +205,51 @@
   EXPECT_EQ(server.OpenRequests(), 0U);
 }
 
+struct MemoryCase {
+  const char* m_name;
+  std::string m_request;
+};
+
+class HttpServerWithoutMemory : public testing::TestWithParam<MemoryCase> {};
+
+// Guards against a body that is stored without memory for it, and against a
+// caller that is not told that its request did not run.
+TEST_P(HttpServerWithoutMemory, Answers503AndKeepsNothing) {
+  TestServer server;
+  server.m_body_memory->SetParameters({.m_total = 700, .m_small = 700});
+  const std::string response = server.RoundTrip(GetParam().m_request);
+  EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(server.m_body_memory->Reserved(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         HttpServerWithoutMemory,
+                         testing::Values(MemoryCase{"Announced", Post(800)},
+                                         MemoryCase{"Chunked", Chunked(50)}),
+                         [](const auto& test) { return test.param.m_name; });
+
+// Guards against callers that stop just before the end of a body and so keep
+// out others: the connection of the one that stalls is closed.
+TEST(HttpServer, ClosesAStalledBodyForAnother) {
+  TestServer server;
+  server.m_body_memory->SetParameters(
+      {.m_total = 1000, .m_small = 1000, .m_stall = Duration::zero()});
+  const int stalled = server.Connect();
+  const std::string whole = Post(800);
+  send(stalled, whole.data(), whole.size() - 1, MSG_NOSIGNAL);
+  Timer limit(server.m_loop, [&] { ev_break(server.m_loop, EVBREAK_ALL); });
+  limit.Start(std::chrono::milliseconds(100));
+  ev_run(server.m_loop, 0);
+  EXPECT_EQ(server.m_body_memory->Reserved(), 800U);
+  EXPECT_EQ(server.RoundTrip(whole).substr(0, 12), "HTTP/1.1 200");
+  char byte = 0;
+  EXPECT_EQ(recv(stalled, &byte, 1, 0), 0);
+  close(stalled);
+  EXPECT_EQ(server.OpenRequests(), 0U);
+  EXPECT_EQ(server.m_body_memory->Dropped(), 1);
+  EXPECT_EQ(server.m_body_memory->Reserved(), 0U);
+}
+
 TEST(HttpServer, StopsAWriterAtTheHighWaterMark) {
   TestServer server;
   server.RoundTrip(Get("/stream"));
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -86,6 +86,14 @@
   return options;
 }
 
+net::HttpServerOptions CallerServerOptions(const Settings& settings,
+                                           const GatewayState& state) {
+  net::HttpServerOptions options = WithCallerBodies(ServerOptions(), state);
+  options.m_connection_limit = CallerConnectionLimit(
+      settings, Bytes(kHeaderLimit.value() + kConnectionMemory.value()));
+  return options;
+}
+
 void LogColdChange(const UpstreamPool::ColdChange& change) {
   if (!change.m_is_used) {
     Log(LogLevel::kWarning, "cold_time_not_used",
@@ -301,7 +309,7 @@
       m_caller_server(
           loop,
           settings.m_instance.m_caller_address,
-          WithCallerBodies(ServerOptions(), m_state),
+          CallerServerOptions(settings, m_state),
           [this](const Exchange& exchange) { HandleCaller(exchange); }),
       m_entry_server(
           loop,
@@ -391,6 +399,7 @@
   metrics.SetGauge("nutmeg_gateway_crash_suspects", "", [this] {
     return static_cast<double>(m_crash_detector.Suspects().size());
   });
+  SetUpBodyMemory(&m_state, m_settings);
   m_fleet.RegisterGauges(&metrics);
 }
 
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -20,6 +20,7 @@
 #include "nutmegd/settings.h"
 #include "nutmegd/stream_records.h"
 #include "nutmeghollow/attempt_policy.h"
+#include "nutmeghollow/body_memory.h"
 #include "nutmeghollow/configuration_freshness.h"
 #include "nutmeghollow/duration_estimate.h"
 #include "nutmeghollow/gateway_drain.h"
@@ -84,6 +85,8 @@
   UpstreamPool m_pool;
   RetryAllowance m_allowance;
   ResponseMemoryBudget m_response_memory;
+  /// Shared with bodies, which may outlive this object.
+  std::shared_ptr<BodyMemory> m_body_memory = std::make_shared<BodyMemory>();
   MetricsRegistry m_metrics;
   std::mt19937_64 m_random{std::random_device()()};
 
--- a/src/nutmegd/request_bodies.cpp
+++ b/src/nutmegd/request_bodies.cpp
@@ -1,6 +1,12 @@
 #include "nutmegd/request_bodies.h"
 
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <chrono>
+#include <fstream>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -16,11 +22,72 @@
 /// when upstreams have responded to the requests that hold it.
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
+/// malloc gives larger blocks back to the system as soon as they are freed. Its
+/// own threshold grows to 32 MB and leaves freed bodies in the process.
+constexpr int kMmapThreshold = 128 << 10;
+/// Used when neither the settings nor the machine state the memory.
+constexpr std::int64_t kSmallestMachineBytes = 160'000'000;
+/// Share of the memory that the connections of callers may use.
+constexpr double kConnectionMemoryShare = 0.25;
+/// Descriptors for servers, other instances and the platform.
+constexpr std::int64_t kOtherDescriptors = 64;
+constexpr std::int64_t kMinConnections = 16;
+constexpr std::int64_t kMaxConnections = 20'000;
+
+/// @return memory of the machine in bytes; 0 if it cannot be read.
+std::int64_t MachineMemory() {
+  std::ifstream file("/proc/meminfo");
+  std::string name;
+  std::int64_t kilobytes = 0;
+  file >> name >> kilobytes;
+  return name == "MemTotal:" ? kilobytes << 10 : 0;
+}
+
+std::int64_t MemoryOf(const Settings& settings) {
+  constexpr std::int64_t kBytesPerMegabyte = 1'000'000;
+  if (settings.m_instance.m_memory_mb > 0) {
+    return settings.m_instance.m_memory_mb * kBytesPerMegabyte;
+  }
+  const std::int64_t bytes = MachineMemory();
+  return bytes > 0 ? bytes : kSmallestMachineBytes;
+}
+
 }  // namespace
 
+void SetUpBodyMemory(GatewayState* state, const Settings& settings) {
+  mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
+  BodyMemoryParameters parameters;
+  parameters.m_total =
+      static_cast<std::size_t>(static_cast<double>(MemoryOf(settings)) *
+                               settings.m_callers.m_body_memory_share);
+  const std::shared_ptr<BodyMemory> memory = state->m_body_memory;
+  memory->SetParameters(parameters);
+  state->m_metrics.SetGauge("nutmeg_gateway_body_bytes", "", [memory] {
+    return static_cast<double>(memory->Reserved());
+  });
+  state->m_metrics.SetGauge("nutmeg_gateway_body_refusals", "", [memory] {
+    return static_cast<double>(memory->Refused() + memory->Dropped());
+  });
+}
+
+int CallerConnectionLimit(const Settings& settings, Bytes per_connection) {
+  auto limit = static_cast<std::int64_t>(
+      static_cast<double>(MemoryOf(settings)) * kConnectionMemoryShare /
+      static_cast<double>(per_connection.value()));
+  rlimit descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0 &&
+      descriptors.rlim_cur != RLIM_INFINITY) {
+    // A request in progress has a connection to its upstream, too.
+    const auto most = static_cast<std::int64_t>(descriptors.rlim_cur);
+    limit = std::min(limit, (most - kOtherDescriptors) / 2);
+  }
+  return static_cast<int>(std::clamp(limit, kMinConnections, kMaxConnections));
+}
+
 net::HttpServerOptions WithCallerBodies(net::HttpServerOptions options,
                                         const GatewayState& state) {
   options.m_body_limit = kMaxBody;
+  options.m_body_memory = state.m_body_memory;
   options.m_discard_limit = kBodyDiscardLimit;
   options.m_current_body_limit = [&state] {
     return state.m_configuration == nullptr
--- a/src/nutmegd/request_bodies.h
+++ b/src/nutmegd/request_bodies.h
@@ -11,8 +11,17 @@
 /// closed while it sends cannot read the response; endless bodies end here.
 inline constexpr Bytes kBodyDiscardLimit{64 << 10};
 
-/// Adds the limit that the configuration in force sets for bodies, and the
-/// responses to requests that the server itself rejects.
+/// Sets the budget for bodies from the settings and the machine's memory,
+/// registers its gauges, and lets the system take freed bodies back.
+void SetUpBodyMemory(GatewayState* state, const Settings& settings);
+
+/// @param per_connection memory of one connection.
+/// @return connections that the descriptors and the memory of the process allow
+/// to callers.
+int CallerConnectionLimit(const Settings& settings, Bytes per_connection);
+
+/// Adds the budget for bodies, the limit that the configuration in force sets,
+/// and the responses to requests that the server itself rejects.
 /// @param state must outlive the server.
 net::HttpServerOptions WithCallerBodies(net::HttpServerOptions options,
                                         const GatewayState& state);
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -234,6 +234,9 @@
     reader.ReadEndpoint("advertised_peer_address",
                         &target.m_advertised_peer_address);
     target.m_link_mbps = reader.ReadReal("link_mbps", 0, 1e9).value_or(0);
+    constexpr std::int64_t kMaxMemoryMb = 1 << 24;
+    target.m_memory_mb =
+        reader.ReadNumber("memory_mb", 0, kMaxMemoryMb).value_or(0);
     if (target.m_advertised_caller_address.empty()) {
       target.m_advertised_caller_address = target.m_caller_address;
     }
@@ -352,6 +355,8 @@
     reader.ReadBytes("header_limit_bytes", &target.m_header_limit, 1024);
     reader.ReadBytes("stream_buffer_bytes", &target.m_stream_buffer, 1024);
     reader.ReadMilliseconds("request_timeout_ms", &target.m_request_timeout);
+    target.m_body_memory_share = reader.ReadReal("body_memory_share", 0.01, 0.9)
+                                     .value_or(target.m_body_memory_share);
     if (const auto limit = reader.ReadNumber("connection_limit", 1, 1 << 20)) {
       target.m_connection_limit = static_cast<int>(*limit);
     }
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -53,6 +53,9 @@
   /// relays the instances with the fastest links relay loads. Defaults to 0,
   /// not known.
   double m_link_mbps = 0;
+  /// memory_mb: memory that the instance may use, in MB of 1,000,000 bytes.
+  /// Defaults to 0: that of the machine.
+  std::int64_t m_memory_mb = 0;
 };
 
 /// [fleet]: communication between instances.
@@ -112,6 +115,10 @@
   Duration m_request_timeout = std::chrono::seconds(600);
   /// connection_limit: maximum number of open connections of callers.
   int m_connection_limit = 20000;
+  /// body_memory_share: share of the instance's memory for request bodies, in a
+  /// gateway. The default is 56 MB on the smallest machine (160 MB): over 500
+  /// bodies of 72,000 bytes, the largest of usual callers.
+  double m_body_memory_share = 0.35;
 };
 
 /// [upstreams]: timeouts of calls to upstreams.
