--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 #include <unordered_set>
@@ -29,8 +30,8 @@
 /// Passes that accept the pending connections when listening ends. Each pass
 /// accepts several, and the system queues about a thousand.
 constexpr int kMaxAcceptPasses = 256;
-/// A body with a larger declared length is rejected without reading it.
-constexpr std::int64_t kMaxDiscardedBodyBytes = 64 << 20;
+
+constexpr const char* kNoMemory = "no memory for the request body";
 
 /// State that libmicrohttpd stores for a request: its target until the header
 /// has been read, and then the exchange, which takes over the target.
@@ -95,6 +96,7 @@
                              std::size_t* upload_size);
   void Run();
   void CheckSuspended();
+  void ResumeYielded();
 
   std::shared_ptr<HttpServerState> m_server_state;
   HttpHandler m_handler;
@@ -154,7 +156,10 @@
     Run();
   });
   m_disconnect_check_timer->StartRepeating(kDisconnectCheckInterval);
-  m_next_run_timer = std::make_unique<Timer>(loop, [this] { Run(); });
+  m_next_run_timer = std::make_unique<Timer>(loop, [this] {
+    ResumeYielded();
+    Run();
+  });
 }
 
 HttpServer::Impl::~Impl() {
@@ -163,6 +168,7 @@
   // Suspended connections must be resumed before libmicrohttpd stops, and a
   // request that is read meanwhile must not be suspended.
   m_server_state->m_stopping = true;
+  ResumeYielded();
   for (MhdExchange* exchange : m_exchanges) {
     if (!exchange->HasWholeResponse()) {
       exchange->AbortStream();
@@ -239,12 +245,24 @@
     return exchange->QueueError(431, "the request header is too large");
   }
   const HttpRequest& request = exchange->Request();
+  const HttpServerOptions& options = m_server_state->m_options;
+  std::int64_t limit = options.m_body_limit.value();
+  if (options.m_current_body_limit) {
+    limit = std::min(limit, options.m_current_body_limit().value());
+  }
   const std::int64_t length = DeclaredLength(request);
   const bool waits_for_continue = request.m_headers.count("expect") > 0;
-  if (length > m_server_state->m_options.m_body_limit.value() &&
-      (length > kMaxDiscardedBodyBytes || waits_for_continue)) {
+  const bool has_memory = exchange->OpenBody(limit, length);
+  if (length > limit &&
+      (length > options.m_discard_limit.value() || waits_for_continue)) {
     return exchange->QueueError(413, "the request body is too large");
   }
+  if (!has_memory) {
+    exchange->RefuseBody("no memory for its start");
+    if (waits_for_continue) {
+      return exchange->QueueError(503, kNoMemory);
+    }
+  }
   return MHD_YES;
 }
 
@@ -252,18 +270,28 @@
                                              const char* upload_data,
                                              std::size_t* upload_size) {
   if (*upload_size > 0) {
-    exchange->AppendBody({upload_data, *upload_size});
+    if (exchange->YieldAfterParts()) {
+      return MHD_YES;
+    }
+    const bool goes_on = exchange->AppendBody({upload_data, *upload_size});
     *upload_size = 0;
-    return MHD_YES;
+    return goes_on ? MHD_YES : MHD_NO;
   }
   if (m_server_state->m_stopping && !exchange->m_dispatched) {
     return exchange->QueueError(503, "the server stops");
   }
-  if (exchange->m_body_too_large && !exchange->m_dispatched) {
+  if (exchange->BodyIsDropped()) {
+    return MHD_NO;  // Closes the connection.
+  }
+  if (exchange->BodyIsTooLarge() && !exchange->m_dispatched) {
     return exchange->QueueError(413, "the request body is too large");
   }
+  if (exchange->BodyIsRefused() && !exchange->m_dispatched) {
+    return exchange->QueueError(503, kNoMemory);
+  }
   if (!exchange->m_dispatched) {
     exchange->m_dispatched = true;
+    exchange->CompleteBody();
     m_handler(exchange);
   }
   return exchange->QueueOrSuspend();
@@ -294,12 +322,24 @@
     const bool more =
         MHD_get_timeout(m_daemon, &timeout) == MHD_YES && timeout == 0;
     if (!more && !m_server_state->m_needs_run) {
+      if (m_server_state->m_has_yielded) {
+        m_next_run_timer->Start(Duration(0));
+      }
       return;
     }
   }
   m_next_run_timer->Start(Duration(0));
 }
 
+void HttpServer::Impl::ResumeYielded() {
+  if (!std::exchange(m_server_state->m_has_yielded, false)) {
+    return;
+  }
+  for (MhdExchange* exchange : m_exchanges) {
+    exchange->ResumeYielded();
+  }
+}
+
 void HttpServer::Impl::CheckSuspended() {
   std::vector<pollfd> descriptors;
   std::vector<MhdExchange*> suspended;
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "nutmeghollow/body_memory.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow::net {
@@ -47,6 +48,10 @@
   virtual ~HttpExchange() = default;
 
   virtual const HttpRequest& Request() const = 0;
+  /// Moves the body out of the request, whose m_body is empty afterwards. The
+  /// body is freed with the last reference to it.
+  /// @return the body; null when it is empty or was taken before.
+  virtual std::shared_ptr<const std::string> TakeBody() = 0;
 
   /// Sends a complete response. Call it at most once, and not together with
   /// BeginStream.
@@ -95,7 +100,13 @@
 
 /// Limits and error responses of a server.
 struct HttpServerOptions {
-  Bytes m_body_limit{8 << 20};     ///< Larger bodies are rejected with 413.
+  Bytes m_body_limit{8 << 20};  ///< Larger bodies are rejected with 413.
+  /// The limit in force, at most m_body_limit; when unset, m_body_limit.
+  std::function<Bytes()> m_current_body_limit;
+  /// Bytes of a rejected body that are read and dropped: a caller gets the
+  /// response only after it has sent its body. Beyond it the connection is
+  /// closed.
+  Bytes m_discard_limit{64 << 20};
   Bytes m_header_limit{32 << 10};  ///< Larger headers are rejected with 431.
   Bytes m_stream_high_water{256 << 10};  ///< Unsent bytes that pause a writer.
   /// Memory of libmicrohttpd per connection, in addition to m_header_limit.
@@ -104,6 +115,8 @@
   /// Inactive connections are closed after this time, except while the
   /// response is being prepared.
   Duration m_idle_timeout = std::chrono::seconds(120);
+  /// Budget for request bodies, shared by servers; null for none.
+  std::shared_ptr<BodyMemory> m_body_memory;
   HttpErrorHook m_error_hook;  ///< When unset, bodies are plain text.
 };
 
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::int64_t kBodyLimit = 1000;
+constexpr std::int64_t kDiscardLimit = 20'000;
 /// More than the buffers of the system hold.
 constexpr std::size_t kLargeBodyBytes = 30 << 20;
 
@@ -24,7 +25,10 @@
  public:
   TestServer() : m_loop(ev_loop_new(0)) {
     HttpServerOptions options;
-    options.m_body_limit = Bytes(kBodyLimit);
+    options.m_body_limit = Bytes(10 * kBodyLimit);
+    options.m_current_body_limit = [this] { return m_limit; };
+    options.m_discard_limit = Bytes(kDiscardLimit);
+    options.m_body_memory = m_body_memory;
     options.m_header_limit = Bytes(4096);
     options.m_stream_high_water = Bytes(1024);
     m_server = std::make_unique<HttpServer>(
@@ -82,6 +86,8 @@
 
   std::size_t OpenRequests() const { return m_server->OpenRequests(); }
 
+  std::shared_ptr<BodyMemory> m_body_memory = std::make_shared<BodyMemory>();
+  Bytes m_limit{kBodyLimit};
   struct ev_loop* m_loop;
   std::optional<bool> m_complete;  ///< How the large response ended.
   bool m_disconnected = false;
@@ -154,6 +160,25 @@
          std::to_string(size) + "\r\n\r\n" + std::string(size, 'b');
 }
 
+/// @return the alphabet, over and over.
+std::string AlphabetText(std::size_t size) {
+  std::string text;
+  for (std::size_t index = 0; index < size; ++index) {
+    text += static_cast<char>('a' + index % 26);
+  }
+  return text;
+}
+
+std::string Chunked(std::size_t chunks) {
+  std::string text =
+      "POST /now HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t index = 0; index < chunks; ++index) {
+    text += "10\r\n" + std::string(16, 'b') + "\r\n";
+  }
+  return text + "0\r\n\r\n";
+}
+
 class HttpServerCases : public testing::TestWithParam<ExchangeCase> {};
 
 TEST_P(HttpServerCases, Responds) {
@@ -175,11 +200,89 @@
         ExchangeCase{"AbortedStreamHasNoEnd", Get("/abort"), "200", "one\r\n"},
         ExchangeCase{"BodyAtLimit", Post(kBodyLimit), "200", "bbb"},
         ExchangeCase{"BodyAboveLimit", Post(kBodyLimit + 1), "413", "\n"},
+        ExchangeCase{"BodyFarAboveLimit", Post(kDiscardLimit + 1), "413", "\n"},
+        ExchangeCase{"ChunkedWithinLimit", Chunked(62), "200", "bbb"},
+        ExchangeCase{"ChunkedAboveLimit", Chunked(63), "413", "\n"},
         ExchangeCase{"HeaderAboveLimit",
                      Get("/now", "X-Long: " + std::string(5000, 'h') + "\r\n"),
                      "431", "\n"}),
     [](const auto& test) { return test.param.m_name; });
 
+// Guards against a body without an end that is read for ever.
+TEST(HttpServer, ClosesTheConnectionOfAChunkedBodyFarAboveTheLimit) {
+  TestServer server;
+  EXPECT_EQ(server.RoundTrip(Chunked(kDiscardLimit / 8)), "");
+  EXPECT_EQ(server.OpenRequests(), 0U);
+}
+
+// Guards against a body in many small chunks that keeps the event loop busy, so
+// that timers of the instance are late, and against parts that are lost when
+// its connection yields.
+TEST(HttpServer, LetsOthersRunWhileManySmallChunksArrive) {
+  TestServer server;
+  constexpr std::size_t kChunks = 3000;
+  std::string request =
+      "POST /now HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t index = 0; index < kChunks; ++index) {
+    request +=
+        "1\r\n" + std::string(1, static_cast<char>('a' + index % 26)) + "\r\n";
+  }
+  server.m_limit = Bytes(kChunks);
+  int runs = 0;
+  Timer other(server.m_loop, [&] { ++runs; });
+  other.StartRepeating(std::chrono::microseconds(1));
+  const std::string response = server.RoundTrip(request + "0\r\n\r\n");
+  EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 200");
+  EXPECT_TRUE(response.ends_with("\r\n\r\n" + AlphabetText(kChunks)));
+  EXPECT_GE(runs, static_cast<int>(kChunks) / 100);
+}
+
+struct MemoryCase {
+  const char* m_name;
+  std::string m_request;
+};
+
+class HttpServerWithoutMemory : public testing::TestWithParam<MemoryCase> {};
+
+// Guards against a body that is stored without memory for it, and against a
+// caller that is not told that its request did not run.
+TEST_P(HttpServerWithoutMemory, Answers503AndKeepsNothing) {
+  TestServer server;
+  server.m_body_memory->SetParameters({.m_total = 700, .m_small = 700});
+  const std::string response = server.RoundTrip(GetParam().m_request);
+  EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(server.m_body_memory->Reserved(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         HttpServerWithoutMemory,
+                         testing::Values(MemoryCase{"Announced", Post(800)},
+                                         MemoryCase{"Chunked", Chunked(50)}),
+                         [](const auto& test) { return test.param.m_name; });
+
+// Guards against callers that stop just before the end of a body and so keep
+// out others: the connection of the one that stalls is closed.
+TEST(HttpServer, ClosesAStalledBodyForAnother) {
+  TestServer server;
+  server.m_body_memory->SetParameters(
+      {.m_total = 1000, .m_small = 1000, .m_stall = Duration::zero()});
+  const int stalled = server.Connect();
+  const std::string whole = Post(800);
+  send(stalled, whole.data(), whole.size() - 1, MSG_NOSIGNAL);
+  Timer limit(server.m_loop, [&] { ev_break(server.m_loop, EVBREAK_ALL); });
+  limit.Start(std::chrono::milliseconds(100));
+  ev_run(server.m_loop, 0);
+  EXPECT_EQ(server.m_body_memory->Reserved(), 800U);
+  EXPECT_EQ(server.RoundTrip(whole).substr(0, 12), "HTTP/1.1 200");
+  char byte = 0;
+  EXPECT_EQ(recv(stalled, &byte, 1, 0), 0);
+  close(stalled);
+  EXPECT_EQ(server.OpenRequests(), 0U);
+  EXPECT_EQ(server.m_body_memory->Dropped(), 1);
+  EXPECT_EQ(server.m_body_memory->Reserved(), 0U);
+}
+
 TEST(HttpServer, StopsAWriterAtTheHighWaterMark) {
   TestServer server;
   server.RoundTrip(Get("/stream"));
--- a/src/nutmegd/peer_http_server.cpp
+++ b/src/nutmegd/peer_http_server.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libnet/log.h"
+#include "nutmegd/request_bodies.h"
 
 namespace nutmeghollow {
 namespace {
@@ -16,17 +17,20 @@
 constexpr int kStatusUnavailable = 503;
 /// As for callers, plus the field of a forwarded request.
 constexpr Bytes kHeaderLimit{22 << 10};
-constexpr Bytes kBodyLimit{16 << 20};
 constexpr Bytes kStreamHighWater{64 << 10};
 /// Memory of the HTTP library per connection, beyond the header limit.
 constexpr Bytes kConnectionMemory{2 << 10};
 
-net::HttpServerOptions ServerOptions() {
+net::HttpServerOptions ServerOptions(const GatewayState& state) {
   net::HttpServerOptions options;
-  options.m_body_limit = kBodyLimit;
   options.m_header_limit = kHeaderLimit;
   options.m_connection_memory = kConnectionMemory;
   options.m_stream_high_water = kStreamHighWater;
+  options = WithCallerBodies(std::move(options), state);
+  // The sender may try another instance: the request was not taken.
+  options.m_error_hook = [](int, const std::string&) {
+    return net::HttpErrorResponse{{{net::kNotTakenField, "1"}}, ""};
+  };
   return options;
 }
 
@@ -39,6 +43,7 @@
                     std::string mac,
                     const std::shared_ptr<std::size_t>& open)
       : m_exchange(std::move(exchange)),
+        m_body(m_exchange->TakeBody()),
         m_request(m_exchange->Request()),
         m_mac(std::move(mac)),
         m_on_end(std::make_shared<std::function<void(bool)>>()) {
@@ -54,6 +59,9 @@
 
   // net::HttpExchange:
   const net::HttpRequest& Request() const override { return m_request; }
+  std::shared_ptr<const std::string> TakeBody() override {
+    return std::exchange(m_body, nullptr);
+  }
   void Respond(int status,
                const net::HeaderList& headers,
                std::string body) override {
@@ -85,7 +93,8 @@
   }
 
   std::shared_ptr<net::HttpExchange> m_exchange;
-  net::HttpRequest m_request;
+  std::shared_ptr<const std::string> m_body;
+  net::HttpRequest m_request;  ///< Without the body.
   std::string m_mac;
   std::shared_ptr<std::function<void(bool)>> m_on_end;
 };
@@ -95,12 +104,13 @@
 PeerHttpServer::PeerHttpServer(struct ev_loop* loop,
                                const Endpoint& endpoint,
                                const InstanceId& self,
+                               const GatewayState& state,
                                PeerHttpHooks hooks)
     : m_hooks(std::move(hooks)),
       m_reader(self),
       m_server(loop,
                endpoint,
-               ServerOptions(),
+               ServerOptions(state),
                [this](const std::shared_ptr<net::HttpExchange>& exchange) {
                  Handle(exchange);
                }) {}
--- /dev/null
+++ b/src/nutmegd/request_bodies.h
@@ -0,0 +1,29 @@
+/// @file
+/// Limits on the request bodies of callers and of other instances.
+#pragma once
+
+#include "libnet/http_server.h"
+#include "nutmegd/gateway_state.h"
+
+namespace nutmeghollow {
+
+/// Bytes of a rejected body that are still read. A caller whose connection is
+/// closed while it sends cannot read the response; endless bodies end here.
+inline constexpr Bytes kBodyDiscardLimit{64 << 10};
+
+/// Sets the budget for bodies from the settings and the machine's memory,
+/// registers its gauges, and lets the system take freed bodies back.
+void SetUpBodyMemory(GatewayState* state, const Settings& settings);
+
+/// @param per_connection memory of one connection.
+/// @return connections that the descriptors and the memory of the process allow
+/// to callers.
+int CallerConnectionLimit(const Settings& settings, Bytes per_connection);
+
+/// Adds the budget for bodies, the limit that the configuration in force sets,
+/// and the responses to requests that the server itself rejects.
+/// @param state must outlive the server.
+net::HttpServerOptions WithCallerBodies(net::HttpServerOptions options,
+                                        const GatewayState& state);
+
+}  // namespace nutmeghollow
