Send requests with a key by proofs of at most 2.8 s while the store does not fail

Change: the limit is 3,000 ms less the margin of 200 ms, unless the store refused or did not answer this instance's own read in the last 4 s. Then the revocation limit applies as before, since only 5,000 ms are required there, and a lower limit would refuse requests that can still be served in the first seconds of an outage.

--- a/src/include/nutmeghollow/configuration_freshness.h
+++ b/src/include/nutmeghollow/configuration_freshness.h
@@ -6,12 +6,35 @@
 /// a confirmation within that limit therefore serves no request with a key.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow {
 
+/// A change of the configuration, such as a removed key, must be in force
+/// within this time on every instance that has a path to the store.
+inline constexpr Duration kApplyLimit = std::chrono::milliseconds(3000);
+
+/// Requests with an API key are no longer sent when less than this is left of
+/// the limit, since the clocks of two machines run at slightly different rates.
+inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(200);
+
+/// @param revocation_limit time within which a removed key must be out of force
+/// on every instance.
+/// @param store_fails the store recently refused, or did not answer, reads of
+/// this instance. Then the revocation limit applies, so that a short outage
+/// does not end the service. Otherwise the instance may have a path to the
+/// store, and kApplyLimit applies.
+/// @return the age of the confirmation up to which requests with an API key may
+/// be sent.
+inline Duration KeyedRequestLimit(Duration revocation_limit, bool store_fails) {
+  return (store_fails ? revocation_limit
+                      : std::min(revocation_limit, kApplyLimit)) -
+         kRevocationMargin;
+}
+
 /// Time of the latest confirmation that the configuration is current.
 /// Times are of a clock that keeps running while the host is suspended.
 class ConfigurationFreshness {
--- a/src/include/nutmeghollow/store_access.h
+++ b/src/include/nutmeghollow/store_access.h
@@ -47,7 +47,12 @@
   bool MayCall(TimePoint now, double draw);
   /// @return true when this instance should not read for others.
   bool Fails(TimePoint now) const {
-    return m_failed_at && now - *m_failed_at < m_parameters.m_election_pause;
+    return FailedWithin(m_parameters.m_election_pause, now);
+  }
+  /// @return true when a read failed less than `period` ago and none succeeded
+  /// since.
+  bool FailedWithin(Duration period, TimePoint now) const {
+    return m_failed_at && now - *m_failed_at < period;
   }
 
  private:
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -347,6 +347,9 @@
   m_state.m_forwarding = MakeForwardingState(&m_state, &m_directory, &m_fleet);
   m_state.m_others_ready = [this] { return OthersReady(); };
   m_state.m_registration_reader = &m_registration_reader;
+  m_state.m_store_failed_recently = [this] {
+    return m_store_reads.FailedRecently();
+  };
   m_state.m_on_refusal_limit = [this] { m_fleet.NoteRefusalLimit(); };
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
                                     std::function<void()> done) {
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -31,11 +31,6 @@
 
 namespace nutmeghollow {
 
-/// Requests with an API key are no longer sent when less than this is left of
-/// the revocation limit, since the clocks of two machines run at slightly
-/// different rates.
-inline constexpr Duration kRevocationMargin = std::chrono::milliseconds(200);
-
 /// Instances to which an instance that is cut off from the upstreams forwards
 /// requests.
 struct ForwardingState {
@@ -81,6 +76,9 @@
   /// Null until a configuration has been read.
   std::shared_ptr<const RoutingConfiguration> m_configuration;
   ConfigurationFreshness m_freshness;
+  /// @return true when the store recently refused, or did not answer, reads of
+  /// this instance. May be empty.
+  std::function<bool()> m_store_failed_recently;
   UpstreamPool m_pool;
   RetryAllowance m_allowance;
   ResponseMemoryBudget m_response_memory;
@@ -90,7 +88,9 @@
   /// @return true while requests with an API key may be sent.
   bool MayServeKeyedRequests(TimePoint now) const {
     return m_freshness.Within(
-        m_settings->m_gateway.m_revocation_limit - kRevocationMargin, now);
+        KeyedRequestLimit(m_settings->m_gateway.m_revocation_limit,
+                          m_store_failed_recently && m_store_failed_recently()),
+        now);
   }
   /// @return the time since the configuration was last confirmed to be
   /// current; nothing before the first confirmation.
--- a/src/nutmegd/store_reads.cpp
+++ b/src/nutmegd/store_reads.cpp
@@ -15,6 +15,9 @@
 using net::FeedResult;
 using net::FeedStatus;
 
+/// During an outage, an instance calls at least every 2.5 s, and a call without
+/// a response ends after 1.4 s.
+constexpr Duration kRecentFailure = std::chrono::milliseconds(4000);
 constexpr const char* kCalls = "nutmeg_gateway_store_calls";
 
 const char* NameOf(FeedStatus status) {
@@ -85,6 +88,10 @@
   hooks->m_on_store_result = [this](bool answered) { HandleResult(answered); };
 }
 
+bool StoreReads::FailedRecently() const {
+  return m_access.FailedWithin(kRecentFailure, BootTime());
+}
+
 bool StoreReads::Fails() const {
   return m_access.Fails(BootTime());
 }
--- a/src/nutmegd/store_reads.h
+++ b/src/nutmegd/store_reads.h
@@ -31,6 +31,8 @@
   /// @return true when the store recently refused, or did not answer, reads of
   /// this instance.
   bool Fails() const;
+  /// @return true when they failed so recently that the store may still fail.
+  bool FailedRecently() const;
 
  private:
   void HandleResult(bool answered);
