--- a/src/libnutmeg/feed_readers.cpp
+++ b/src/libnutmeg/feed_readers.cpp
@@ -60,6 +60,7 @@
   }
   std::sort(order.begin(), order.end());
   std::vector<InstanceId> remote;
+  remote.reserve(order.size());
   for (const auto& [hash, id] : order) {
     remote.push_back(id);
   }
--- a/src/nutmegd/feed_fleet_test.cpp
+++ b/src/nutmegd/feed_fleet_test.cpp
@@ -40,20 +40,20 @@
 class MemoryStore {
  public:
   explicit MemoryStore(struct ev_loop* loop)
-      : m_loop(loop), m_timer(loop, [this] { RespondToDue(); }) {
+      : m_timer(loop, [this] { RespondToDue(); }) {
     m_timer.StartRepeating(milliseconds(10));
   }
 
   net::RowFeed FeedOf(const InstanceId& id) {
     net::RowFeed feed;
-    feed.m_read_all = [this, id](const std::string&, Duration,
+    feed.m_read_all = [this, id](const std::string&, Duration timeout,
                                  const net::FeedCallback& callback) {
-      Add(id, FeedVersion(0), Duration::zero(), callback);
+      Add(id, FeedVersion(0), Duration::zero(), timeout, callback);
     };
     feed.m_wait_changes = [this, id](const std::string&, FeedVersion after,
-                                     Duration wait, Duration,
+                                     Duration wait, Duration timeout,
                                      const net::FeedCallback& callback) {
-      Add(id, after, wait, callback);
+      Add(id, after, wait, timeout, callback);
     };
     return feed;
   }
@@ -64,6 +64,7 @@
   }
 
   std::set<InstanceId> m_refused;
+  std::set<InstanceId> m_unanswered;  ///< Their calls end by the time-out.
   std::map<InstanceId, int> m_calls;
   int m_all_calls = 0;
 
@@ -71,35 +72,40 @@
   struct Call {
     FeedVersion m_after;
     TimePoint m_due{};
-    bool m_refused = false;
+    FeedStatus m_status = FeedStatus::kDone;
     net::FeedCallback m_callback;
   };
 
   void Add(const InstanceId& id,
            FeedVersion after,
            Duration wait,
+           Duration timeout,
            const net::FeedCallback& callback) {
     ++m_calls[id];
     ++m_all_calls;
-    const bool refused = m_refused.contains(id);
-    m_open.push_back(
-        {after, BootTime() + (refused ? kSlowReply : wait), refused, callback});
+    Call call{after, BootTime() + wait, FeedStatus::kDone, callback};
+    if (m_refused.contains(id)) {
+      call.m_status = FeedStatus::kRejected;
+      call.m_due = BootTime() + kSlowReply;
+    } else if (m_unanswered.contains(id)) {
+      call.m_status = FeedStatus::kUnknown;
+      call.m_due = BootTime() + timeout;
+    }
+    m_open.push_back(std::move(call));
   }
 
   void RespondToDue() {
     std::list<Call> earlier = std::exchange(m_open, {});
     for (Call& call : earlier) {
-      const bool changed = !call.m_refused && m_version > call.m_after;
+      const bool done = call.m_status == FeedStatus::kDone;
+      const bool changed = done && m_version > call.m_after;
       if (!changed && BootTime() < call.m_due) {
         m_open.push_back(std::move(call));
         continue;
       }
-      FeedResult result{FeedStatus::kDone, {}, m_version, "", {}};
-      if (call.m_refused) {
-        result = {FeedStatus::kRejected, {}, {}, "status 503", {}};
-      }
+      FeedResult result{call.m_status, {}, m_version, "scripted", {}};
       for (const FeedRow& row : m_rows) {
-        if (!call.m_refused && row.m_version > call.m_after) {
+        if (done && row.m_version > call.m_after) {
           result.m_rows.push_back(row);
         }
       }
@@ -107,7 +113,6 @@
     }
   }
 
-  struct ev_loop* m_loop;
   net::Timer m_timer;
   FeedVersion m_version{1};
   std::vector<FeedRow> m_rows;
@@ -266,14 +271,22 @@
   std::unique_ptr<net::Timer> m_digest_timer;
 };
 
+struct StoreFailure {
+  const char* m_name;
+  std::set<InstanceId> MemoryStore::*m_failing;
+};
+
+class FailingReaders : public FeedFleetTest,
+                       public testing::WithParamInterface<StoreFailure> {};
+
 // Failure: the store refused both readers of a data centre. They remained
 // elected, every other instance there called the store itself up to 20 times a
 // second, and a removed key was in force for over 3 s.
-TEST_F(FeedFleetTest, StaysCurrentWhenTheStoreRefusesBothReaders) {
+TEST_P(FailingReaders, AreReplacedBeforeTheCopiesAreTooOld) {
   const auto& directory = m_instances.front()->m_directory;
   const auto readers = ChooseReaders(directory, DataCentreId("even"));
   ASSERT_EQ(readers.size(), kReadersPerDataCentre);
-  m_store->m_refused.insert(readers.begin(), readers.end());
+  (m_store.get()->*GetParam().m_failing).insert(readers.begin(), readers.end());
   m_store->m_all_calls = 0;
   m_store->m_calls.clear();
   const TimePoint refused_at = BootTime();
@@ -303,6 +316,13 @@
   RecordProperty("oldest_ms", static_cast<int>(oldest.count() / 1000));
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Failures,
+    FailingReaders,
+    testing::Values(StoreFailure{"Refused", &MemoryStore::m_refused},
+                    StoreFailure{"NotAnswered", &MemoryStore::m_unanswered}),
+    [](const auto& info) { return std::string(info.param.m_name); });
+
 // Failure: after an outage of the store for all, no instance is elected; one
 // that waited for a reader to appear would stay stale. Calls stay bounded
 // meanwhile (store_access_test has the bounds for large fleets).
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -94,7 +94,7 @@
 /// @param direct feed that calls the platform.
 net::RowFeed MakePeerFeed(struct ev_loop* loop,
                           net::HttpClient& client,
-                          net::RowFeed direct,
+                          const net::RowFeed& direct,
                           PeerFeedHooks hooks);
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -199,27 +199,28 @@
       return;
     }
     const Duration wait =
-        request->m_failed_sources > 0 ? Duration::zero() : request->m_wait;
-    m_direct.m_wait_changes(
-        request->m_table, request->m_after, wait, request->m_timeout,
-        [request, weak = weak_from_this(),
-         requested_at = BootTime()](FeedResult result) {
-          const auto self = weak.lock();
-          const bool answered =
-              result.m_status == FeedStatus::kDone ||
-              result.m_status == FeedStatus::kHistoryNotRetained;
-          if (answered) {
-            result.m_confirmed_at = requested_at;
-          }
-          if (answered && self != nullptr) {
-            self->NoteConfirmed(request->m_table, result);
-          }
-          if (answered || self == nullptr) {
-            request->m_callback(std::move(result));
-            return;
-          }
-          self->TryNext(request, std::move(result));
-        });
+        request->m_tried.empty() ? request->m_wait : Duration::zero();
+    m_direct.m_wait_changes(request->m_table, request->m_after, wait,
+                            request->m_timeout - (request->m_wait - wait),
+                            [request, weak = weak_from_this(),
+                             requested_at = BootTime()](FeedResult result) {
+                              const auto self = weak.lock();
+                              const bool answered =
+                                  result.m_status == FeedStatus::kDone ||
+                                  result.m_status ==
+                                      FeedStatus::kHistoryNotRetained;
+                              if (answered) {
+                                result.m_confirmed_at = requested_at;
+                              }
+                              if (answered && self != nullptr) {
+                                self->NoteConfirmed(request->m_table, result);
+                              }
+                              if (answered || self == nullptr) {
+                                request->m_callback(std::move(result));
+                                return;
+                              }
+                              self->TryNext(request, std::move(result));
+                            });
   }
 
   void AskReader(const RequestPtr& request,
@@ -249,10 +250,13 @@
           FeedResult result = Read(response, nonce, requested_at);
           if (result.m_status == FeedStatus::kDone && without_wait &&
               !IsNewer(request->m_table, result)) {
-            // Not a failure of the reader: it needs no backoff.
-            HandleFailure(
-                done,
-                {FeedStatus::kUnknown, {}, {}, "its copy is not newer", {}});
+            // Not a failure of the reader. It did not delay the request, so
+            // the others may be asked too.
+            TryNext(request, {FeedStatus::kUnknown,
+                              {},
+                              {},
+                              "no source has a newer copy",
+                              {}});
             return;
           }
           HandleResponse(done, std::move(result));
@@ -381,7 +385,7 @@
 
 net::RowFeed MakePeerFeed(struct ev_loop* loop,
                           net::HttpClient& client,
-                          net::RowFeed direct,
+                          const net::RowFeed& direct,
                           PeerFeedHooks hooks) {
   net::RowFeed feed = ReportReads(direct, hooks);
   auto peers = std::make_shared<PeerFeed>(loop, client, feed, std::move(hooks));
