Interpret stale loads of plain services in large fleets

Cause: plain services were balanced by the requests of the own instance and its own response times only, since the loads of others are outdated.

Change: in fleets of more than 20 instances an upstream of a plain service is drawn by load interpretation, with the capacity reduced by the response times seen and the stated work factor.

--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -126,9 +126,13 @@
   bool m_home_over_bound = false;
   bool m_spread =
       false;  ///< One of the engines that a hot chat is spread over.
-  Duration m_load_age{};   ///< Of the loads of other instances.
-  bool m_limited = false;  ///< Chosen with a permit for its request rate.
-  bool m_leased = false;   ///< Chosen with a lease of a brittle upstream.
+  Duration m_load_age{};  ///< Of the oldest loads of other instances.
+  /// Requests in progress that are expected there now, with those that other
+  /// instances are expected to have sent since the loads were counted.
+  double m_estimate = 0;
+  bool m_interpreted = false;  ///< Drawn by load interpretation.
+  bool m_limited = false;      ///< Chosen with a permit for its request rate.
+  bool m_leased = false;       ///< Chosen with a lease of a brittle upstream.
 };
 
 /// Registered upstreams of all services.
@@ -310,6 +314,15 @@
   void ClearPeerActive(const InstanceId& peer);
   /// Sets the age that loads of other instances reach before they are updated.
   void SetLoadAge(Duration age) { m_load_age = age; }
+  /// Sets whether loads of other instances are interpreted by their age. Small
+  /// fleets choose by the loads themselves.
+  void SetInterpretLoads(bool interpret) { m_interpret_loads = interpret; }
+  /// Moving averages over the choices of this instance.
+  struct ChoiceStatistics {
+    double m_load_age_s = 0;         ///< Mean age of the loads when used.
+    double m_interpreted_share = 0;  ///< Of the choices.
+  };
+  const ChoiceStatistics& Statistics() const { return m_statistics; }
   /// @return placements of chats since the last call, the newest last.
   std::vector<PartPlacement> TakePlacements();
   /// Records a placement by another instance.
@@ -349,6 +362,7 @@
     Upstream* m_upstream = nullptr;
     double m_load = 0;
     double m_cost = 0;
+    double m_slowness = 1.0;  ///< Of a plain server, with its failures.
     bool m_backing_off = false;
     int m_rank = 0;
     double m_unread_tokens = 0;
@@ -373,6 +387,19 @@
   Evaluation Evaluate(const UpstreamQuery& upstream_query, TimePoint now);
   /// @return the best of the candidates that need no permit, or null.
   const Candidate* Best(const std::vector<Candidate>& candidates) const;
+  /// @return mean age of the loads of other instances.
+  Duration MeanLoadAge() const { return m_load_age / 2; }
+  /// Draws an upstream of a plain service by load interpretation.
+  /// @return the index of a candidate and its expected load; nothing when loads
+  /// are not interpreted, or permits or leases have to be weighed.
+  struct Interpreted {
+    const Candidate* m_candidate = nullptr;
+    double m_estimate = 0;
+  };
+  std::optional<Interpreted> ChooseInterpreted(
+      const std::vector<Candidate>& candidates,
+      TimePoint now) const;
+  void NoteChoice(bool interpreted);
   /// @return candidates that need a permit or lease and would be better than
   /// all that need none, the best first.
   std::vector<const Candidate*> BetterWithPermit(
@@ -420,10 +447,11 @@
   void AddPeerActive(const std::vector<ActiveRequests>& active, int sign);
   double EstimatedLoad(const Upstream& upstream, TimePoint now) const;
   double EngineCost(const Candidate& candidate, Duration target) const;
-  double ServiceCost(const Upstream& upstream,
-                     double load,
-                     double mean_response_ms,
-                     double mean_failure_rate) const;
+  /// @return factor by which a plain server is costlier than the others of its
+  /// service, by its response times and failures.
+  double Slowness(const Upstream& upstream,
+                  double mean_response_ms,
+                  double mean_failure_rate) const;
   void CostEngines(std::vector<Candidate>& candidates,
                    const UpstreamQuery& upstream_query,
                    TimePoint now) const;
@@ -448,6 +476,8 @@
   std::map<ServiceId, TimePoint> m_next_return;  ///< Of a refused request.
   HotPartTracker m_hot;
   Duration m_load_age{};
+  bool m_interpret_loads = false;
+  ChoiceStatistics m_statistics;
   std::unordered_map<UpstreamHash, UpstreamId> m_ids;  ///< By compact id.
   std::map<InstanceId, std::vector<ActiveRequests>> m_peer_active;
   std::unordered_map<UpstreamHash, int> m_peer_total;  ///< Sum over peers.
--- a/src/libnutmeg/load_exchange.cpp
+++ b/src/libnutmeg/load_exchange.cpp
@@ -117,6 +117,7 @@
     SendGroup(now);
   }
   m_pool->SetLoadAge(Age(now));
+  m_pool->SetInterpretLoads(!IsFlat());
 }
 
 void LoadExchange::ChooseRole() {
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -199,11 +199,9 @@
   }
 }
 
-double UpstreamPool::ServiceCost(const Upstream& upstream,
-                                 double load,
-                                 double mean_response_ms,
-                                 double mean_failure_rate) const {
-  const double slots = std::max(1, upstream.m_registration.m_slots);
+double UpstreamPool::Slowness(const Upstream& upstream,
+                              double mean_response_ms,
+                              double mean_failure_rate) const {
   double slowness = 1.0;
   if (mean_response_ms > 0 && upstream.m_mean_response_ms > 0) {
     slowness = std::clamp(upstream.m_mean_response_ms / mean_response_ms, 1.0,
@@ -211,8 +209,7 @@
   }
   const double excess =
       std::max(0.0, upstream.m_failure_rate - mean_failure_rate);
-  return (load + 1.0) / slots * slowness *
-         (1.0 + m_parameters.m_failure_cost * excess);
+  return slowness * (1.0 + m_parameters.m_failure_cost * excess);
 }
 
 void UpstreamPool::CostServices(std::vector<Candidate>& candidates) const {
@@ -231,12 +228,13 @@
     // reported by other instances are outdated. If they were used, all
     // instances would choose the same upstream at the same time.
     const double own_load = candidate.m_upstream->m_active;
-    candidate.m_cost = ServiceCost(*candidate.m_upstream, own_load,
-                                   mean_response_ms, failure_rate);
+    const double slots =
+        std::max(1, candidate.m_upstream->m_registration.m_slots);
+    candidate.m_slowness =
+        Slowness(*candidate.m_upstream, mean_response_ms, failure_rate);
+    candidate.m_cost = (own_load + 1.0) / slots * candidate.m_slowness;
     if (candidate.m_limited) {
-      candidate.m_cost +=
-          m_parameters.m_service_permit_cost /
-          std::max(1, candidate.m_upstream->m_registration.m_slots);
+      candidate.m_cost += m_parameters.m_service_permit_cost / slots;
     }
   }
 }
@@ -369,12 +367,17 @@
                              evaluation.m_bound, now)
               : nullptr;
   const bool spread = best != nullptr;
-  if (!spread) {
+  const std::optional<Interpreted> interpreted =
+      engines ? std::nullopt : ChooseInterpreted(candidates, now);
+  if (interpreted) {
+    best = interpreted->m_candidate;
+  } else if (!spread) {
     best = Best(candidates);
   }
   if (best == nullptr) {
     return std::nullopt;
   }
+  NoteChoice(interpreted.has_value());
   UpstreamChoice choice;
   choice.m_id = best->m_upstream->m_registration.m_id;
   choice.m_rank = best->m_rank;
@@ -383,6 +386,8 @@
   choice.m_bound = evaluation.m_bound;
   choice.m_spread = spread;
   choice.m_load_age = m_load_age;
+  choice.m_interpreted = interpreted.has_value();
+  choice.m_estimate = interpreted ? interpreted->m_estimate : best->m_load;
   choice.m_unread_tokens = best->m_unread_tokens;
   choice.m_limited = best->m_limited;
   choice.m_leased = best->m_leased;
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -111,6 +111,11 @@
   metrics->SetGauge("nutmeg_gateway_load_age_seconds", "", [this] {
     return std::chrono::duration<double>(m_loads.Age(BootTime())).count();
   });
+  metrics->SetGauge("nutmeg_gateway_choice_load_age_seconds", "",
+                    [this] { return m_pool->Statistics().m_load_age_s; });
+  metrics->SetGauge("nutmeg_gateway_interpreted_choices", "", [this] {
+    return m_pool->Statistics().m_interpreted_share;
+  });
   metrics->SetGauge("nutmeg_gateway_load_relay", "",
                     [this] { return m_loads.IsRelay() ? 1.0 : 0.0; });
   metrics->SetGauge("nutmeg_gateway_load_sources", "",
--- a/src/nutmegd/route_relay.cpp
+++ b/src/nutmegd/route_relay.cpp
@@ -22,6 +22,11 @@
 /// attempt.
 constexpr std::chrono::seconds kReuseMaxIdle{2};
 
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 }  // namespace
 
 RouteRelay::RouteRelay(GatewayState* state,
@@ -224,6 +229,9 @@
        {"rank", std::int64_t{chosen->m_rank}},
        {"load", chosen->m_load},
        {"mean_load", chosen->m_mean_load},
+       {"load_age_ms", Milliseconds(chosen->m_load_age)},
+       {"estimate", chosen->m_estimate},
+       {"interpreted", chosen->m_interpreted},
        {"unread_tokens", chosen->m_unread_tokens},
        {"home_over_bound", chosen->m_home_over_bound}});
   Send(*chosen, now);
