--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "nutmeghollow/attempt_health.h"
 #include "nutmeghollow/hot_parts.h"
 #include "nutmeghollow/leaving_upstreams.h"
 #include "nutmeghollow/priority_demand.h"
@@ -85,23 +86,6 @@
   std::optional<WorkFactor> m_work_factor = std::nullopt;
 };
 
-/// Result of an attempt with respect to the upstream's health.
-enum class AttemptHealth {
-  kServed,       ///< Complete response without an error.
-  kFailed,       ///< Error response of the upstream itself.
-  kRefused,      ///< The upstream did not run the request.
-  kUnreachable,  ///< Connection failed.
-  kBroken,       ///< Connection broken or response malformed.
-  kTimedOut,     ///< No response within the timeout.
-  kAbandoned,    ///< Cancelled by this instance; no evidence of health.
-};
-
-/// @return true for a result that may be due to the path to the upstream.
-bool IsPathFailure(AttemptHealth health);
-
-/// @return name of a result in logs.
-const char* AttemptHealthName(AttemptHealth health);
-
 /// Criteria for choosing an upstream for a request.
 struct UpstreamQuery {
   ServiceId m_service;
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -360,6 +360,9 @@
   std::optional<UpstreamChoice> choice =
       ChooseAmong(Evaluate(upstream_query, now), upstream_query, now);
   ++m_choice_count;
+  if (choice) {
+    NoteChoice(choice->m_interpreted);
+  }
   return choice;
 }
 
@@ -385,7 +388,6 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  NoteChoice(interpreted.has_value());
   UpstreamChoice choice;
   choice.m_id = best->m_upstream->m_registration.m_id;
   choice.m_rank = best->m_rank;
