--- a/src/include/nutmeghollow/body_memory.h
+++ b/src/include/nutmeghollow/body_memory.h
@@ -60,7 +60,9 @@
 
   /// @return bytes reserved by all bodies.
   std::size_t Reserved() const { return m_reserved; }
-  /// @return bodies that did not get memory.
+  /// Notes that a request is refused, since its body did not get memory.
+  void NoteRefused() { ++m_refused; }
+  /// @return requests that were refused.
   std::int64_t Refused() const { return m_refused; }
   /// @return bodies that gave way.
   std::int64_t Dropped() const { return m_dropped; }
@@ -105,6 +107,7 @@
   /// See BodyMemory.
   [[nodiscard]] bool Reserve(std::size_t capacity, TimePoint now);
   void NoteProgress(TimePoint now);
+  void NoteRefused();
   void Complete();
 
  private:
--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -24,6 +24,8 @@
 /// libmicrohttpd moves the rest of its buffer after each chunk, so that 200
 /// callers with chunks of 16 bytes kept the event loop busy for over 6 s.
 constexpr int kMaxPartsInARow = 64;
+/// Without memory for twice as much, a body grows by this part of its capacity.
+constexpr std::size_t kMinGrowthShare = 8;
 /// Smallest capacity of a body whose length is not known.
 constexpr std::size_t kMinBodyBytes = 512;
 
@@ -161,8 +163,10 @@
   const TimePoint now = BootTime();
   std::size_t capacity = preferred;
   if (!m_reservation.Reserve(capacity, now)) {
-    capacity = size;
-    if (preferred == size || !m_reservation.Reserve(capacity, now)) {
+    // Each growth copies the body, so that it must not be by a few bytes.
+    capacity = std::min(
+        preferred, std::max(size, m_reserved + m_reserved / kMinGrowthShare));
+    if (capacity == preferred || !m_reservation.Reserve(capacity, now)) {
       return false;
     }
   }
@@ -177,6 +181,7 @@
 
 void MhdExchange::RefuseBody(const char* reason) {
   m_body_refused = true;
+  m_reservation.NoteRefused();
   Log(LogLevel::kWarning, "body_refused",
       {{"reason", std::string(reason)},
        {"bytes", static_cast<std::int64_t>(m_request.m_body.size())}});
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -253,6 +253,7 @@
   const std::string response = server.RoundTrip(GetParam().m_request);
   EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 503");
   EXPECT_EQ(server.m_body_memory->Reserved(), 0U);
+  EXPECT_EQ(server.m_body_memory->Refused(), 1);
 }
 
 INSTANTIATE_TEST_SUITE_P(Table,
--- a/src/libnutmeg/body_memory.cpp
+++ b/src/libnutmeg/body_memory.cpp
@@ -80,7 +80,6 @@
   while (!Fits(body, capacity)) {
     const std::optional<BodyId> dropped = ChooseDropped(id, capacity, now);
     if (!dropped) {
-      ++m_refused;
       return false;
     }
     ++m_dropped;
@@ -128,6 +127,12 @@
   }
 }
 
+void BodyReservation::NoteRefused() {
+  if (m_memory != nullptr) {
+    m_memory->NoteRefused();
+  }
+}
+
 void BodyReservation::Complete() {
   if (m_memory != nullptr) {
     m_memory->Complete(m_id);
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -234,9 +234,8 @@
     reader.ReadEndpoint("advertised_peer_address",
                         &target.m_advertised_peer_address);
     target.m_link_mbps = reader.ReadReal("link_mbps", 0, 1e9).value_or(0);
-    constexpr std::int64_t kMaxMemoryMb = 1 << 24;
-    target.m_memory_mb =
-        reader.ReadNumber("memory_mb", 0, kMaxMemoryMb).value_or(0);
+    target.m_memory_mb = static_cast<std::int64_t>(
+        reader.ReadReal("memory_mb", 0, 1e7).value_or(0));
     if (target.m_advertised_caller_address.empty()) {
       target.m_advertised_caller_address = target.m_caller_address;
     }
