--- a/src/libnutmeg/load_estimate.cpp
+++ b/src/libnutmeg/load_estimate.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <numeric>
 
 namespace nutmeghollow {
 namespace {
