--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -18,6 +18,7 @@
 #include "nutmegd/evacuation_rows.h"
 #include "nutmegd/fleet_link.h"
 #include "nutmegd/forwarding_setup.h"
+#include "nutmegd/gateway_impl.h"
 #include "nutmegd/gateway_state.h"
 #include "nutmegd/instance_rows.h"
 #include "nutmegd/peer_feed.h"
@@ -46,10 +47,6 @@
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(800);
 /// Interval between checks of the settings file for changes.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
-/// Interval between checks whether the drain is complete.
-constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(50);
-/// Maximum number of addresses in an entry response.
-constexpr std::size_t kMaxEntryAddresses = 64;
 /// Memory of the HTTP library per connection, beyond the header limit.
 constexpr Bytes kConnectionMemory{8 << 10};
 /// Limit of the HTTP server. The configuration's own limit is meant to be lower
@@ -63,10 +60,6 @@
 /// Longer than any caller waits before it reuses an idle connection.
 constexpr Duration kCallerIdleTimeout = std::chrono::seconds(120);
 
-/// Time from a change of the configuration to the return of free memory: by
-/// then its document and the responses to the followers have been freed.
-constexpr Duration kTrimDelay = std::chrono::seconds(2);
-
 /// Returns free memory to the system. The allocator keeps what was freed
 /// between other blocks: after a document of 300 kB, 2.3 MB.
 void ReleaseFreeMemory() {
@@ -124,87 +117,6 @@
 
 }  // namespace
 
-class Gateway::Impl {
- public:
-  Impl(struct ev_loop* loop,
-       const Settings& settings,
-       std::string settings_file,
-       net::RouteProtocol protocol,
-       const RowFeedFactory& make_feed);
-  int Run();
-
- private:
-  using Exchange = std::shared_ptr<net::HttpExchange>;
-
-  void ApplySettings();
-  void RegisterGauges();
-  void ReloadSettings(const char* cause);
-  void HandleCaller(const Exchange& exchange);
-  void StartRelay(const Exchange& exchange,
-                  std::optional<net::ForwardedRequest> forwarded);
-  void HandleEntry(const Exchange& exchange);
-  void HandleOperator(const Exchange& exchange);
-  bool Ready() const;
-  /// @return true when another instance accepts callers.
-  bool OthersReady() const;
-  /// @return the services whose streams may be resumed.
-  std::set<ServiceId> ResumableServices() const;
-
-  void HandleReachability(ReachabilityState before, ReachabilityState state);
-
-  /// Retries the lost tables at once, since the platform responds again.
-  void RetryLostTables();
-  /// @return the hooks of the feed through other instances.
-  PeerFeedHooks FeedHooks();
-  TableFollowerEvents ConfigurationEvents();
-  TableFollowerEvents RegistrationEvents();
-  TableFollowerEvents InstanceEvents();
-
-  void StartDrain(const char* cause);
-  void CheckDrain();
-  /// Ends the requests in progress; until the exit, not those whose upstream
-  /// may have ended its response while the caller reads slowly.
-  void EndRequests(DrainStep step);
-
-  struct ev_loop* m_loop;
-  Settings m_settings;
-  std::string m_settings_file;
-  std::string m_settings_text;
-  net::HttpClient m_client;
-  GatewayState m_state;
-  StoreReads m_store_reads;
-  net::RowFeed m_feed;
-  net::RowFeed m_peer_feed;
-  Registrations m_registrations;
-  RegistrationReader m_registration_reader;
-  EntryDirectory m_directory;
-  ReachabilityMonitor m_reachability;
-  UpstreamReach m_told_reach = UpstreamReach::kReached;
-  CrashDetector m_crash_detector;
-  StreamRecords m_streams;
-  FleetLink m_fleet;
-  InstanceRows m_instance_rows;
-  std::map<std::uint64_t, std::shared_ptr<RouteRelay>> m_relays;
-  std::uint64_t m_last_relay_id = 0;
-  bool m_registrations_read = false;
-  int m_exit_code = 0;
-
-  PeerFeedServer m_peer_feed_server;
-  PeerHttpServer m_peer_http_server;
-  TableFollower m_configuration_follower;
-  TableFollower m_registration_follower;
-  TableFollower m_instance_follower;
-  net::HttpServer m_caller_server;
-  net::HttpServer m_entry_server;
-  net::HttpServer m_operator_server;
-  net::SignalWatcher m_terminate;
-  net::SignalWatcher m_interrupt;
-  net::SignalWatcher m_hangup;
-  net::Timer m_settings_timer;
-  net::Timer m_drain_timer;
-  net::Timer m_trim_timer;
-};
-
 Gateway::Impl::Impl(struct ev_loop* loop,
                     const Settings& settings,
                     std::string settings_file,
@@ -462,238 +374,6 @@
       });
 }
 
-bool Gateway::Impl::Ready() const {
-  return !m_state.m_drain && m_state.m_configuration != nullptr &&
-         m_registrations_read &&
-         (!m_state.m_configuration->RequiresKeys() ||
-          m_state.MayServeKeyedRequests(BootTime()));
-}
-
-bool Gateway::Impl::OthersReady() const {
-  const auto& instances = m_directory.Instances();
-  return std::any_of(instances.begin(), instances.end(), [&](const auto& one) {
-    const EntryInstance& instance = one.second;
-    return instance.m_id != m_settings.m_instance.m_id && instance.m_ready &&
-           instance.m_alive;
-  });
-}
-
-std::set<ServiceId> Gateway::Impl::ResumableServices() const {
-  return m_state.m_configuration == nullptr
-             ? std::set<ServiceId>()
-             : m_state.m_configuration->ResumableServices();
-}
-
-void Gateway::Impl::HandleReachability(ReachabilityState before,
-                                       ReachabilityState state) {
-  if (m_told_reach != m_reachability.OwnReach()) {
-    m_told_reach = m_reachability.OwnReach();
-    m_fleet.SendDigestNow();
-  }
-  if (state == ReachabilityState::kReturning && state != before) {
-    m_state.m_pool.ForgetFailures();
-  }
-  if (state == ReachabilityState::kCutOff && state != before) {
-    // A relay removes itself when it ends.
-    const auto relays = m_relays;
-    for (const auto& [id, relay] : relays) {
-      relay->HandleCutOff();
-    }
-  }
-}
-
-void Gateway::Impl::HandleCaller(const Exchange& exchange) {
-  StartRelay(exchange, std::nullopt);
-}
-
-void Gateway::Impl::StartRelay(const Exchange& exchange,
-                               std::optional<net::ForwardedRequest> forwarded) {
-  const std::uint64_t id = ++m_last_relay_id;
-  auto relay = std::make_shared<RouteRelay>(
-      &m_state, exchange, [this, id] { m_relays.erase(id); },
-      std::move(forwarded));
-  m_relays.emplace(id, relay);
-  relay->Start();
-}
-
-void Gateway::Impl::HandleEntry(const Exchange& exchange) {
-  const net::HttpRequest& request = exchange->Request();
-  if (request.m_path != "/v1/entry") {
-    exchange->Respond(404, {{"Content-Type", "text/plain"}}, "unknown path\n");
-    return;
-  }
-  const auto parameter = [&](const char* name) {
-    const auto found = request.m_query.find(name);
-    return found == request.m_query.end() ? std::string() : found->second;
-  };
-  EntryInstance* self = m_directory.Find(m_settings.m_instance.m_id);
-  if (self != nullptr) {
-    self->m_ready = Ready();
-    self->m_reach = m_reachability.OwnReach();
-  }
-  json addresses = json::array();
-  for (const Endpoint& endpoint : m_directory.Choose(
-           RegionId(parameter("region")),
-           DataCentreId(parameter("data_centre")), kMaxEntryAddresses)) {
-    addresses.push_back(endpoint.str());
-  }
-  if (addresses.empty()) {
-    addresses.push_back(
-        m_settings.m_instance.m_advertised_caller_address.str());
-  }
-  const json body{{"addresses", addresses},
-                  {"keep_seconds", m_settings.m_gateway.m_keep_seconds}};
-  exchange->Respond(200, {{"Content-Type", "application/json"}}, body.dump());
-}
-
-void Gateway::Impl::HandleOperator(const Exchange& exchange) {
-  const std::string& path = exchange->Request().m_path;
-  const net::HeaderList text{{"Content-Type", "text/plain"}};
-  if (path == "/livez") {
-    exchange->Respond(200, text, "ok\n");
-  } else if (path == "/readyz") {
-    const bool ready = Ready();
-    exchange->Respond(ready ? 200 : 503, text, ready ? "ok\n" : "not ready\n");
-  } else if (path == "/metrics") {
-    exchange->Respond(200, text, m_state.m_metrics.Render());
-  } else if (path == kExplainRoutePath) {
-    RouteExplanation explanation =
-        ExplainRoute(m_state, exchange->Request(), BootTime());
-    exchange->Respond(explanation.m_status,
-                      {{"Content-Type", "application/json"}},
-                      std::move(explanation.m_body));
-  } else {
-    exchange->Respond(404, text, "unknown path\n");
-  }
-}
-
-void Gateway::Impl::RetryLostTables() {
-  for (TableFollower* follower :
-       {&m_configuration_follower, &m_registration_follower,
-        &m_instance_follower}) {
-    follower->RetryIfLost();
-  }
-}
-
-PeerFeedHooks Gateway::Impl::FeedHooks() {
-  PeerFeedHooks hooks;
-  hooks.m_keys = [this] { return m_fleet.Keys(); };
-  hooks.m_readers = [this] { return m_instance_rows.Readers(); };
-  m_store_reads.Connect(&hooks);
-  return hooks;
-}
-
-TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
-  TableFollowerEvents events;
-  events.m_on_row = [this](const net::FeedRow& row) {
-    if (!HandleEvacuationRow(m_state, row)) {
-      AdoptConfigurationRow(m_state, row);
-      m_trim_timer.Start(kTrimDelay);
-    }
-  };
-  events.m_on_confirmed = [this](TimePoint confirmed_at) {
-    m_state.m_freshness.Confirm(confirmed_at);
-    m_peer_feed_server.RespondToPending(
-        m_state.m_protocol.m_configuration_table);
-  };
-  events.m_on_lost = [](const std::string& reason) {
-    Log(LogLevel::kWarning, "configuration_feed_lost", {{"reason", reason}});
-  };
-  events.m_on_regained = [this](Duration outage) {
-    Log(LogLevel::kInfo, "configuration_feed_regained",
-        {{"outage_ms", outage.count() / 1000}});
-    RetryLostTables();
-  };
-  return events;
-}
-
-TableFollowerEvents Gateway::Impl::RegistrationEvents() {
-  TableFollowerEvents events;
-  events.m_on_row = [this](const net::FeedRow& row) {
-    m_registrations.HandleRow(row);
-  };
-  events.m_on_confirmed = [this](TimePoint /*confirmed_at*/) {
-    m_registrations_read = true;
-    m_peer_feed_server.RespondToPending(
-        m_state.m_protocol.m_registration_table);
-  };
-  events.m_on_lost = [](const std::string& reason) {
-    Log(LogLevel::kWarning, "registration_feed_lost", {{"reason", reason}});
-  };
-  events.m_on_regained = [this](Duration outage) {
-    m_registrations.HandleRegained(outage);
-    RetryLostTables();
-  };
-  return events;
-}
-
-TableFollowerEvents Gateway::Impl::InstanceEvents() {
-  TableFollowerEvents events;
-  events.m_on_row = [this](const net::FeedRow& row) {
-    m_instance_rows.HandleRow(row);
-  };
-  events.m_on_confirmed = [this](TimePoint /*confirmed_at*/) {
-    m_fleet.ScheduleKeyProposal();
-    m_peer_feed_server.RespondToPending(kInstanceTable);
-  };
-  events.m_on_regained = [this](Duration /*outage*/) { RetryLostTables(); };
-  return events;
-}
-
-void Gateway::Impl::StartDrain(const char* cause) {
-  if (m_state.m_drain) {
-    return;
-  }
-  GatewayDrainParameters parameters;
-  parameters.m_grace = m_settings.m_gateway.m_stop_grace;
-  parameters.m_entry_ttl =
-      std::chrono::seconds(m_settings.m_gateway.m_keep_seconds);
-  m_state.m_drain.emplace(BootTime(), parameters);
-  Log(LogLevel::kInfo, "drain_started",
-      {{"cause", std::string(cause)},
-       {"requests", static_cast<std::int64_t>(m_relays.size())},
-       {"others_ready", OthersReady()}});
-  m_caller_server.CloseAfterResponses();
-  m_fleet.SendDigestNow();
-  m_instance_rows.RemoveOwnRow();
-  m_drain_timer.StartRepeating(kDrainCheckInterval);
-}
-
-void Gateway::Impl::CheckDrain() {
-  const auto now = BootTime();
-  const DrainStep step = m_state.m_drain->Next(
-      now, m_relays.size(),
-      m_caller_server.OpenRequests() + m_peer_http_server.OpenForwarded());
-  if (step == DrainStep::kServe) {
-    return;
-  }
-  m_caller_server.StopListening();
-  if (step == DrainStep::kEndRequests || step == DrainStep::kExit) {
-    EndRequests(step);
-  }
-  if (step != DrainStep::kExit) {
-    return;
-  }
-  const Duration elapsed = now - m_state.m_drain->StartedAt();
-  Log(LogLevel::kInfo, "stopped",
-      {{"cut_responses",
-        static_cast<std::int64_t>(m_caller_server.OpenRequests())},
-       {"after_ms", elapsed.count() / 1000}});
-  m_drain_timer.Stop();
-  ev_break(m_loop, EVBREAK_ALL);
-}
-
-void Gateway::Impl::EndRequests(DrainStep step) {
-  // A relay removes itself when it ends.
-  const auto relays = m_relays;
-  for (const auto& [id, relay] : relays) {
-    const bool at_once = step == DrainStep::kExit;
-    if (at_once || !relay->WaitsForCaller()) {
-      relay->Stop(at_once);
-    }
-  }
-}
-
 Gateway::Gateway(struct ev_loop* loop,
                  const Settings& settings,
                  std::string settings_file,
