--- a/src/include/nutmeghollow/upstream_pool.h
+++ b/src/include/nutmeghollow/upstream_pool.h
@@ -21,7 +21,6 @@
 #include "nutmeghollow/hot_parts.h"
 #include "nutmeghollow/leaving_upstreams.h"
 #include "nutmeghollow/priority_demand.h"
-#include "nutmeghollow/prompt_mix.h"
 #include "nutmeghollow/rate_exchange.h"
 #include "nutmeghollow/rate_limits.h"
 #include "nutmeghollow/room_leases.h"
@@ -473,7 +472,6 @@
   /// Moving averages of the tokens of the shared prefixes of prompts.
   std::map<ServiceId, double> m_mean_prefix;
   std::map<ServiceId, TimePoint> m_next_return;  ///< Of a refused request.
-  std::map<ServiceId, PromptMix> m_prompt_mixes;
   HotPartTracker m_hot;
   Duration m_load_age{};
   bool m_interpret_loads = false;
--- a/src/include/nutmeghollow/upstream_pool_parameters.h
+++ b/src/include/nutmeghollow/upstream_pool_parameters.h
@@ -66,11 +66,6 @@
   double m_permit_cost = 120.0;
   /// The same for a server of a plain service, relative to its cost when idle.
   double m_service_permit_cost = 1.0;
-  /// Whether short urgent prompts are kept apart from long ones, see
-  /// prompt_mix.h. Off: the model shows fewer late urgent requests at 81
-  /// instances but none at 300 within 10 s, and it is not measured on the
-  /// bench.
-  bool m_keep_prompts_apart = false;
   /// Relative cost increase of an upstream with a failure rate of 1.
   double m_failure_cost = 8.0;
 };
--- a/src/libnutmeg/load_policies.h
+++ b/src/libnutmeg/load_policies.h
@@ -202,9 +202,7 @@
     setup.m_seed = first + static_cast<std::uint64_t>(seed);
     LoadModel model(setup, policy.m_choose);
     if (policy.m_name.starts_with("pool")) {
-      UpstreamPoolParameters parameters;
-      parameters.m_keep_prompts_apart = policy.m_name == "pool apart";
-      model.UsePools(parameters, policy.m_name != "pool before");
+      model.UsePools({}, policy.m_name == "pool");
     }
     const ModelResult one = model.Run();
     all.m_requests += one.m_requests;
--- a/src/libnutmeg/upstream_choice.cpp
+++ b/src/libnutmeg/upstream_choice.cpp
@@ -21,10 +21,6 @@
 /// mean of the service.
 constexpr double kSlowFactorLimit = 10.0;
 
-/// Engines of a service from which short urgent prompts are kept apart from
-/// long ones: with fewer, the part for them may be a single engine or none.
-constexpr std::size_t kMinEnginesApart = 32;
-
 /// Weight of the newest request in the mean length of shared prefixes.
 constexpr double kPrefixAverageWeight = 0.02;
 
@@ -171,23 +167,13 @@
                                const UpstreamQuery& upstream_query,
                                TimePoint now) const {
   const PartId chat = ChatPart(*upstream_query.m_prompt);
-  const auto mix = m_prompt_mixes.find(upstream_query.m_service);
-  const bool apart = m_parameters.m_keep_prompts_apart && m_interpret_loads &&
-                     mix != m_prompt_mixes.end() && mix->second.IsMixed() &&
-                     candidates.size() >= kMinEnginesApart;
-  const PromptClass prompt_class =
-      apart ? mix->second.ClassOf(upstream_query.m_priority,
-                                  SharedTokens(*upstream_query.m_prompt))
-            : PromptClass::kOther;
   // Engines that back off come last, so that every instance replaces them by
   // the same next engine.
   std::vector<std::tuple<bool, double, Candidate*>> order;
   for (Candidate& candidate : candidates) {
     const UpstreamId& id = candidate.m_upstream->m_registration.m_id;
-    const std::uint64_t hash = HashText(id.str());
-    const double weight = apart ? ClassWeight(prompt_class, hash) : 1.0;
     order.emplace_back(candidate.m_backing_off,
-                       -RendezvousScore(chat.value(), hash, weight),
+                       -RendezvousScore(chat.value(), HashText(id.str()), 1.0),
                        &candidate);
   }
   std::sort(order.begin(), order.end());
@@ -295,8 +281,6 @@
   const auto [entry, is_new] =
       m_mean_prefix.try_emplace(upstream_query.m_service, tokens);
   entry->second += kPrefixAverageWeight * (tokens - entry->second);
-  m_prompt_mixes[upstream_query.m_service].Note(upstream_query.m_priority,
-                                                tokens);
 }
 
 double UpstreamPool::PermitCost(const UpstreamQuery& upstream_query) const {
