--- a/src/libnutmeg/load_policies.h
+++ b/src/libnutmeg/load_policies.h
@@ -125,6 +125,7 @@
 inline int Latency(LoadModel& model, const LoadModel::Request& request) {
   const auto candidates = Candidates(model, request);
   std::vector<int> loads;
+  loads.reserve(candidates.size());
   for (const int upstream : candidates) {
     loads.push_back(StaleLoad(model, request, upstream));
   }
--- a/src/nutmegd/feed_fleet_test.cpp
+++ b/src/nutmegd/feed_fleet_test.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "nutmegd/gateway_state.h"
 #include "nutmegd/peer_feed.h"
 #include "nutmegd/peer_http_server.h"
 #include "nutmegd/store_reads.h"
@@ -136,6 +137,7 @@
             loop,
             Endpoint("127.0.0.1:0"),
             id,
+            m_state,
             PeerHttpHooks{
                 .m_keys = [this] { return &m_keys; },
                 .m_clock_offsets =
@@ -201,6 +203,7 @@
   net::HttpClient m_client;
   StoreReads m_reads;
   PeerFeedServer m_server;
+  GatewayState m_state;
   PeerHttpServer m_http_server;
   net::RowFeed m_feed;
   std::unique_ptr<TableFollower> m_follower;
