Log what a denial was decided from and where a configuration came from

The revision that each digest states is kept in the directory; the highest one of the live instances is in nutmeg_gateway_newest_revision. No decision changes.

--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -27,6 +27,8 @@
   std::optional<Duration> m_proof_age;
   /// The store refused or did not answer its own reads, as last reported.
   bool m_store_fails = false;
+  /// Revision that it has in force, as last reported.
+  Revision m_revision = {};
 };
 
 /// Directory of instances, keyed by id.
--- a/src/libnet/row_feed.h
+++ b/src/libnet/row_feed.h
@@ -45,6 +45,8 @@
   /// Time at which the rows were confirmed to be current, on the clock of the
   /// requester. Unset when that is the time at which the call was sent.
   std::optional<TimePoint> m_confirmed_at;
+  /// Instance through which the result came; empty when it is the platform's.
+  Endpoint m_source = {};
 };
 
 /// Writes or removes one row.
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -182,6 +182,10 @@
                                 ? Revision()
                                 : m_state.m_configuration->m_revision;
                    },
+               .m_on_newest_revision =
+                   [this](Revision revision) {
+                     m_state.m_newest_revision = revision;
+                   },
                .m_reach = [this] { return m_reachability.OwnReach(); },
                .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
                .m_store_fails = [this] { return m_store_reads.Fails(); },
@@ -316,6 +320,9 @@
                : static_cast<double>(
                      m_state.m_configuration->m_revision.value());
   });
+  metrics.SetGauge("nutmeg_gateway_newest_revision", "", [this] {
+    return static_cast<double>(m_state.m_newest_revision.value());
+  });
   metrics.SetGauge("nutmeg_gateway_proof_age_seconds", "", [this] {
     const auto age = m_state.ProofAge(BootTime());
     return age ? std::chrono::duration<double>(*age).count() : -1.0;
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -40,12 +40,13 @@
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
     if (!HandleEvacuationRow(m_state, row)) {
-      AdoptConfigurationRow(m_state, row);
+      AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
       m_trim_timer.Start(kTrimDelay);
     }
   };
   events.m_on_confirmed = [this](TimePoint confirmed_at) {
     m_state.m_freshness.Confirm(confirmed_at);
+    m_state.m_proof_source = m_configuration_follower.Source();
     m_peer_feed_server.RespondToPending(
         m_state.m_protocol.m_configuration_table);
   };
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -271,6 +271,7 @@
     if (result.m_status == FeedStatus::kDone) {
       m_backoffs.erase(done.m_reader);
       NoteConfirmed(done.m_request->m_table, result);
+      result.m_source = done.m_reader;
       done.m_request->m_callback(std::move(result));
       return;
     }
--- a/src/nutmegd/route_configuration.cpp
+++ b/src/nutmegd/route_configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "libnet/event_loop.h"
@@ -12,7 +13,21 @@
 using net::Log;
 using net::LogLevel;
 
-void AdoptConfigurationRow(GatewayState& state, const net::FeedRow& row) {
+namespace {
+
+std::string NameOf(const Endpoint& source) {
+  return source.empty() ? "platform" : source.str();
+}
+
+std::int64_t ForLog(Revision revision) {
+  return static_cast<std::int64_t>(revision.value());
+}
+
+}  // namespace
+
+void AdoptConfigurationRow(GatewayState& state,
+                           const net::FeedRow& row,
+                           const Endpoint& source) {
   if (row.m_key != state.m_protocol.m_configuration_key || row.m_removed) {
     return;
   }
@@ -22,13 +37,17 @@
                         state.m_protocol.m_read_configuration(row.m_value));
         if (state.m_configuration != nullptr &&
             configuration.m_revision <= state.m_configuration->m_revision) {
+          Log(LogLevel::kInfo, "configuration_not_newer",
+              {{"revision", ForLog(configuration.m_revision)},
+               {"in_force", ForLog(state.m_configuration->m_revision)},
+               {"source", NameOf(source)}});
           return {};
         }
         Log(LogLevel::kInfo, "configuration_adopted",
-            {{"revision",
-              static_cast<std::int64_t>(configuration.m_revision.value())},
-             {"routes",
-              static_cast<std::int64_t>(configuration.RouteCount())}});
+            {{"revision", ForLog(configuration.m_revision)},
+             {"routes", static_cast<std::int64_t>(configuration.RouteCount())},
+             {"row_version", static_cast<std::int64_t>(row.m_version.value())},
+             {"source", NameOf(source)}});
         state.m_configuration = std::make_shared<const RoutingConfiguration>(
             std::move(configuration));
         state.m_pool.SetColdPolicies(state.m_configuration->ColdPolicies(),
--- a/src/nutmegd/route_configuration.h
+++ b/src/nutmegd/route_configuration.h
@@ -8,8 +8,11 @@
 namespace nutmeghollow {
 
 /// Parses a row of the configuration table and replaces the configuration in
-/// force when the row has a higher revision. An invalid row is logged with the
-/// locations of its errors and otherwise ignored.
-void AdoptConfigurationRow(GatewayState& state, const net::FeedRow& row);
+/// force when the row has a higher revision. A row that is not used is logged,
+/// an invalid one with the locations of its errors.
+/// @param source instance that gave the row; empty when the platform gave it.
+void AdoptConfigurationRow(GatewayState& state,
+                           const net::FeedRow& row,
+                           const Endpoint& source);
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -170,6 +170,15 @@
   bool HoldFailure(AttemptFailure failure);
 
   Rejection CheckRequest(TimePoint now);
+  /// Denies the request because of its host, path or key, or refuses it when
+  /// the configuration is not proven current.
+  /// @param unconfirmed_reason reason of the refusal.
+  Rejection Deny(int status,
+                 const char* reason,
+                 const char* unconfirmed_reason,
+                 TimePoint now) const;
+  /// Logs what the denial, or the refusal in its place, was decided from.
+  void LogDenial(int status, TimePoint now) const;
   /// @return true when this instance may stop before the request is done.
   bool MayBeCutByDrain(TimePoint now) const;
   /// Finds the customer of the request's API key.
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -35,6 +35,10 @@
 /// Retry-After of a request that another instance can serve at once.
 constexpr Duration kRetryElsewhereDelay = std::chrono::milliseconds(50);
 
+constexpr const char* kNotProven = "configuration not proven current";
+/// Part of a host or path that is logged.
+constexpr std::size_t kMaxLoggedText = 80;
+
 std::size_t HeaderSize(const net::HttpRequest& request) {
   std::size_t size = request.m_method.size() + request.m_target.size();
   for (const auto& [name, value] : request.m_headers) {
@@ -69,6 +73,33 @@
 
 }  // namespace
 
+void RouteRelay::LogDenial(int status, TimePoint now) const {
+  const auto proof_age = m_state->ProofAge(now);
+  const Endpoint& source = m_state->m_proof_source;
+  Log(LogLevel::kInfo, "request_denied",
+      {{"request", m_request.m_id.str()},
+       {"status", std::int64_t{status}},
+       {"revision",
+        static_cast<std::int64_t>(m_configuration->m_revision.value())},
+       {"newest_revision",
+        static_cast<std::int64_t>(m_state->m_newest_revision.value())},
+       {"proof_age_ms", proof_age ? Milliseconds(*proof_age) : -1},
+       {"source", source.empty() ? std::string("platform") : source.str()},
+       {"host", m_request.m_host.substr(0, kMaxLoggedText)},
+       {"path", std::string(PathOf(m_exchange->Request().m_target)
+                                .substr(0, kMaxLoggedText))}});
+}
+
+RouteRelay::Rejection RouteRelay::Deny(int status,
+                                       const char* reason,
+                                       const char* unconfirmed_reason,
+                                       TimePoint now) const {
+  const bool confirmed = m_state->m_freshness.Within(kMaxAgeForDenial, now);
+  const int sent = confirmed ? status : kStatusUnavailable;
+  LogDenial(sent, now);
+  return {sent, confirmed ? reason : unconfirmed_reason};
+}
+
 RouteRelay::Rejection RouteRelay::CheckRequest(TimePoint now) {
   m_configuration = m_state->m_configuration;
   if (m_configuration == nullptr) {
@@ -90,10 +121,7 @@
   const HttpRoute* route =
       m_configuration->FindRoute(m_request.m_host, PathOf(request.m_target));
   if (route == nullptr) {
-    return {m_state->m_freshness.Within(kMaxAgeForDenial, now)
-                ? kStatusNotFound
-                : kStatusUnavailable,
-            "no such route"};
+    return Deny(kStatusNotFound, "no such route", "no such route", now);
   }
   m_route = *route;
   const double draw =
@@ -143,11 +171,10 @@
   if (route.m_anonymous) {
     return {};
   }
-  const bool confirmed = m_state->m_freshness.Within(kMaxAgeForDenial, now);
-  if (customer == nullptr && confirmed) {
-    return {kStatusUnauthorized, "unknown key"};
+  if (customer == nullptr) {
+    return Deny(kStatusUnauthorized, "unknown key", kNotProven, now);
   }
-  return {kStatusUnavailable, "configuration not proven current"};
+  return {kStatusUnavailable, kNotProven};
 }
 
 bool RouteRelay::RefreshConfiguration(TimePoint now) {
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -67,6 +67,7 @@
     return;
   }
   HandleSuccess();
+  m_source = result.m_source;
   std::map<std::string, net::FeedRow> missing = m_rows;
   for (const net::FeedRow& row : result.m_rows) {
     missing.erase(row.m_key);
@@ -94,6 +95,7 @@
     return;
   }
   HandleSuccess();
+  m_source = result.m_source;
   for (const net::FeedRow& row : result.m_rows) {
     Retain(row);
     HandleRow(row);
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -68,6 +68,9 @@
   bool IsCurrent() const { return m_loaded && m_failures == 0; }
   /// @return when the copy was last confirmed to be current.
   TimePoint ConfirmedAt() const { return m_confirmed_at; }
+  /// @return the instance that gave the last response; empty when the platform
+  /// gave it. Set before the callbacks for its rows.
+  const Endpoint& Source() const { return m_source; }
   /// @return the version of the newest change that the copy includes.
   net::FeedVersion Version() const { return m_version; }
   /// @return the retained changes after a version; kHistoryNotRetained when
@@ -112,6 +115,7 @@
   std::deque<Change> m_changes;
   net::FeedVersion m_changes_after;  ///< All later changes are in m_changes.
   TimePoint m_confirmed_at{};
+  Endpoint m_source;
   int m_failures = 0;  ///< Consecutive.
   TimePoint m_last_success_at{};
   /// Callbacks hold a weak reference and do nothing when it has expired.
