Do not deny requests while another instance has a higher revision in force

Cause: a proof was accepted on the word of the response alone. A response of the store whose version includes a change, but not its row, renewed it; the revision that each digest states was compared with nothing. The class: a statement of being current that no other evidence can contradict.

While another live instance states a higher revision, confirmations do not count: unknown routes and keys get 503 with Retry-After, requests with a key are served for as long as the last proof before allows, and the instance is not elected as a reader. After 0.3 s it requests the rows of that instance and takes over the newer ones.

--- a/src/include/nutmeghollow/configuration_freshness.h
+++ b/src/include/nutmeghollow/configuration_freshness.h
@@ -4,6 +4,10 @@
 /// A revoked API key must stop working everywhere within a time limit, also on
 /// an instance that can no longer read the configuration. An instance without
 /// a confirmation within that limit therefore serves no request with a key.
+///
+/// A confirmation is only as good as the response that it rests on. While
+/// another instance has a higher revision in force, the copy here is older
+/// whatever the responses say, and confirmations do not count.
 #pragma once
 
 #include <algorithm>
@@ -48,15 +52,38 @@
       m_confirmed_at = requested_at;
     }
   }
+  /// Compares the revision in force with the highest one that another live
+  /// instance has. Called whenever one of them changes.
+  void CompareRevisions(Revision in_force, Revision newest, TimePoint now) {
+    if (newest <= in_force) {
+      m_outdated_since.reset();
+    } else if (!m_outdated_since) {
+      m_outdated_since = now;
+    }
+  }
+  /// @return true while another instance has a higher revision in force.
+  bool IsOutdated() const { return m_outdated_since.has_value(); }
   /// @return true if the configuration was confirmed less than `limit` ago.
   bool Within(Duration limit, TimePoint now) const {
-    return m_confirmed_at && now - *m_confirmed_at < limit;
+    const std::optional<TimePoint> confirmed_at = ConfirmedAt();
+    return confirmed_at && now - *confirmed_at < limit;
+  }
+  /// @return true if requests may be denied because of the configuration: it
+  /// was confirmed less than `limit` ago and is not known to be outdated.
+  bool MayDeny(Duration limit, TimePoint now) const {
+    return !IsOutdated() && Within(limit, now);
+  }
+  /// @return when the latest confirmation was requested, if there is one; not
+  /// later than the time since which the configuration is known to be outdated.
+  std::optional<TimePoint> ConfirmedAt() const {
+    return m_confirmed_at && m_outdated_since
+               ? std::min(*m_confirmed_at, *m_outdated_since)
+               : m_confirmed_at;
   }
-  /// @return when the latest confirmation was requested, if there is one.
-  const std::optional<TimePoint>& ConfirmedAt() const { return m_confirmed_at; }
 
  private:
   std::optional<TimePoint> m_confirmed_at;
+  std::optional<TimePoint> m_outdated_since;
 };
 
 }  // namespace nutmeghollow
--- a/src/libnet/row_feed.h
+++ b/src/libnet/row_feed.h
@@ -70,6 +70,11 @@
   std::function<
       void(const std::string& table, Duration timeout, FeedCallback callback)>
       m_read_all;
+  /// Reads all rows of a table from another instance that has newer ones. Empty
+  /// in feeds that call the platform only.
+  std::function<
+      void(const std::string& table, Duration timeout, FeedCallback callback)>
+      m_read_copy = {};
   /// Waits for changes of a table after a version; the result has no rows when
   /// none occurs within the wait.
   std::function<void(const std::string& table,
--- a/src/libnutmeg/configuration_freshness_test.cpp
+++ b/src/libnutmeg/configuration_freshness_test.cpp
@@ -38,5 +38,55 @@
                   milliseconds(1800)}),
     [](const auto& info) { return std::string(info.param.m_name); });
 
+struct RevisionCase {
+  const char* m_name;
+  std::uint64_t m_in_force;
+  std::uint64_t m_newest;  ///< Of other instances; 0 when none is known.
+  bool m_may_deny;
+};
+
+class Denials : public testing::TestWithParam<RevisionCase> {};
+
+// Failure: an instance denied routes and keys that another instance had in
+// force, since responses without the change renewed its proof.
+TEST_P(Denials, DependOnTheRevisionsOfOtherInstances) {
+  const TimePoint start(std::chrono::hours(1));
+  ConfigurationFreshness freshness;
+  freshness.Confirm(start);
+  freshness.CompareRevisions(Revision(GetParam().m_in_force),
+                             Revision(GetParam().m_newest), start);
+  freshness.Confirm(start + milliseconds(1500));
+  const TimePoint now = start + milliseconds(1600);
+  EXPECT_EQ(freshness.IsOutdated(), !GetParam().m_may_deny);
+  EXPECT_EQ(freshness.MayDeny(milliseconds(2000), now), GetParam().m_may_deny);
+  EXPECT_EQ(freshness.Within(milliseconds(1000), now), GetParam().m_may_deny);
+  EXPECT_TRUE(freshness.Within(milliseconds(2000), now))
+      << "requests with a key are served until the proof is too old";
+  freshness.CompareRevisions(Revision(9), Revision(GetParam().m_newest), now);
+  EXPECT_TRUE(freshness.Within(milliseconds(1000), now))
+      << "the revision in force is the highest again";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Revisions,
+    Denials,
+    testing::Values(RevisionCase{"NoOthers", 5, 0, true},
+                    RevisionCase{"OthersHaveAnOlderOne", 5, 4, true},
+                    RevisionCase{"OthersHaveTheSame", 5, 5, true},
+                    RevisionCase{"OthersHaveANewerOne", 5, 6, false}),
+    [](const auto& info) { return std::string(info.param.m_name); });
+
+TEST(ConfigurationFreshnessTest, AnOutdatedProofGrowsOld) {
+  const TimePoint start(std::chrono::hours(1));
+  ConfigurationFreshness freshness;
+  freshness.Confirm(start);
+  freshness.CompareRevisions(Revision(5), Revision(6), start);
+  const TimePoint later = start + milliseconds(3000);
+  freshness.CompareRevisions(Revision(5), Revision(7), later);
+  freshness.Confirm(later);
+  EXPECT_EQ(freshness.ConfirmedAt(), start);
+  EXPECT_FALSE(freshness.Within(milliseconds(2800), later));
+}
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -167,36 +167,30 @@
                      [this](const InstanceId& to, std::uint32_t report) {
                        m_fleet.SendRecorded(to, report);
                      }}),
-      m_fleet(loop,
-              settings.m_instance.m_id,
-              settings.m_instance.m_peer_address,
-              m_feed,
-              kInstanceTable,
-              &m_directory,
-              &m_state.m_pool,
-              &m_crash_detector,
-              {.m_ready = [this] { return Ready(); },
-               .m_revision =
-                   [this] {
-                     return m_state.m_configuration == nullptr
-                                ? Revision()
-                                : m_state.m_configuration->m_revision;
-                   },
-               .m_on_newest_revision =
-                   [this](Revision revision) {
-                     m_state.m_newest_revision = revision;
-                   },
-               .m_reach = [this] { return m_reachability.OwnReach(); },
-               .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
-               .m_store_fails = [this] { return m_store_reads.Fails(); },
-               .m_on_stream_report =
-                   [this](const InstanceId& from, const StreamReport& report) {
-                     m_streams.HandleReport(from, report);
-                   },
-               .m_on_recorded =
-                   [this](const InstanceId& from, std::uint32_t report) {
-                     m_streams.HandleRecorded(from, report);
-                   }}),
+      m_fleet(
+          loop,
+          settings.m_instance.m_id,
+          settings.m_instance.m_peer_address,
+          m_feed,
+          kInstanceTable,
+          &m_directory,
+          &m_state.m_pool,
+          &m_crash_detector,
+          {.m_ready = [this] { return Ready(); },
+           .m_revision = [this] { return m_state.RevisionInForce(); },
+           .m_on_newest_revision =
+               [this](Revision revision) { HandleNewestRevision(revision); },
+           .m_reach = [this] { return m_reachability.OwnReach(); },
+           .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
+           .m_store_fails = [this] { return m_store_reads.Fails(); },
+           .m_on_stream_report =
+               [this](const InstanceId& from, const StreamReport& report) {
+                 m_streams.HandleReport(from, report);
+               },
+           .m_on_recorded =
+               [this](const InstanceId& from, std::uint32_t report) {
+                 m_streams.HandleRecorded(from, report);
+               }}),
       m_instance_rows(loop,
                       &m_settings,
                       m_feed,
@@ -267,7 +261,8 @@
                          }
                        }),
       m_drain_timer(loop, [this] { CheckDrain(); }),
-      m_trim_timer(loop, ReleaseFreeMemory) {
+      m_trim_timer(loop, ReleaseFreeMemory),
+      m_copy_timer(loop, [this] { RequestNewerCopy(); }) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -56,6 +56,10 @@
 
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
+  /// Handles the highest revision that another live instance has in force.
+  void HandleNewestRevision(Revision revision);
+  /// Requests the configuration from an instance that has a higher revision.
+  void RequestNewerCopy();
   /// @return the hooks of the feed through other instances.
   PeerFeedHooks FeedHooks();
   TableFollowerEvents ConfigurationEvents();
@@ -105,6 +109,7 @@
   net::Timer m_settings_timer;
   net::Timer m_drain_timer;
   net::Timer m_trim_timer;
+  net::Timer m_copy_timer;
 };
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -100,10 +100,15 @@
                           m_store_failed_recently && m_store_failed_recently()),
         now);
   }
+  /// @return the revision in force; zero before one has been read.
+  Revision RevisionInForce() const {
+    return m_configuration == nullptr ? Revision()
+                                      : m_configuration->m_revision;
+  }
   /// @return the time since the configuration was last confirmed to be
   /// current; nothing before the first confirmation.
   std::optional<Duration> ProofAge(TimePoint now) const {
-    const auto& confirmed = m_freshness.ConfirmedAt();
+    const auto confirmed = m_freshness.ConfirmedAt();
     return confirmed ? std::optional<Duration>(now - *confirmed) : std::nullopt;
   }
   /// @return a uniformly distributed number in [min, max).
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -18,8 +18,36 @@
 /// then its document and the responses to the followers have been freed.
 constexpr Duration kTrimDelay = std::chrono::seconds(2);
 
+/// Time that a change may take to reach this instance after another one. Above
+/// it the copy is requested from that one.
+constexpr Duration kOutdatedTolerance = std::chrono::milliseconds(300);
+/// Interval between requests for the copy.
+constexpr Duration kCopyRetryDelay = std::chrono::milliseconds(500);
+
 }  // namespace
 
+void Gateway::Impl::HandleNewestRevision(Revision revision) {
+  m_state.m_newest_revision = revision;
+  m_state.m_freshness.CompareRevisions(m_state.RevisionInForce(), revision,
+                                       BootTime());
+  if (m_state.m_freshness.IsOutdated() && !m_copy_timer.Active()) {
+    m_copy_timer.Start(kOutdatedTolerance);
+  }
+}
+
+void Gateway::Impl::RequestNewerCopy() {
+  if (!m_state.m_freshness.IsOutdated()) {
+    return;
+  }
+  Log(LogLevel::kWarning, "configuration_outdated",
+      {{"revision",
+        static_cast<std::int64_t>(m_state.RevisionInForce().value())},
+       {"newest_revision",
+        static_cast<std::int64_t>(m_state.m_newest_revision.value())}});
+  m_configuration_follower.RequestCopy();
+  m_copy_timer.Start(kCopyRetryDelay);
+}
+
 void Gateway::Impl::RetryLostTables() {
   for (TableFollower* follower :
        {&m_configuration_follower, &m_registration_follower,
@@ -32,6 +60,9 @@
   PeerFeedHooks hooks;
   hooks.m_keys = [this] { return m_fleet.Keys(); };
   hooks.m_readers = [this] { return m_instance_rows.Readers(); };
+  hooks.m_newer = [this] {
+    return m_instance_rows.WithRevisionAbove(m_state.RevisionInForce());
+  };
   m_store_reads.Connect(&hooks);
   return hooks;
 }
@@ -41,6 +72,8 @@
   events.m_on_row = [this](const net::FeedRow& row) {
     if (!HandleEvacuationRow(m_state, row)) {
       AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
+      m_state.m_freshness.CompareRevisions(
+          m_state.RevisionInForce(), m_state.m_newest_revision, BootTime());
       m_trim_timer.Start(kTrimDelay);
     }
   };
--- a/src/nutmegd/instance_rows.cpp
+++ b/src/nutmegd/instance_rows.cpp
@@ -1,6 +1,8 @@
 #include "nutmegd/instance_rows.h"
 
 #include <algorithm>
+#include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -112,6 +114,23 @@
   return addresses;
 }
 
+std::vector<Endpoint> InstanceRows::WithRevisionAbove(Revision revision) const {
+  std::multimap<Revision, Endpoint, std::greater<>> by_revision;
+  for (const auto& [id, instance] : m_directory->Instances()) {
+    const Endpoint address = m_fleet->AddressOf(id);
+    if (instance.m_alive && instance.m_revision > revision &&
+        !address.empty()) {
+      by_revision.emplace(instance.m_revision, address);
+    }
+  }
+  std::vector<Endpoint> addresses;
+  addresses.reserve(by_revision.size());
+  for (const auto& [higher, address] : by_revision) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
 void InstanceRows::LogSources(const std::vector<InstanceId>& sources) {
   const InstanceId preferred = sources.empty() ? InstanceId() : sources.front();
   if (preferred == m_preferred_source) {
--- a/src/nutmegd/instance_rows.h
+++ b/src/nutmegd/instance_rows.h
@@ -43,6 +43,9 @@
   /// platform's tables, in the order of preference; empty when this instance
   /// reads them itself.
   std::vector<Endpoint> Readers();
+  /// @return peer addresses of the other live instances with a revision above
+  /// the given one, the highest first.
+  std::vector<Endpoint> WithRevisionAbove(Revision revision) const;
   /// Writes the row of this instance, with retries until it succeeds.
   void WriteOwnRow();
   /// Removes the row of this instance, with retries until it succeeds.
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -125,6 +125,19 @@
         });
   }
 
+  /// Reads a whole table from an instance with a newer configuration.
+  void ReadCopy(const std::string& table,
+                Duration timeout,
+                const net::FeedCallback& callback) {
+    const auto request = std::make_shared<Request>();
+    request->m_table = table;
+    request->m_timeout = timeout;
+    request->m_callback = callback;
+    request->m_from_newer = true;
+    request->m_store_tried = true;
+    TryNext(request, {FeedStatus::kRejected, {}, {}, "no newer copy", {}});
+  }
+
  private:
   /// A request of a follower, which is sent to one source after the other.
   struct Request {
@@ -137,6 +150,8 @@
     int m_failed_sources = 0;
     std::vector<Endpoint> m_tried;
     bool m_store_tried = false;
+    /// The sources are the instances with a newer configuration.
+    bool m_from_newer = false;
   };
   using RequestPtr = std::shared_ptr<Request>;
 
@@ -182,11 +197,18 @@
     }
   }
 
+  std::vector<Endpoint> SourcesOf(const Request& request) const {
+    if (!request.m_from_newer) {
+      return m_hooks.m_readers();
+    }
+    return m_hooks.m_newer ? m_hooks.m_newer() : std::vector<Endpoint>();
+  }
+
   /// @return the first source that was not tried for the request and is not in
   /// backoff.
   std::optional<Endpoint> NextReader(const Request& request) {
     const TimePoint now = BootTime();
-    for (const Endpoint& reader : m_hooks.m_readers()) {
+    for (const Endpoint& reader : SourcesOf(request)) {
       const auto backoff = m_backoffs.find(reader);
       const bool tried =
           std::find(request.m_tried.begin(), request.m_tried.end(), reader) !=
@@ -313,8 +335,9 @@
     const std::vector<Endpoint> readers = m_hooks.m_readers();
     std::vector<Wait> ended;
     for (auto wait = m_waits.begin(); wait != m_waits.end();) {
-      if (std::find(readers.begin(), readers.end(), wait->second.m_reader) !=
-          readers.end()) {
+      if (wait->second.m_request->m_from_newer ||
+          std::find(readers.begin(), readers.end(), wait->second.m_reader) !=
+              readers.end()) {
         ++wait;
         continue;
       }
@@ -413,6 +436,10 @@
                             const net::FeedCallback& callback) {
     peers->ReadAll(table, timeout, callback);
   };
+  feed.m_read_copy = [peers](const std::string& table, Duration timeout,
+                             const net::FeedCallback& callback) {
+    peers->ReadCopy(table, timeout, callback);
+  };
   feed.m_wait_changes =
       [peers](const std::string& table, net::FeedVersion after, Duration wait,
               Duration timeout, const net::FeedCallback& callback) {
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -94,7 +94,7 @@
                                        const char* reason,
                                        const char* unconfirmed_reason,
                                        TimePoint now) const {
-  const bool confirmed = m_state->m_freshness.Within(kMaxAgeForDenial, now);
+  const bool confirmed = m_state->m_freshness.MayDeny(kMaxAgeForDenial, now);
   const int sent = confirmed ? status : kStatusUnavailable;
   LogDenial(sent, now);
   return {sent, confirmed ? reason : unconfirmed_reason};
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -60,6 +60,33 @@
   }
 }
 
+void TableFollower::RequestCopy() {
+  if (!m_loaded || !m_feed.m_read_copy) {
+    return;
+  }
+  m_feed.m_read_copy(m_options.m_table, m_options.m_timeout_margin,
+                     [this, alive = std::weak_ptr<bool>(m_alive)](
+                         const net::FeedResult& result) {
+                       if (!alive.expired()) {
+                         HandleCopy(result);
+                       }
+                     });
+}
+
+void TableFollower::HandleCopy(const net::FeedResult& result) {
+  if (result.m_status != net::FeedStatus::kDone) {
+    return;
+  }
+  m_source = result.m_source;
+  for (const net::FeedRow& row : result.m_rows) {
+    const auto own = m_rows.find(row.m_key);
+    if (own != m_rows.end() && own->second.m_version < row.m_version) {
+      Retain(row);
+      HandleRow(row);
+    }
+  }
+}
+
 void TableFollower::HandleAllRows(const net::FeedResult& result,
                                   TimePoint requested_at) {
   if (result.m_status != net::FeedStatus::kDone) {
@@ -118,7 +145,13 @@
   std::erase_if(m_changes, [&row](const Change& change) {
     return change.m_key == row.m_key;
   });
-  m_changes.push_back({row.m_key, row.m_version});
+  // A row from another instance may be older than the newest change here.
+  const auto later =
+      std::upper_bound(m_changes.begin(), m_changes.end(), row.m_version,
+                       [](net::FeedVersion version, const Change& change) {
+                         return version < change.m_version;
+                       });
+  m_changes.insert(later, {row.m_key, row.m_version});
   while (m_changes.size() > kMaxRetainedChanges) {
     m_changes_after = m_changes.front().m_version;
     m_changes.pop_front();
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -85,6 +85,10 @@
   /// Sends a request immediately if the last one failed, and abandons an
   /// earlier one in progress. Called when the platform responds again.
   void RetryIfLost();
+  /// Reads the rows of another instance that has newer ones, and takes over
+  /// those. The copy is not confirmed by them, and rows are neither added nor
+  /// removed. Called when the responses of the source are known to be older.
+  void RequestCopy();
   /// Sets the maximum backoff, for example according to the size of the fleet.
   void SetMaxBackoff(Duration max_backoff) {
     m_options.m_max_backoff = max_backoff;
@@ -94,6 +98,7 @@
   void SendRequest();
   void HandleAllRows(const net::FeedResult& result, TimePoint requested_at);
   void HandleChanges(const net::FeedResult& result, TimePoint requested_at);
+  void HandleCopy(const net::FeedResult& result);
   void HandleRow(const net::FeedRow& row);
   void HandleSuccess();
   void Confirm(const net::FeedResult& result, TimePoint requested_at);
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -38,6 +38,10 @@
       m_after = after;
       m_pending.push_back(callback);
     };
+    feed.m_read_copy = [this](const std::string&, Duration,
+                              const net::FeedCallback& callback) {
+      m_copies.push_back(callback);
+    };
     return feed;
   }
 
@@ -67,6 +71,7 @@
   FeedVersion m_after;
   Duration m_wait{};
   std::deque<net::FeedCallback> m_pending;
+  std::deque<net::FeedCallback> m_copies;
 };
 
 class TableFollowerTest : public testing::Test {
@@ -189,6 +194,28 @@
   EXPECT_EQ(m_feed.m_after, FeedVersion(5));
 }
 
+// Failure: responses of the platform without the change hid it until the next
+// one.
+TEST_F(TableFollowerTest, TakesNewerRowsFromACopyAndGoesOn) {
+  m_feed.Respond(FeedStatus::kDone, 3, {Row("a", 2), Row("b", 3)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.Respond(FeedStatus::kDone, 7);
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  const int confirmations = m_confirmations;
+  m_follower->RequestCopy();
+  ASSERT_EQ(m_feed.m_copies.size(), 1U);
+  m_feed.m_copies.front()({FeedStatus::kDone,
+                           {Row("a", 5), Row("b", 3), Row("removed", 1)},
+                           FeedVersion(6),
+                           "",
+                           {}});
+  EXPECT_EQ(m_seen, "+a +b +a ");
+  EXPECT_EQ(m_confirmations, confirmations);
+  EXPECT_EQ(m_follower->Version(), FeedVersion(7));
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(4)).m_rows.size(), 1U);
+  EXPECT_EQ(m_feed.m_waits, 2) << "the request in progress stays";
+}
+
 TEST_F(TableFollowerTest, RetriesAfterAFailureAndReportsIt) {
   m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 3)});
   RunFor(milliseconds(5));
