Do not deny requests while the newest configuration row cannot be read

A row that cannot be read is logged and left unused, and the earlier configuration stays in force. Confirmations went on, so that routes and keys of the newer version were answered with 404 and 401, as if it were known that they do not exist.

Unknown routes and keys now get 503 until a row can be read; others are served as before.

--- a/src/include/nutmeghollow/configuration_freshness.h
+++ b/src/include/nutmeghollow/configuration_freshness.h
@@ -63,15 +63,19 @@
   }
   /// @return true while another instance has a higher revision in force.
   bool IsOutdated() const { return m_outdated_since.has_value(); }
+  /// Records whether the newest row could be read. One that could not stays
+  /// unused, and the earlier configuration in force.
+  void NoteRow(bool is_readable) { m_row_is_readable = is_readable; }
   /// @return true if the configuration was confirmed less than `limit` ago.
   bool Within(Duration limit, TimePoint now) const {
     const std::optional<TimePoint> confirmed_at = ConfirmedAt();
     return confirmed_at && now - *confirmed_at < limit;
   }
   /// @return true if requests may be denied because of the configuration: it
-  /// was confirmed less than `limit` ago and is not known to be outdated.
+  /// was confirmed less than `limit` ago and is not known to be outdated, and
+  /// no newer row was left unused.
   bool MayDeny(Duration limit, TimePoint now) const {
-    return !IsOutdated() && Within(limit, now);
+    return !IsOutdated() && m_row_is_readable && Within(limit, now);
   }
   /// @return when the latest confirmation was requested, if there is one; not
   /// later than the time since which the configuration is known to be outdated.
@@ -84,6 +88,7 @@
  private:
   std::optional<TimePoint> m_confirmed_at;
   std::optional<TimePoint> m_outdated_since;
+  bool m_row_is_readable = true;
 };
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/configuration_freshness_test.cpp
+++ b/src/libnutmeg/configuration_freshness_test.cpp
@@ -88,5 +88,17 @@
   EXPECT_FALSE(freshness.Within(milliseconds(2800), later));
 }
 
+// Failure: routes and keys of a row that could not be read were denied.
+TEST(ConfigurationFreshnessTest, AnUnreadableRowAllowsNoDenial) {
+  const TimePoint start(std::chrono::hours(1));
+  ConfigurationFreshness freshness;
+  freshness.Confirm(start);
+  freshness.NoteRow(false);
+  EXPECT_FALSE(freshness.MayDeny(milliseconds(2000), start));
+  EXPECT_TRUE(freshness.Within(milliseconds(2000), start));
+  freshness.NoteRow(true);
+  EXPECT_TRUE(freshness.MayDeny(milliseconds(2000), start));
+}
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/nutmegd/route_configuration.cpp
+++ b/src/nutmegd/route_configuration.cpp
@@ -35,6 +35,7 @@
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(configuration,
                         state.m_protocol.m_read_configuration(row.m_value));
+        state.m_freshness.NoteRow(true);
         if (state.m_configuration != nullptr &&
             configuration.m_revision <= state.m_configuration->m_revision) {
           Log(LogLevel::kInfo, "configuration_not_newer",
@@ -55,12 +56,16 @@
         return {};
       },
       [&](const net::DocumentError& error) {
+        state.m_freshness.NoteRow(false);
         for (const Finding& finding : error.m_findings) {
           Log(LogLevel::kError, "configuration_not_used",
               {{"place", finding.m_place}, {"fault", finding.m_message}});
         }
       },
-      [] { Log(LogLevel::kError, "configuration_not_used", {}); });
+      [&] {
+        state.m_freshness.NoteRow(false);
+        Log(LogLevel::kError, "configuration_not_used", {});
+      });
 }
 
 }  // namespace nutmeghollow
