Keep evidence of newer revisions, and serve what an outdated configuration allows

The highest revision that was ever stated counts now; a configuration never goes back. - An instance that alone could not read the newest row stopped to serve requests with a key for good after 2.8 s, and requested a copy each 0.5 s. Confirmations count again for requests that the configuration allows; only denials depend on the revision. Requests for copies back off, up to 8 s.

--- a/src/include/nutmeghollow/configuration_freshness.h
+++ b/src/include/nutmeghollow/configuration_freshness.h
@@ -6,8 +6,11 @@
 /// a confirmation within that limit therefore serves no request with a key.
 ///
 /// A confirmation is only as good as the response that it rests on. While
-/// another instance has a higher revision in force, the copy here is older
-/// whatever the responses say, and confirmations do not count.
+/// another instance has a higher revision in force, or the newest row cannot be
+/// read, the configuration here is older whatever the responses say, and no
+/// request is denied because of it. Requests that it allows are served as long
+/// as confirmations come: a row that one build cannot read must not stop the
+/// service of all its instances.
 #pragma once
 
 #include <algorithm>
@@ -52,24 +55,24 @@
       m_confirmed_at = requested_at;
     }
   }
-  /// Compares the revision in force with the highest one that another live
-  /// instance has. Called whenever one of them changes.
-  void CompareRevisions(Revision in_force, Revision newest, TimePoint now) {
-    if (newest <= in_force) {
-      m_outdated_since.reset();
-    } else if (!m_outdated_since) {
-      m_outdated_since = now;
-    }
+  /// Records the revision in force here.
+  void NoteInForce(Revision revision) { m_in_force = revision; }
+  /// Records a revision that another instance has in force. The highest one
+  /// counts also when that instance is silent later: a configuration never goes
+  /// back.
+  void NoteElsewhere(Revision revision) {
+    m_newest_elsewhere = std::max(m_newest_elsewhere, revision);
   }
-  /// @return true while another instance has a higher revision in force.
-  bool IsOutdated() const { return m_outdated_since.has_value(); }
+  /// @return the highest revision that another instance had in force.
+  Revision NewestElsewhere() const { return m_newest_elsewhere; }
+  /// @return true when another instance had a higher revision in force.
+  bool IsOutdated() const { return m_newest_elsewhere > m_in_force; }
   /// Records whether the newest row could be read. One that could not stays
   /// unused, and the earlier configuration in force.
   void NoteRow(bool is_readable) { m_row_is_readable = is_readable; }
   /// @return true if the configuration was confirmed less than `limit` ago.
   bool Within(Duration limit, TimePoint now) const {
-    const std::optional<TimePoint> confirmed_at = ConfirmedAt();
-    return confirmed_at && now - *confirmed_at < limit;
+    return m_confirmed_at && now - *m_confirmed_at < limit;
   }
   /// @return true if requests may be denied because of the configuration: it
   /// was confirmed less than `limit` ago and is not known to be outdated, and
@@ -77,17 +80,13 @@
   bool MayDeny(Duration limit, TimePoint now) const {
     return !IsOutdated() && m_row_is_readable && Within(limit, now);
   }
-  /// @return when the latest confirmation was requested, if there is one; not
-  /// later than the time since which the configuration is known to be outdated.
-  std::optional<TimePoint> ConfirmedAt() const {
-    return m_confirmed_at && m_outdated_since
-               ? std::min(*m_confirmed_at, *m_outdated_since)
-               : m_confirmed_at;
-  }
+  /// @return when the latest confirmation was requested, if there is one.
+  const std::optional<TimePoint>& ConfirmedAt() const { return m_confirmed_at; }
 
  private:
   std::optional<TimePoint> m_confirmed_at;
-  std::optional<TimePoint> m_outdated_since;
+  Revision m_in_force;
+  Revision m_newest_elsewhere;
   bool m_row_is_readable = true;
 };
 
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -391,20 +391,10 @@
     entry->m_proof_age = digest->m_proof_age;
     entry->m_store_fails = digest->m_store_fails;
     entry->m_revision = digest->m_revision;
-    m_hooks.m_on_newest_revision(NewestRevision());
+    m_hooks.m_on_revision(digest->m_revision);
   }
 }
 
-Revision FleetLink::NewestRevision() const {
-  Revision newest;
-  for (const auto& [id, entry] : m_directory->Instances()) {
-    if (entry.m_alive && id != m_self) {
-      newest = std::max(newest, entry.m_revision);
-    }
-  }
-  return newest;
-}
-
 bool FleetLink::Alive(const Peer& peer, TimePoint now) const {
   if (!peer.m_last_digest_at) {
     return now - peer.m_known_since < kFirstDigestTimeout;
@@ -426,7 +416,6 @@
   std::erase_if(m_peers, [&](const auto& entry) {
     return entry.second.m_leaving && !Alive(entry.second, now);
   });
-  m_hooks.m_on_newest_revision(NewestRevision());
 }
 
 std::vector<InstanceId> FleetLink::LostPeers() const {
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -35,8 +35,8 @@
   std::function<bool()> m_ready;
   /// @return the revision in force at this instance.
   std::function<Revision()> m_revision;
-  /// Called with the highest revision that another live instance has in force.
-  std::function<void(Revision)> m_on_newest_revision;
+  /// Called with the revision that another instance has in force.
+  std::function<void(Revision)> m_on_revision;
   /// @return what this instance says about its paths to upstreams.
   std::function<UpstreamReach()> m_reach;
   /// @return the age of its proof that its configuration is current; unset when
@@ -149,8 +149,6 @@
   FleetDigest OwnState() const;
   void Handle(const ReceivedDatagram& datagram);
   void UpdateLiveness();
-  /// @return the highest revision that another live instance has in force.
-  Revision NewestRevision() const;
   Duration Period() const;
   bool Alive(const Peer& peer, TimePoint now) const;
 
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -178,8 +178,8 @@
           &m_crash_detector,
           {.m_ready = [this] { return Ready(); },
            .m_revision = [this] { return m_state.RevisionInForce(); },
-           .m_on_newest_revision =
-               [this](Revision revision) { HandleNewestRevision(revision); },
+           .m_on_revision =
+               [this](Revision revision) { HandleRevisionElsewhere(revision); },
            .m_reach = [this] { return m_reachability.OwnReach(); },
            .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
            .m_store_fails = [this] { return m_store_reads.Fails(); },
@@ -316,7 +316,7 @@
                      m_state.m_configuration->m_revision.value());
   });
   metrics.SetGauge("nutmeg_gateway_newest_revision", "", [this] {
-    return static_cast<double>(m_state.m_newest_revision.value());
+    return static_cast<double>(m_state.m_freshness.NewestElsewhere().value());
   });
   metrics.SetGauge("nutmeg_gateway_proof_age_seconds", "", [this] {
     const auto age = m_state.ProofAge(BootTime());
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -56,8 +56,8 @@
 
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
-  /// Handles the highest revision that another live instance has in force.
-  void HandleNewestRevision(Revision revision);
+  /// Handles a revision that another live instance has in force.
+  void HandleRevisionElsewhere(Revision revision);
   /// Requests the configuration from an instance that has a higher revision.
   void RequestNewerCopy();
   /// @return the hooks of the feed through other instances.
@@ -110,6 +110,7 @@
   net::Timer m_drain_timer;
   net::Timer m_trim_timer;
   net::Timer m_copy_timer;
+  Duration m_copy_delay{};
 };
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -80,8 +80,6 @@
   /// Instance through which the latest confirmation came; empty when it came
   /// from the platform.
   Endpoint m_proof_source;
-  /// Highest revision that another live instance has in force.
-  Revision m_newest_revision;
   /// @return true when the store recently refused, or did not answer, reads of
   /// this instance. May be empty.
   std::function<bool()> m_store_failed_recently;
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -1,4 +1,5 @@
 // What the gateway does with the rows of the platform's tables.
+#include <algorithm>
 #include <string>
 
 #include "libnet/event_loop.h"
@@ -21,16 +22,17 @@
 /// Time that a change may take to reach this instance after another one. Above
 /// it the copy is requested from that one.
 constexpr Duration kOutdatedTolerance = std::chrono::milliseconds(300);
-/// Interval between requests for the copy.
-constexpr Duration kCopyRetryDelay = std::chrono::milliseconds(500);
+/// Delay from one request for the copy to the next one. It doubles, since a row
+/// that this build cannot read stays unused.
+constexpr Duration kMinCopyDelay = std::chrono::milliseconds(250);
+constexpr Duration kMaxCopyDelay = std::chrono::seconds(8);
 
 }  // namespace
 
-void Gateway::Impl::HandleNewestRevision(Revision revision) {
-  m_state.m_newest_revision = revision;
-  m_state.m_freshness.CompareRevisions(m_state.RevisionInForce(), revision,
-                                       BootTime());
+void Gateway::Impl::HandleRevisionElsewhere(Revision revision) {
+  m_state.m_freshness.NoteElsewhere(revision);
   if (m_state.m_freshness.IsOutdated() && !m_copy_timer.Active()) {
+    m_copy_delay = kMinCopyDelay;
     m_copy_timer.Start(kOutdatedTolerance);
   }
 }
@@ -39,13 +41,14 @@
   if (!m_state.m_freshness.IsOutdated()) {
     return;
   }
+  const Revision newest = m_state.m_freshness.NewestElsewhere();
   Log(LogLevel::kWarning, "configuration_outdated",
       {{"revision",
         static_cast<std::int64_t>(m_state.RevisionInForce().value())},
-       {"newest_revision",
-        static_cast<std::int64_t>(m_state.m_newest_revision.value())}});
+       {"newest_revision", static_cast<std::int64_t>(newest.value())}});
   m_configuration_follower.RequestCopy();
-  m_copy_timer.Start(kCopyRetryDelay);
+  m_copy_timer.Start(m_copy_delay);
+  m_copy_delay = std::min(2 * m_copy_delay, kMaxCopyDelay);
 }
 
 void Gateway::Impl::RetryLostTables() {
@@ -72,8 +75,7 @@
   events.m_on_row = [this](const net::FeedRow& row) {
     if (!HandleEvacuationRow(m_state, row)) {
       AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
-      m_state.m_freshness.CompareRevisions(
-          m_state.RevisionInForce(), m_state.m_newest_revision, BootTime());
+      m_state.m_freshness.NoteInForce(m_state.RevisionInForce());
       m_trim_timer.Start(kTrimDelay);
     }
   };
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -81,8 +81,8 @@
        {"status", std::int64_t{status}},
        {"revision",
         static_cast<std::int64_t>(m_configuration->m_revision.value())},
-       {"newest_revision",
-        static_cast<std::int64_t>(m_state->m_newest_revision.value())},
+       {"newest_revision", static_cast<std::int64_t>(
+                               m_state->m_freshness.NewestElsewhere().value())},
        {"proof_age_ms", proof_age ? Milliseconds(*proof_age) : -1},
        {"source", source.empty() ? std::string("platform") : source.str()},
        {"host", m_request.m_host.substr(0, kMaxLoggedText)},
