Take over a copied row of the same version, and ask another source each time

- A row that was damaged on its way to one instance has the version of the good one, so a copy never replaced it.
It does now, when the values differ.
- Responses for followers were packed by version, which a row from a copy does not change, so they got the old row.
The follower counts its updates, and packed responses depend on the count.
- An instance asked the same source for copies again, also one that had none, and failures of these requests kept ordinary readers from being used.
Each request begins with another source and does not affect the readers.

--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -118,12 +118,13 @@
   const TableFollower& follower = *m_followers.at(pending.m_table);
   PackedChanges& packed = m_packed[pending.m_table];
   const bool same_rows = packed.m_version == follower.Version() &&
+                         packed.m_updates == follower.Updates() &&
                          packed.m_is_whole == is_whole &&
                          (is_whole || packed.m_after == pending.m_after);
   if (packed.m_body.empty() || !same_rows) {
     const FeedResult result =
         is_whole ? follower.AllRows() : follower.ChangesAfter(pending.m_after);
-    packed = {pending.m_after, follower.Version(), is_whole,
+    packed = {pending.m_after, follower.Version(), follower.Updates(), is_whole,
               Compress(SerializeRows(result, Duration::zero()))};
   }
   return packed;
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -58,6 +58,7 @@
   struct PackedChanges {
     net::FeedVersion m_after;
     net::FeedVersion m_version;
+    std::uint64_t m_updates = 0;  ///< Of the follower.
     bool m_is_whole = false;
     std::string m_body;  ///< Empty when there is none.
   };
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -136,6 +136,7 @@
     request->m_from_newer = true;
     request->m_store_tried = true;
     TryNext(request, {FeedStatus::kRejected, {}, {}, "no newer copy", {}});
+    ++m_copy_requests;
   }
 
  private:
@@ -201,7 +202,15 @@
     if (!request.m_from_newer) {
       return m_hooks.m_readers();
     }
-    return m_hooks.m_newer ? m_hooks.m_newer() : std::vector<Endpoint>();
+    std::vector<Endpoint> newer =
+        m_hooks.m_newer ? m_hooks.m_newer() : std::vector<Endpoint>();
+    if (!newer.empty()) {
+      // Each request begins with another one: a copy need not help.
+      const auto first =
+          static_cast<std::ptrdiff_t>(m_copy_requests % newer.size());
+      std::rotate(newer.begin(), newer.begin() + first, newer.end());
+    }
+    return newer;
   }
 
   /// @return the first source that was not tried for the request and is not in
@@ -213,8 +222,10 @@
       const bool tried =
           std::find(request.m_tried.begin(), request.m_tried.end(), reader) !=
           request.m_tried.end();
-      if (!tried &&
-          (backoff == m_backoffs.end() || backoff->second.m_until <= now)) {
+      const bool backs_off = !request.m_from_newer &&
+                             backoff != m_backoffs.end() &&
+                             backoff->second.m_until > now;
+      if (!tried && !backs_off) {
         return reader;
       }
     }
@@ -311,11 +322,13 @@
       done.m_request->m_callback(std::move(result));
       return;
     }
-    Backoff& backoff = m_backoffs[done.m_reader];
-    backoff.m_until =
-        BootTime() + std::min(kMinReaderBackoff * (1 << backoff.m_failures),
-                              kMaxReaderBackoff);
-    backoff.m_failures = std::min(backoff.m_failures + 1, kMaxDoublings);
+    if (!done.m_request->m_from_newer) {
+      Backoff& backoff = m_backoffs[done.m_reader];
+      backoff.m_until =
+          BootTime() + std::min(kMinReaderBackoff * (1 << backoff.m_failures),
+                                kMaxReaderBackoff);
+      backoff.m_failures = std::min(backoff.m_failures + 1, kMaxDoublings);
+    }
     HandleFailure(done, std::move(result));
   }
 
@@ -419,6 +432,7 @@
   std::map<Endpoint, Backoff> m_backoffs;
   /// Latest confirmation of each table that was received.
   std::map<std::string, TimePoint> m_confirmed_at;
+  std::uint64_t m_copy_requests = 0;
   std::uint64_t m_last_wait = 0;
   std::map<std::uint64_t, Wait> m_waits;
   net::Timer m_timer;
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -80,7 +80,13 @@
   m_source = result.m_source;
   for (const net::FeedRow& row : result.m_rows) {
     const auto own = m_rows.find(row.m_key);
-    if (own != m_rows.end() && own->second.m_version < row.m_version) {
+    if (own == m_rows.end()) {
+      continue;
+    }
+    // A row of the same version may have been damaged on its way here.
+    const bool is_other = own->second.m_version == row.m_version &&
+                          own->second.m_value != row.m_value;
+    if (own->second.m_version < row.m_version || is_other) {
       Retain(row);
       HandleRow(row);
     }
@@ -164,6 +170,7 @@
   } else {
     m_rows[row.m_key] = row;
   }
+  ++m_updates;
   m_events.m_on_row(row);
 }
 
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -10,6 +10,7 @@
 
 #include <ev.h>
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -73,6 +74,9 @@
   const Endpoint& Source() const { return m_source; }
   /// @return the version of the newest change that the copy includes.
   net::FeedVersion Version() const { return m_version; }
+  /// @return number of rows that were read, changed or removed; rows from
+  /// copies of other instances change them without a new version.
+  std::uint64_t Updates() const { return m_updates; }
   /// @return true when all changes after a version are retained.
   bool Retains(net::FeedVersion after) const {
     return after >= m_changes_after;
@@ -86,8 +90,9 @@
   /// earlier one in progress. Called when the platform responds again.
   void RetryIfLost();
   /// Reads the rows of another instance that has newer ones, and takes over
-  /// those. The copy is not confirmed by them, and rows are neither added nor
-  /// removed. Called when the responses of the source are known to be older.
+  /// those, and those of the same version that differ. The copy is not
+  /// confirmed by them, and rows are neither added nor removed. Called when the
+  /// rows here are known to be older.
   void RequestCopy();
   /// Sets the maximum backoff, for example according to the size of the fleet.
   void SetMaxBackoff(Duration max_backoff) {
@@ -118,6 +123,7 @@
   net::Timer m_timer;
   bool m_loaded = false;
   net::FeedVersion m_version;
+  std::uint64_t m_updates = 0;
   std::map<std::string, net::FeedRow> m_rows;
   /// The newest change of each row that changed, ordered by version. The values
   /// are in m_rows.
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -393,6 +393,26 @@
   EXPECT_EQ(m_result->m_rows.size(), 1U);
 }
 
+// Failure: after a row from a copy, whose version was not a new one for the
+// table, followers got the response packed before.
+TEST_F(PeerFeedTest, SendsRowsThatCameFromACopy) {
+  RequestChanges(4);
+  RunUntil([this] { return m_result.has_value(); });
+  ASSERT_TRUE(m_result);
+  m_follower->RequestCopy();
+  m_feed.m_copies.front()({FeedStatus::kDone,
+                           {{"a", "newer", FeedVersion(5), false}},
+                           FeedVersion(5),
+                           "",
+                           {}});
+  m_result.reset();
+  RequestChanges(4);
+  RunUntil([this] { return m_result.has_value(); });
+  ASSERT_TRUE(m_result);
+  ASSERT_EQ(m_result->m_rows.size(), 1U);
+  EXPECT_EQ(m_result->m_rows[0].m_value, "newer");
+}
+
 TEST_F(PeerFeedTest, ReadsTheWholeTableFromAReaderWhenThePlatformRefuses) {
   m_peer.m_read_all("table", milliseconds(600), [this](net::FeedResult result) {
     m_result = std::move(result);
