Do not take an older response for a confirmation or an older copy for the table

- A response of the platform with a lower version than one before renewed the proof.
It confirms nothing now; the whole table is read again, also after the platform went back.
- A whole table of a reader that was older than the one here ended the search, though the next reader had a newer one.
It is skipped.
- A row of a whole copy replaced a newer one at the same version of the table.

--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -20,6 +20,7 @@
 using net::BootTime;
 using net::FeedResult;
 using net::FeedStatus;
+using net::FeedVersion;
 using net::Log;
 using net::LogLevel;
 using net::ToHex;
@@ -109,6 +110,7 @@
     request->m_table = table;
     request->m_timeout = timeout;
     request->m_callback = callback;
+    request->m_reads_all = true;
     request->m_store_tried = true;
     if (!MayCallStore()) {
       TryNext(request, Withheld());
@@ -118,6 +120,10 @@
         table, timeout, [request, weak = weak_from_this()](FeedResult result) {
           const auto self = weak.lock();
           if (result.m_status == FeedStatus::kDone || self == nullptr) {
+            if (self != nullptr) {
+              // Lower than before when the platform itself went back.
+              self->m_versions[request->m_table] = result.m_version;
+            }
             request->m_callback(std::move(result));
             return;
           }
@@ -153,6 +159,7 @@
     bool m_store_tried = false;
     /// The sources are the instances with a newer configuration.
     bool m_from_newer = false;
+    bool m_reads_all = false;  ///< The whole table is wanted.
   };
   using RequestPtr = std::shared_ptr<Request>;
 
@@ -295,6 +302,15 @@
           const Wait done = std::move(m_waits.at(number));
           m_waits.erase(number);
           FeedResult result = Read(response, nonce, requested_at);
+          if (IsOlderCopy(*done.m_request, result)) {
+            // The reader is sound, and another one may have a newer copy.
+            TryNext(request, {FeedStatus::kUnknown,
+                              {},
+                              {},
+                              "the copy of another instance is older",
+                              {}});
+            return;
+          }
           if (result.m_status == FeedStatus::kDone && without_wait &&
               !IsNewer(request->m_table, result)) {
             // Not a failure of the reader. It did not delay the request, so
@@ -316,8 +332,10 @@
 
   void HandleResponse(const Wait& done, FeedResult result) {
     if (result.m_status == FeedStatus::kDone) {
-      m_backoffs.erase(done.m_reader);
-      NoteConfirmed(done.m_request->m_table, result);
+      if (!done.m_request->m_from_newer) {
+        m_backoffs.erase(done.m_reader);
+        NoteConfirmed(done.m_request->m_table, result);
+      }
       result.m_source = done.m_reader;
       done.m_request->m_callback(std::move(result));
       return;
@@ -367,7 +385,17 @@
     }
   }
 
+  /// @return true for a whole table that is older than the one here.
+  bool IsOlderCopy(const Request& request, const FeedResult& result) {
+    const bool is_whole = result.m_is_whole || request.m_reads_all;
+    return result.m_status == FeedStatus::kDone && is_whole &&
+           !request.m_from_newer &&
+           result.m_version < m_versions[request.m_table];
+  }
+
   void NoteConfirmed(const std::string& table, const FeedResult& result) {
+    FeedVersion& version = m_versions[table];
+    version = std::max(version, result.m_version);
     TimePoint& newest = m_confirmed_at[table];
     newest = std::max(newest, result.m_confirmed_at.value_or(newest));
   }
@@ -432,6 +460,8 @@
   std::map<Endpoint, Backoff> m_backoffs;
   /// Latest confirmation of each table that was received.
   std::map<std::string, TimePoint> m_confirmed_at;
+  /// Highest version of each table that was received.
+  std::map<std::string, FeedVersion> m_versions;
   std::uint64_t m_copy_requests = 0;
   std::uint64_t m_last_wait = 0;
   std::map<std::uint64_t, Wait> m_waits;
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -3,8 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "libnet/log.h"
+
 namespace nutmeghollow {
 
+using net::Log;
+using net::LogLevel;
+
 namespace {
 
 /// Maximum number of doublings of the backoff.
@@ -107,8 +112,13 @@
   m_source = result.m_source;
   std::map<std::string, net::FeedRow> missing = m_rows;
   for (const net::FeedRow& row : result.m_rows) {
+    const auto own = missing.find(row.m_key);
+    const bool is_older = !result.m_source.empty() && own != missing.end() &&
+                          row.m_version < own->second.m_version;
     missing.erase(row.m_key);
-    HandleRow(row);
+    if (!is_older) {
+      HandleRow(row);
+    }
   }
   for (const auto& [key, row] : missing) {
     HandleRow({key, "", result.m_version, true});
@@ -135,6 +145,16 @@
     HandleAllRows(result, requested_at);
     return;
   }
+  if (result.m_source.empty() && result.m_version < m_version) {
+    // The platform's version went back, or the response is an old one.
+    Log(LogLevel::kWarning, "table_version_went_back",
+        {{"table", m_options.m_table},
+         {"version", static_cast<std::int64_t>(result.m_version.value())},
+         {"before", static_cast<std::int64_t>(m_version.value())}});
+    m_loaded = false;
+    SendRequest();
+    return;
+  }
   HandleSuccess();
   m_source = result.m_source;
   for (const net::FeedRow& row : result.m_rows) {
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -216,6 +216,27 @@
   EXPECT_EQ(m_feed.m_waits, 2) << "the request in progress stays";
 }
 
+TEST_F(TableFollowerTest, KeepsARowThatIsNewerThanInACopyOfAnotherInstance) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 5)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.RespondWithCopy(5, {Row("a", 3), Row("b", 4)});
+  EXPECT_EQ(m_seen, "+a +b ");
+}
+
+// Failure: a response of the platform that was older than the copy renewed its
+// proof.
+TEST_F(TableFollowerTest, ReadsAllAgainWhenTheVersionWentBack) {
+  m_feed.Respond(FeedStatus::kDone, 9, {Row("a", 9)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.Respond(FeedStatus::kDone, 4);
+  EXPECT_EQ(m_confirmations, 1);
+  EXPECT_EQ(m_feed.m_reads, 2);
+  m_feed.Respond(FeedStatus::kDone, 4, {Row("a", 3)});
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  EXPECT_EQ(m_confirmations, 2);
+  EXPECT_EQ(m_feed.m_after, FeedVersion(4));
+}
+
 TEST_F(TableFollowerTest, RetriesAfterAFailureAndReportsIt) {
   m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 3)});
   RunFor(milliseconds(5));
@@ -426,6 +447,29 @@
   EXPECT_EQ(m_result->m_rows.size(), 1U);
 }
 
+// Failure: an older copy of the first reader ended the search for a newer one.
+TEST_F(PeerFeedTest, DoesNotReadAnOlderWholeTable) {
+  RequestChanges(5);
+  m_feed.Respond(FeedStatus::kDone, 6, {Row("b", 6)});
+  m_server->RespondToPending("table");
+  RunUntil([this] { return m_result.has_value(); });
+  ASSERT_TRUE(m_result);
+  m_readers.clear();
+  m_result.reset();
+  RequestChanges(6);
+  m_direct.Respond(FeedStatus::kDone, 9);
+  ASSERT_TRUE(m_result);
+  m_readers = {Endpoint("127.0.0.1:" + std::to_string(m_http_server->Port()))};
+  m_result.reset();
+  m_peer.m_read_all("table", milliseconds(600), [this](net::FeedResult result) {
+    m_result = std::move(result);
+  });
+  m_direct.Respond(FeedStatus::kRejected);
+  RunUntil([this] { return m_result.has_value(); });
+  ASSERT_TRUE(m_result);
+  EXPECT_NE(m_result->m_status, FeedStatus::kDone);
+}
+
 TEST_F(PeerFeedTest, ReportsTheFailureOfAWholeReadWhenThereIsNoReader) {
   m_readers.clear();
   m_peer.m_read_all("table", milliseconds(600), [this](net::FeedResult result) {
