Keep a token that moved to another customer when a configuration is applied whole

Chats of a customer got 401 'Unknown token' at an instance that had taken the whole configuration after a token had moved to a customer that sorts before its former one: applying the former one erased the token from the index. It lasted until the customer was written again; instances that applied the changes one by one were not affected.

The unit test fails without the change.

--- a/src/libnutmeg/configuration_apply.cpp
+++ b/src/libnutmeg/configuration_apply.cpp
@@ -14,8 +14,12 @@
   auto& by_token = world.m_configuration.m_customers_by_token;
   auto found = world.m_customers.find(customer);
   if (found != world.m_customers.end()) {
+    // A token may already belong to a customer that was applied before.
     for (const std::string& digest : found->second.m_token_digests) {
-      by_token.erase(digest);
+      const auto owner = by_token.find(digest);
+      if (owner != by_token.end() && owner->second == customer) {
+        by_token.erase(owner);
+      }
     }
   }
   if (row == nullptr) {
--- a/src/libnutmeg/configuration_system_test.cpp
+++ b/src/libnutmeg/configuration_system_test.cpp
@@ -145,6 +145,34 @@
   EXPECT_EQ(row.m_slow_start_since, later);
 }
 
+// Failure: after a token had moved from b to a, an instance that applied the
+// whole configuration, a before b, answered 401 to it.
+TEST(ApplyTransfer, KeepsATokenThatMovedToAnEarlierCustomer) {
+  const auto customer = [](int revision, const char* id, char digit) {
+    return ConfigurationChange{
+        Revision(revision),
+        {ObjectKind::kCustomer, id},
+        R"({"token_digests":[")" + std::string(64, digit) + R"("]})"};
+  };
+  World world;
+  ApplyTransfer(world,
+                {Revision(11),
+                 true,
+                 {},
+                 {customer(10, "a", '1'), customer(11, "b", '2')}},
+                TimePoint{});
+  ApplyTransfer(world,
+                {Revision(13),
+                 true,
+                 {},
+                 {customer(12, "a", '2'), customer(13, "b", '3')}},
+                TimePoint{});
+  const auto& by_token = world.m_configuration.m_customers_by_token;
+  ASSERT_TRUE(by_token.contains(std::string(64, '2')));
+  EXPECT_EQ(by_token.at(std::string(64, '2')), CustomerId("a"));
+  EXPECT_FALSE(by_token.contains(std::string(64, '1')));
+}
+
 TEST(MakeTransfer, ReturnsTheChangesWhileTheyAreRetained) {
   World world;
   world.m_configuration_state.m_parameters.m_recent_change_limit = 3;
