Close connections without a request when others wait at the limit

Cause: at its limit libmicrohttpd accepts nobody until a connection ends, and only inactivity for 120 s ended one.

The server now keeps its connections without a whole request in the order of the time since when. If others wait to be accepted at the limit, it closes the first sixteenth of them. Bytes that arrive do not prolong the time, so that they cannot be used to stay. Requests in progress are kept, and below the limit nothing changes. A new caller whose request comes at once is far from the first.

HttpServerAtItsLimit does not end without the change (3 of 3 cases) and passes with it.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <list>
 #include <stdexcept>
 #include <unordered_set>
 #include <utility>
@@ -14,6 +15,7 @@
 
 #include "libnet/event_loop.h"
 #include "libnet/http_exchange.h"
+#include "libnet/log.h"
 #include "libnet/socket_address.h"
 
 namespace nutmeghollow::net {
@@ -31,8 +33,21 @@
 /// accepts several, and the system queues about a thousand.
 constexpr int kMaxAcceptPasses = 256;
 
+/// At the limit, one connection in so many is closed at once, so that a crowd
+/// that waits to be accepted takes few wake-ups of the event loop.
+constexpr int kConnectionsPerRoom = 16;
+
 constexpr const char* kNoMemory = "no memory for the request body";
 
+/// A connection of a caller, stored as the socket context of libmicrohttpd.
+struct CallerConnection {
+  int m_descriptor = -1;
+  bool m_closing = false;  ///< It was shut down to make room.
+  /// In the list of waiting connections, unless m_waits is false.
+  std::list<CallerConnection*>::iterator m_position;
+  bool m_waits = false;
+};
+
 /// State that libmicrohttpd stores for a request: its target until the header
 /// has been read, and then the exchange, which takes over the target.
 struct RequestState {
@@ -47,6 +62,13 @@
   return new RequestState{target, nullptr};
 }
 
+CallerConnection* ConnectionOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return info == nullptr ? nullptr
+                         : static_cast<CallerConnection*>(info->socket_context);
+}
+
 /// @return the value of Content-Length, or 0 when it is absent or invalid.
 std::int64_t DeclaredLength(const HttpRequest& request) {
   const std::string text = HeaderValue(request.m_headers, "content-length");
@@ -82,6 +104,10 @@
                              const char* upload_data,
                              std::size_t* upload_size,
                              void** state);
+  static void OnConnection(void* server,
+                           MHD_Connection* connection,
+                           void** context,
+                           MHD_ConnectionNotificationCode code);
   static void OnCompleted(void* server,
                           MHD_Connection* connection,
                           void** state,
@@ -91,12 +117,19 @@
                           const char* method,
                           const char* version,
                           RequestState& state);
-  MHD_Result ContinueRequest(const ExchangeHandle& exchange,
+  MHD_Result ContinueRequest(MHD_Connection* connection,
+                             const ExchangeHandle& exchange,
                              const char* upload_data,
                              std::size_t* upload_size);
   void Run();
   void CheckSuspended();
   void ResumeYielded();
+  /// Notes that a connection has no whole request, from now on.
+  void StartWaiting(CallerConnection* connection);
+  void StopWaiting(CallerConnection* connection);
+  /// At the limit of connections, closes those that have been without a whole
+  /// request for longest if others wait to be accepted.
+  void MakeRoom();
 
   std::shared_ptr<HttpServerState> m_server_state;
   HttpHandler m_handler;
@@ -104,6 +137,9 @@
   int m_listen_descriptor = -1;
   int m_port = 0;
   std::unordered_set<MhdExchange*> m_exchanges;
+  /// Connections without a whole request, in the order of the time since when.
+  std::list<CallerConnection*> m_waiting;
+  int m_closing = 0;  ///< Connections that were shut down and are still open.
   std::unique_ptr<DescriptorWatcher> m_epoll_watcher;
   std::unique_ptr<PrepareWatcher> m_prepare_watcher;
   std::unique_ptr<Timer> m_disconnect_check_timer;
@@ -134,6 +170,7 @@
       &Impl::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listen_descriptor,
       MHD_OPTION_URI_LOG_CALLBACK, &CreateRequestState, nullptr,
       MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
+      MHD_OPTION_NOTIFY_CONNECTION, &Impl::OnConnection, this,
       MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned int>(options.m_connection_limit),
       MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
@@ -224,7 +261,7 @@
   }
   // A copy, because the handler may end the request during the call.
   const ExchangeHandle exchange = request.m_exchange;
-  return self->ContinueRequest(exchange, upload_data, upload_size);
+  return self->ContinueRequest(connection, exchange, upload_data, upload_size);
 }
 
 MHD_Result HttpServer::Impl::StartRequest(MHD_Connection* connection,
@@ -266,7 +303,8 @@
   return MHD_YES;
 }
 
-MHD_Result HttpServer::Impl::ContinueRequest(const ExchangeHandle& exchange,
+MHD_Result HttpServer::Impl::ContinueRequest(MHD_Connection* connection,
+                                             const ExchangeHandle& exchange,
                                              const char* upload_data,
                                              std::size_t* upload_size) {
   if (*upload_size > 0) {
@@ -291,14 +329,75 @@
   }
   if (!exchange->m_dispatched) {
     exchange->m_dispatched = true;
+    StopWaiting(ConnectionOf(connection));
     exchange->CompleteBody();
     m_handler(exchange);
   }
   return exchange->QueueOrSuspend();
 }
 
+void HttpServer::Impl::OnConnection(void* server,
+                                    MHD_Connection* connection,
+                                    void** context,
+                                    MHD_ConnectionNotificationCode code) {
+  auto* self = static_cast<Impl*>(server);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    auto started = std::make_unique<CallerConnection>();
+    started->m_descriptor =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    self->StartWaiting(started.get());
+    *context = started.release();
+    return;
+  }
+  const std::unique_ptr<CallerConnection> closed(
+      static_cast<CallerConnection*>(std::exchange(*context, nullptr)));
+  self->StopWaiting(closed.get());
+  if (closed->m_closing) {
+    --self->m_closing;
+    // libmicrohttpd accepts others with its next run.
+    self->m_server_state->m_needs_run = true;
+  }
+}
+
+void HttpServer::Impl::StartWaiting(CallerConnection* connection) {
+  if (!connection->m_waits && !connection->m_closing) {
+    connection->m_waits = true;
+    connection->m_position = m_waiting.insert(m_waiting.end(), connection);
+  }
+}
+
+void HttpServer::Impl::StopWaiting(CallerConnection* connection) {
+  if (std::exchange(connection->m_waits, false)) {
+    m_waiting.erase(connection->m_position);
+  }
+}
+
+void HttpServer::Impl::MakeRoom() {
+  const int limit = m_server_state->m_options.m_connection_limit;
+  pollfd listener{m_listen_descriptor, POLLIN, 0};
+  if (m_listen_descriptor < 0 || Connections() - m_closing < limit ||
+      poll(&listener, 1, 0) <= 0) {
+    return;
+  }
+  int closed = 0;
+  for (const int room = std::max(1, limit / kConnectionsPerRoom);
+       closed < room && !m_waiting.empty(); ++closed) {
+    CallerConnection* connection = m_waiting.front();
+    StopWaiting(connection);
+    connection->m_closing = true;
+    // libmicrohttpd reads the end of the connection and closes it.
+    shutdown(connection->m_descriptor, SHUT_RDWR);
+  }
+  m_closing += closed;
+  Log(LogLevel::kWarning, "connections_closed",
+      {{"reason", std::string("at the limit, without a whole request")},
+       {"closed", static_cast<std::int64_t>(closed)},
+       {"limit", static_cast<std::int64_t>(limit)}});
+}
+
 void HttpServer::Impl::OnCompleted(void* server,
-                                   MHD_Connection* /*connection*/,
+                                   MHD_Connection* connection,
                                    void** state,
                                    MHD_RequestTerminationCode code) {
   if (*state == nullptr) {
@@ -310,7 +409,11 @@
   if (exchange == nullptr) {
     return;  // Ended before its header was complete.
   }
-  static_cast<Impl*>(server)->m_exchanges.erase(exchange.get());
+  auto* self = static_cast<Impl*>(server);
+  self->m_exchanges.erase(exchange.get());
+  CallerConnection* caller = ConnectionOf(connection);
+  self->StopWaiting(caller);
+  self->StartWaiting(caller);
   exchange->Detach(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
@@ -322,6 +425,7 @@
     const bool more =
         MHD_get_timeout(m_daemon, &timeout) == MHD_YES && timeout == 0;
     if (!more && !m_server_state->m_needs_run) {
+      MakeRoom();
       if (m_server_state->m_has_yielded) {
         m_next_run_timer->Start(Duration(0));
       }
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "libnet/event_loop.h"
 #include "libnet/socket_address.h"
@@ -17,6 +18,8 @@
 
 constexpr std::int64_t kBodyLimit = 1000;
 constexpr std::int64_t kDiscardLimit = 20'000;
+/// With room for one connection made at once.
+constexpr int kConnectionLimit = 8;
 /// More than the buffers of the system hold.
 constexpr std::size_t kLargeBodyBytes = 30 << 20;
 
@@ -31,6 +34,7 @@
     options.m_body_memory = m_body_memory;
     options.m_header_limit = Bytes(4096);
     options.m_stream_high_water = Bytes(1024);
+    options.m_connection_limit = kConnectionLimit;
     m_server = std::make_unique<HttpServer>(
         m_loop, Endpoint("127.0.0.1:0"), options,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -284,6 +288,77 @@
   EXPECT_EQ(server.m_body_memory->Reserved(), 0U);
 }
 
+struct WaitingCase {
+  const char* m_name;
+  std::string m_sent;           ///< On each connection.
+  std::size_t m_open_requests;  ///< After the first one has been closed.
+};
+
+class HttpServerAtItsLimit : public testing::TestWithParam<WaitingCase> {
+ protected:
+  void RunFor(Duration duration) {
+    Timer limit(m_server.m_loop,
+                [this] { ev_break(m_server.m_loop, EVBREAK_ALL); });
+    limit.Start(duration);
+    ev_run(m_server.m_loop, 0);
+  }
+
+  int ConnectAndSend(const std::string& text) {
+    const int descriptor = m_server.Connect();
+    send(descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+    RunFor(std::chrono::milliseconds(10));
+    return descriptor;
+  }
+
+  TestServer m_server;
+};
+
+// Guards against callers that take all connections and send no whole request,
+// so that others are not served. A request in progress is kept.
+TEST_P(HttpServerAtItsLimit, ClosesTheOneWithoutARequestForLongest) {
+  const int busy = ConnectAndSend(Get("/never"));
+  std::vector<int> waiting;
+  for (int count = 1; count < kConnectionLimit; ++count) {
+    waiting.push_back(ConnectAndSend(GetParam().m_sent));
+  }
+  EXPECT_EQ(m_server.RoundTrip(Get("/now")).substr(0, 12), "HTTP/1.1 200");
+  char byte = 0;
+  EXPECT_EQ(recv(waiting.front(), &byte, 1, MSG_DONTWAIT), 0);
+  for (std::size_t index = 1; index < waiting.size(); ++index) {
+    EXPECT_EQ(recv(waiting[index], &byte, 1, MSG_DONTWAIT), -1) << index;
+  }
+  EXPECT_EQ(recv(busy, &byte, 1, MSG_DONTWAIT), -1);
+  EXPECT_EQ(m_server.OpenRequests(), GetParam().m_open_requests);
+  close(busy);
+  for (const int descriptor : waiting) {
+    close(descriptor);
+  }
+}
+
+// Guards against connections that are closed while there is room.
+TEST_P(HttpServerAtItsLimit, KeepsAllUntilOthersWait) {
+  std::vector<int> waiting;
+  for (int count = 0; count < kConnectionLimit; ++count) {
+    waiting.push_back(ConnectAndSend(GetParam().m_sent));
+  }
+  RunFor(std::chrono::milliseconds(600));
+  char byte = 0;
+  for (const int descriptor : waiting) {
+    EXPECT_EQ(recv(descriptor, &byte, 1, MSG_DONTWAIT), -1);
+    close(descriptor);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    HttpServerAtItsLimit,
+    testing::Values(
+        WaitingCase{"Nothing", "", 1},
+        WaitingCase{"PartOfAHead", "GET /now HTTP/1.1\r\nHost: x\r\n", 1},
+        WaitingCase{"PartOfABody", Post(20).substr(0, Post(20).size() - 1),
+                    kConnectionLimit - 1}),
+    [](const auto& test) { return test.param.m_name; });
+
 TEST(HttpServer, StopsAWriterAtTheHighWaterMark) {
   TestServer server;
   server.RoundTrip(Get("/stream"));
