--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -180,12 +180,14 @@
                  data_centres=(("dc-a", "region-1"), ("dc-b", "region-1"),
                                ("dc-c", "region-1")),
                  proxy=False, delay_us=0, settings="", engine_flags=(),
-                 service_flags=(), policy="bounded", models=("model-a",)):
+                 service_flags=(), policy="bounded", models=("model-a",),
+                 instance_settings=""):
         self.m_build = os.path.abspath(build)
         self.m_folder = os.path.join(self.m_build, "testsuite", name)
         self.m_proxied = proxy
         self.m_delay_us = delay_us
         self.m_settings = settings
+        self.m_instance_settings = instance_settings
         self.m_policy = policy
         self.m_models = models
         self.m_engine_flags = list(engine_flags)
@@ -331,6 +333,7 @@
 peer_address = "{instance.m_peer_address}"
 advertised_caller_address = "{instance.m_advertised_address}"
 advertised_peer_address = "{instance.m_advertised_peer_address}"
+{self.m_instance_settings}
 
 [fleet]
 key_file = "{self.m_key_file}"
