Bound the memory of request bodies of chats' callers

An instance that serves chats stored every body up to body_limit_bytes, for as many connections as came, before it read whose request it was: 200 callers that stop just before the end of 1 MiB brought it to 250 MiB. Cause: BodyMemory was given to the HTTP servers of a gateway only.

The callers' server now has the same budget, body_memory_share of memory_mb or of the machine's memory, with the gauges nutmeg_body_bytes and nutmeg_body_refusals.

--- a/src/nutmegd/caller_api.cpp
+++ b/src/nutmegd/caller_api.cpp
@@ -19,6 +19,10 @@
 constexpr std::string_view kServicePrefix = "/v1/services/";
 /// Maximum length of an idempotency key, in bytes.
 constexpr std::size_t kMaxKeyLength = 255;
+constexpr int kStatusUnavailable = 503;
+/// Retry-After of requests that the HTTP server itself refuses. Memory is free
+/// again when upstreams have responded to the requests that hold it.
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
 std::string PercentEncode(std::string_view text, std::string_view unescaped) {
   std::string encoded;
@@ -486,6 +490,11 @@
                                                     const std::string& detail) {
   Problem problem =
       RequestProblem(status, "bad-request", "Bad request", detail);
+  if (status == kStatusUnavailable) {
+    problem.m_type = "unavailable";
+    problem.m_title = "Unavailable";
+    problem.m_retry_after = kRetryAfter;
+  }
   return {ProblemHeaders(problem), ProblemBody(problem, PublicRequestId())};
 }
 
--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -28,7 +28,9 @@
 #include "nutmegd/digest.h"
 #include "nutmegd/operator_views.h"
 #include "nutmegd/peer_link.h"
+#include "nutmegd/request_bodies.h"
 #include "nutmegd/world_metrics.h"
+#include "nutmeghollow/body_memory.h"
 #include "nutmeghollow/check.h"
 #include "nutmeghollow/metrics.h"
 #include "nutmeghollow/placement.h"
@@ -51,12 +53,15 @@
 /// direction.
 constexpr std::uint64_t kHeaderBytes = 240;
 
-net::HttpServerOptions CallerServerOptions(const Settings& settings) {
+net::HttpServerOptions CallerServerOptions(
+    const Settings& settings,
+    const std::shared_ptr<BodyMemory>& body_memory) {
   net::HttpServerOptions options;
   options.m_body_limit = settings.m_callers.m_body_limit;
   options.m_header_limit = settings.m_callers.m_header_limit;
   options.m_stream_high_water = settings.m_callers.m_stream_buffer;
   options.m_connection_limit = settings.m_callers.m_connection_limit;
+  options.m_body_memory = body_memory;
   options.m_error_hook = CallerApi::MakeErrorResponse;
   return options;
 }
@@ -183,6 +188,8 @@
   std::uint64_t m_last_claim_command = 0;
 
   std::unique_ptr<PeerLink> m_peers;
+  const std::shared_ptr<BodyMemory> m_caller_body_memory =
+      std::make_shared<BodyMemory>();
   net::HttpServer m_caller_server;
   net::HttpServer m_operator_server;
   net::SignalWatcher m_terminate;
@@ -231,7 +238,7 @@
       m_caller_server(
           loop,
           settings.m_instance.m_caller_address,
-          CallerServerOptions(settings),
+          CallerServerOptions(settings, m_caller_body_memory),
           [this](const std::shared_ptr<net::HttpExchange>& exchange) {
             m_caller_api.Handle(exchange);
           }),
@@ -259,6 +266,7 @@
   SetCheckHandler(LogCheckFailure);
   SetUpWorld();
   RegisterWorldMetrics(&m_metrics, &m_world);
+  SetUpBodyMemory(m_caller_body_memory, &m_metrics, "nutmeg", m_settings);
   m_peers = std::make_unique<PeerLink>(loop, m_settings, &m_world,
                                        [this] { ScheduleTick(); });
   m_tick_timer.StartRepeating(kTickPeriod);
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -335,7 +335,8 @@
   metrics.SetGauge("nutmeg_gateway_crash_suspects", "", [this] {
     return static_cast<double>(m_crash_detector.Suspects().size());
   });
-  SetUpBodyMemory(&m_state, m_settings);
+  SetUpBodyMemory(m_state.m_body_memory, &metrics, "nutmeg_gateway",
+                  m_settings);
   m_fleet.RegisterGauges(&metrics);
 }
 
--- a/src/nutmegd/request_bodies.cpp
+++ b/src/nutmegd/request_bodies.cpp
@@ -54,18 +54,20 @@
 
 }  // namespace
 
-void SetUpBodyMemory(GatewayState* state, const Settings& settings) {
+void SetUpBodyMemory(const std::shared_ptr<BodyMemory>& memory,
+                     MetricsRegistry* metrics,
+                     const std::string& prefix,
+                     const Settings& settings) {
   mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
   BodyMemoryParameters parameters;
   parameters.m_total =
       static_cast<std::size_t>(static_cast<double>(MemoryOf(settings)) *
                                settings.m_callers.m_body_memory_share);
-  const std::shared_ptr<BodyMemory> memory = state->m_body_memory;
   memory->SetParameters(parameters);
-  state->m_metrics.SetGauge("nutmeg_gateway_body_bytes", "", [memory] {
+  metrics->SetGauge(prefix + "_body_bytes", "", [memory] {
     return static_cast<double>(memory->Reserved());
   });
-  state->m_metrics.SetGauge("nutmeg_gateway_body_refusals", "", [memory] {
+  metrics->SetGauge(prefix + "_body_refusals", "", [memory] {
     return static_cast<double>(memory->Refused() + memory->Dropped());
   });
 }
--- a/src/nutmegd/request_bodies.h
+++ b/src/nutmegd/request_bodies.h
@@ -2,8 +2,14 @@
 /// Limits on the request bodies of callers and of other instances.
 #pragma once
 
+#include <memory>
+#include <string>
+
 #include "libnet/http_server.h"
 #include "nutmegd/gateway_state.h"
+#include "nutmegd/settings.h"
+#include "nutmeghollow/body_memory.h"
+#include "nutmeghollow/metrics.h"
 
 namespace nutmeghollow {
 
@@ -13,7 +19,11 @@
 
 /// Sets the budget for bodies from the settings and the machine's memory,
 /// registers its gauges, and lets the system take freed bodies back.
-void SetUpBodyMemory(GatewayState* state, const Settings& settings);
+/// @param prefix of the gauges' names, such as "nutmeg_gateway".
+void SetUpBodyMemory(const std::shared_ptr<BodyMemory>& memory,
+                     MetricsRegistry* metrics,
+                     const std::string& prefix,
+                     const Settings& settings);
 
 /// @param per_connection memory of one connection.
 /// @return connections that the descriptors and the memory of the process allow
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -115,8 +115,8 @@
   Duration m_request_timeout = std::chrono::seconds(600);
   /// connection_limit: maximum number of open connections of callers.
   int m_connection_limit = 20000;
-  /// body_memory_share: share of the instance's memory for request bodies, in a
-  /// gateway. The default is 56 MB on the smallest machine (160 MB): over 500
+  /// body_memory_share: share of the instance's memory for request bodies of
+  /// callers. The default is 56 MB on the smallest machine (160 MB): over 500
   /// bodies of 72,000 bytes, the largest of usual callers.
   double m_body_memory_share = 0.35;
 };
