Bound the memory of request bodies at the operators' address of chats

The operators' server of a chats' instance stored every body up to 8 MiB, from any number of connections, before it asked for a token: 40 clients with bodies far over that limit brought the process to 345 MiB, 200 with 1 MiB to 261. Cause: as for the callers, the server had no budget.

It now has one of 12 MiB, apart from that of callers, so that a crowd of callers does not keep operators out. One body of 8 MiB fits.

--- a/src/nutmegd/daemon.cpp
+++ b/src/nutmegd/daemon.cpp
@@ -244,7 +244,7 @@
           }),
       m_operator_server(loop,
                         settings.m_instance.m_operator_address,
-                        {},
+                        WithOperatorBodies({}),
                         [this](std::shared_ptr<net::HttpExchange> exchange) {
                           m_operator_api.Handle(std::move(exchange));
                         }),
--- a/src/nutmegd/request_bodies.cpp
+++ b/src/nutmegd/request_bodies.cpp
@@ -27,6 +27,9 @@
 constexpr int kMmapThreshold = 128 << 10;
 /// Used when neither the settings nor the machine state the memory.
 constexpr std::int64_t kSmallestMachineBytes = 160'000'000;
+/// Budget for operators' bodies. Three quarters of it are open to large bodies:
+/// one of the default limit, 8 MiB, fits.
+constexpr std::size_t kOperatorBodyBytes = 12 << 20;
 /// Share of the memory that the connections of callers may use.
 constexpr double kConnectionMemoryShare = 0.25;
 /// Descriptors for servers, other instances and the platform.
@@ -72,6 +75,13 @@
   });
 }
 
+net::HttpServerOptions WithOperatorBodies(net::HttpServerOptions options) {
+  BodyMemoryParameters parameters;
+  parameters.m_total = kOperatorBodyBytes;
+  options.m_body_memory = std::make_shared<BodyMemory>(parameters);
+  return options;
+}
+
 int CallerConnectionLimit(const Settings& settings, Bytes per_connection) {
   auto limit = static_cast<std::int64_t>(
       static_cast<double>(MemoryOf(settings)) * kConnectionMemoryShare /
--- a/src/nutmegd/request_bodies.h
+++ b/src/nutmegd/request_bodies.h
@@ -25,6 +25,10 @@
                      const std::string& prefix,
                      const Settings& settings);
 
+/// Options of the operators' server of a chats' instance. Its bodies have a
+/// budget of their own, so that callers cannot use up that of operators.
+net::HttpServerOptions WithOperatorBodies(net::HttpServerOptions options);
+
 /// @param per_connection memory of one connection.
 /// @return connections that the descriptors and the memory of the process allow
 /// to callers.
--- a/src/nutmegd/request_bodies_test.cpp
+++ b/src/nutmegd/request_bodies_test.cpp
@@ -26,6 +26,20 @@
   EXPECT_NE(text.find("nutmeg_body_refusals 0"), std::string::npos) << text;
 }
 
+// Guards against a budget that refuses a single body within the limit, and
+// against one that lets callers without a token fill the memory.
+TEST(RequestBodies, OperatorsHaveMemoryForOneBodyOfTheLimit) {
+  const net::HttpServerOptions options = WithOperatorBodies({});
+  ASSERT_NE(options.m_body_memory, nullptr);
+  BodyMemory& memory = *options.m_body_memory;
+  const auto limit = static_cast<std::size_t>(options.m_body_limit.value());
+  const BodyId first = memory.Open([] {}, TimePoint());
+  EXPECT_TRUE(memory.Reserve(first, limit, TimePoint()));
+  memory.Complete(first);
+  const BodyId second = memory.Open([] {}, TimePoint());
+  EXPECT_FALSE(memory.Reserve(second, limit, TimePoint()));
+}
+
 // Guards against a refusal for lack of memory that looks like a fault of the
 // request, or that does not state that the request has not run.
 TEST(RequestBodies, ChatCallersAreToldThatTheRequestDidNotRun) {
