--- a/src/nutmegd/request_bodies.cpp
+++ b/src/nutmegd/request_bodies.cpp
@@ -27,6 +27,9 @@
 constexpr int kMmapThreshold = 128 << 10;
 /// Used when neither the settings nor the machine state the memory.
 constexpr std::int64_t kSmallestMachineBytes = 160'000'000;
+/// Budget for operators' bodies. Three quarters of it are open to large bodies:
+/// one of the default limit, 8 MiB, fits.
+constexpr std::size_t kOperatorBodyBytes = 12 << 20;
 /// Share of the memory that the connections of callers may use.
 constexpr double kConnectionMemoryShare = 0.25;
 /// Descriptors for servers, other instances and the platform.
@@ -54,22 +57,31 @@
 
 }  // namespace
 
-void SetUpBodyMemory(GatewayState* state, const Settings& settings) {
+void SetUpBodyMemory(const std::shared_ptr<BodyMemory>& memory,
+                     MetricsRegistry* metrics,
+                     const std::string& prefix,
+                     const Settings& settings) {
   mallopt(M_MMAP_THRESHOLD, kMmapThreshold);
   BodyMemoryParameters parameters;
   parameters.m_total =
       static_cast<std::size_t>(static_cast<double>(MemoryOf(settings)) *
                                settings.m_callers.m_body_memory_share);
-  const std::shared_ptr<BodyMemory> memory = state->m_body_memory;
   memory->SetParameters(parameters);
-  state->m_metrics.SetGauge("nutmeg_gateway_body_bytes", "", [memory] {
+  metrics->SetGauge(prefix + "_body_bytes", "", [memory] {
     return static_cast<double>(memory->Reserved());
   });
-  state->m_metrics.SetGauge("nutmeg_gateway_body_refusals", "", [memory] {
+  metrics->SetGauge(prefix + "_body_refusals", "", [memory] {
     return static_cast<double>(memory->Refused() + memory->Dropped());
   });
 }
 
+net::HttpServerOptions WithOperatorBodies(net::HttpServerOptions options) {
+  BodyMemoryParameters parameters;
+  parameters.m_total = kOperatorBodyBytes;
+  options.m_body_memory = std::make_shared<BodyMemory>(parameters);
+  return options;
+}
+
 int CallerConnectionLimit(const Settings& settings, Bytes per_connection) {
   auto limit = static_cast<std::int64_t>(
       static_cast<double>(MemoryOf(settings)) * kConnectionMemoryShare /
