--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -339,6 +339,7 @@
 // Guards against connections that are closed while there is room.
 TEST_P(HttpServerAtItsLimit, KeepsAllUntilOthersWait) {
   std::vector<int> waiting;
+  waiting.reserve(kConnectionLimit);
   for (int count = 0; count < kConnectionLimit; ++count) {
     waiting.push_back(ConnectAndSend(GetParam().m_sent));
   }
