--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -76,6 +76,9 @@
     if (!HandleEvacuationRow(m_state, row)) {
       AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
       m_state.m_freshness.NoteInForce(m_state.RevisionInForce());
+      if (!m_state.m_freshness.IsOutdated()) {
+        m_copy_timer.Stop();
+      }
       m_trim_timer.Start(kTrimDelay);
     }
   };
