Give followers the configuration that is in use, not an older one that came after it

Callers of one instance got 404 for a route that had been confirmed and that the others served, with a fresh proof, when an older version was written right after the newer one.

Cause: a reader that gets both rows in one response keeps the higher revision in force, but gave its followers the newest row only. They never saw the higher revision.

The callback for a row now tells whether the row is used; if not, the earlier one of the same key stays for others. Rows that this build cannot read are passed on.

--- a/src/nutmegd/feed_fleet_test.cpp
+++ b/src/nutmegd/feed_fleet_test.cpp
@@ -159,6 +159,7 @@
     TableFollowerEvents events;
     events.m_on_row = [this](const FeedRow& row) {
       m_rows[row.m_key] = !row.m_removed;
+      return true;
     };
     events.m_on_confirmed = [this](TimePoint) {
       m_server.RespondToPending("op");
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -73,14 +73,17 @@
 TableFollowerEvents Gateway::Impl::ConfigurationEvents() {
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
-    if (!HandleEvacuationRow(m_state, row)) {
-      AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
-      m_state.m_freshness.NoteInForce(m_state.RevisionInForce());
-      if (!m_state.m_freshness.IsOutdated()) {
-        m_copy_timer.Stop();
-      }
-      m_trim_timer.Start(kTrimDelay);
+    if (HandleEvacuationRow(m_state, row)) {
+      return true;
     }
+    const bool is_used =
+        AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
+    m_state.m_freshness.NoteInForce(m_state.RevisionInForce());
+    if (!m_state.m_freshness.IsOutdated()) {
+      m_copy_timer.Stop();
+    }
+    m_trim_timer.Start(kTrimDelay);
+    return is_used;
   };
   events.m_on_confirmed = [this](TimePoint confirmed_at) {
     m_state.m_freshness.Confirm(confirmed_at);
@@ -103,6 +106,7 @@
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
     m_registrations.HandleRow(row);
+    return true;
   };
   events.m_on_confirmed = [this](TimePoint /*confirmed_at*/) {
     m_registrations_read = true;
@@ -123,6 +127,7 @@
   TableFollowerEvents events;
   events.m_on_row = [this](const net::FeedRow& row) {
     m_instance_rows.HandleRow(row);
+    return true;
   };
   events.m_on_confirmed = [this](TimePoint /*confirmed_at*/) {
     m_fleet.ScheduleKeyProposal();
--- a/src/nutmegd/route_configuration.cpp
+++ b/src/nutmegd/route_configuration.cpp
@@ -25,14 +25,14 @@
 
 }  // namespace
 
-void AdoptConfigurationRow(GatewayState& state,
+bool AdoptConfigurationRow(GatewayState& state,
                            const net::FeedRow& row,
                            const Endpoint& source) {
   if (row.m_key != state.m_protocol.m_configuration_key || row.m_removed) {
-    return;
+    return true;
   }
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
         BOOST_LEAF_AUTO(configuration,
                         state.m_protocol.m_read_configuration(row.m_value));
         state.m_freshness.NoteRow(true);
@@ -42,7 +42,7 @@
               {{"revision", ForLog(configuration.m_revision)},
                {"in_force", ForLog(state.m_configuration->m_revision)},
                {"source", NameOf(source)}});
-          return {};
+          return configuration.m_revision == state.m_configuration->m_revision;
         }
         Log(LogLevel::kInfo, "configuration_adopted",
             {{"revision", ForLog(configuration.m_revision)},
@@ -53,7 +53,7 @@
             std::move(configuration));
         state.m_pool.SetColdPolicies(state.m_configuration->ColdPolicies(),
                                      net::BootTime());
-        return {};
+        return true;
       },
       [&](const net::DocumentError& error) {
         state.m_freshness.NoteRow(false);
@@ -61,10 +61,12 @@
           Log(LogLevel::kError, "configuration_not_used",
               {{"place", finding.m_place}, {"fault", finding.m_message}});
         }
+        return true;  // Another build may be able to read it.
       },
       [&] {
         state.m_freshness.NoteRow(false);
         Log(LogLevel::kError, "configuration_not_used", {});
+        return true;
       });
 }
 
--- a/src/nutmegd/route_configuration.h
+++ b/src/nutmegd/route_configuration.h
@@ -11,7 +11,8 @@
 /// force when the row has a higher revision. A row that is not used is logged,
 /// an invalid one with the locations of its errors.
 /// @param source instance that gave the row; empty when the platform gave it.
-void AdoptConfigurationRow(GatewayState& state,
+/// @return false when a configuration with a higher revision stays in force.
+bool AdoptConfigurationRow(GatewayState& state,
                            const net::FeedRow& row,
                            const Endpoint& source);
 
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -185,13 +185,13 @@
 }
 
 void TableFollower::HandleRow(const net::FeedRow& row) {
+  const bool is_used = m_events.m_on_row(row);
   if (row.m_removed) {
     m_rows.erase(row.m_key);
-  } else {
+  } else if (is_used || !m_rows.contains(row.m_key)) {
     m_rows[row.m_key] = row;
   }
   ++m_updates;
-  m_events.m_on_row(row);
 }
 
 void TableFollower::HandleSuccess() {
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -42,7 +42,9 @@
 /// Callbacks of a follower. All but m_on_row may be empty.
 struct TableFollowerEvents {
   /// Called for each row that is read, changed or removed.
-  std::function<void(const net::FeedRow&)> m_on_row;
+  /// @return false when an earlier row of this key stays in use. Other
+  /// instances are then given that one: they may not have seen it.
+  std::function<bool(const net::FeedRow&)> m_on_row;
   /// Called after the rows of a response.
   /// @param confirmed_at when the copy was confirmed to be current.
   std::function<void(TimePoint confirmed_at)> m_on_confirmed;
--- a/src/nutmegd/table_follower_for_test.h
+++ b/src/nutmegd/table_follower_for_test.h
@@ -73,6 +73,9 @@
   std::deque<net::FeedCallback> m_copies;
 };
 
+/// Value of a row that the owner of the follower does not use.
+inline constexpr const char* kUnusedValue = "unused";
+
 class TableFollowerTest : public testing::Test {
  protected:
   void SetUp() override {
@@ -85,6 +88,7 @@
     TableFollowerEvents events;
     events.m_on_row = [this](const net::FeedRow& row) {
       m_seen += (row.m_removed ? "-" : "+") + row.m_key + " ";
+      return row.m_value != kUnusedValue;
     };
     events.m_on_confirmed = [this](TimePoint) { ++m_confirmations; };
     events.m_on_lost = [this](const std::string&) { m_seen += "lost "; };
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -119,6 +119,21 @@
   EXPECT_EQ(m_feed.m_after, FeedVersion(4));
 }
 
+// Failure: an older configuration that was written right after a newer one hid
+// the newer one from instances that follow the table through this one.
+TEST_F(TableFollowerTest, GivesOthersTheRowThatIsInUse) {
+  m_feed.Respond(FeedStatus::kDone, 3, {Row("a", 3)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.Respond(FeedStatus::kDone, 6,
+                 {Row("a", 5), {"a", kUnusedValue, FeedVersion(6), false}});
+  const std::vector<FeedRow> rows =
+      m_follower->ChangesAfter(FeedVersion(3)).m_rows;
+  ASSERT_EQ(rows.size(), 1U);
+  EXPECT_EQ(rows[0].m_value, "value");
+  EXPECT_EQ(rows[0].m_version, FeedVersion(5));
+  EXPECT_EQ(m_follower->AllRows().m_rows[0].m_value, "value");
+}
+
 TEST_F(TableFollowerTest, RetriesAfterAFailureAndReportsIt) {
   m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 3)});
   RunFor(milliseconds(5));
