Do not decide requests from copies that may lack a change in force

What callers saw: an instance that the store refused, and that no other instance could give the changes, ran requests by the service that a route no longer belonged to, and sent them to servers that had left, up to 3.8 s after the store had confirmed the change (2.0 s are allowed), and for requests without a key without an end.

Cause: the age of a copy bounded denials (2.0 s) and requests with a key (2.8 s, 4.8 s when the store fails for the instance), nothing else. The limits that operators state for changes and for leaving upstreams were not among the settings.

Change: configuration_limit_ms and registration_limit_ms of [gateway]. When a copy was confirmed longer ago than its limit, the instance refuses requests with 503 and Retry-After while another live instance is answered by the store, and requests with a key when it hears no other one. While the store answers nobody, no change is confirmed, and requests are served as before. The waits for changes follow from the limits, so that a copy is confirmed within them when one reader is silent.

--- /dev/null
+++ b/src/include/nutmeghollow/copy_use.h
@@ -0,0 +1,51 @@
+/// @file
+/// Decides whether requests may be decided from this instance's copies of the
+/// platform's tables.
+///
+/// A copy that was not confirmed within the time in which a change must be in
+/// force may lack a change. Whether there can be one depends on the others:
+/// while the store answers another instance, changes are made. While it answers
+/// nobody, no change is confirmed either, and the copies may be used on. An
+/// instance that hears no other one cannot tell the two apart.
+#pragma once
+
+#include <optional>
+
+#include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/types.h"
+
+namespace nutmeghollow {
+
+/// Requests that may be decided from the copies.
+enum class CopyUse {
+  kAll,
+  /// Only those without a key: an outage of the store must not end their
+  /// service, and a removed key must not go on working.
+  kAnonymous,
+  kNone,
+};
+
+/// Times that concern the copies of the configuration and the registrations.
+struct CopyTimes {
+  std::optional<Duration> m_configuration;  ///< Unset when it was never read.
+  std::optional<Duration> m_registrations;
+};
+
+/// @param ages times since the copies were last confirmed.
+/// @param limits times within which a change must be in force.
+/// @return true when a copy may lack a change that must be in force.
+bool MayLackChanges(const CopyTimes& ages, const CopyTimes& limits);
+
+/// @param directory the instances, with what they last reported.
+/// @param self this instance.
+/// @param ages times since the copies were last confirmed.
+/// @param limits times within which a change must be in force.
+CopyUse UseOfCopies(const EntryDirectory& directory,
+                    const InstanceId& self,
+                    const CopyTimes& ages,
+                    const CopyTimes& limits);
+
+/// @return "all", "anonymous" or "none".
+const char* NameOf(CopyUse use);
+
+}  // namespace nutmeghollow
--- /dev/null
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -0,0 +1,100 @@
+#include "nutmeghollow/copy_use.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace nutmeghollow {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Another instance.
+struct Other {
+  bool m_alive;
+  std::optional<Duration> m_proof_age;
+  bool m_store_fails = false;
+};
+
+struct Case {
+  std::string m_name;
+  CopyTimes m_ages;
+  std::vector<Other> m_others;
+  CopyUse m_use;
+};
+
+constexpr milliseconds kFresh{500};
+constexpr milliseconds kOld{2001};
+const Other kProven{true, kFresh};
+const Other kUnproven{true, kOld};
+const Other kStatesNoProof{true, std::nullopt};
+const Other kSilent{false, kFresh};
+const Other kReadsFail{true, kFresh, true};
+
+class UseOfCopiesTable : public testing::TestWithParam<Case> {};
+
+TEST_P(UseOfCopiesTable, DependsOnWhatOthersCanProve) {
+  EntryDirectory directory;
+  EntryInstance self;
+  self.m_id = InstanceId("self");
+  self.m_proof_age = kFresh;
+  directory.Put(self);
+  for (const Other& other : GetParam().m_others) {
+    EntryInstance instance;
+    instance.m_id = InstanceId("other" + std::to_string(directory.size()));
+    instance.m_alive = other.m_alive;
+    instance.m_proof_age = other.m_proof_age;
+    instance.m_store_fails = other.m_store_fails;
+    directory.Put(instance);
+  }
+  EXPECT_EQ(UseOfCopies(directory, InstanceId("self"), GetParam().m_ages,
+                        {milliseconds(2000), milliseconds(2000)}),
+            GetParam().m_use);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Copies,
+    UseOfCopiesTable,
+    testing::Values(
+        Case{"Confirmed", {kFresh, kFresh}, {kProven}, CopyUse::kAll},
+        Case{"ConfirmedAtTheLimit",
+             {milliseconds(2000), milliseconds(2000)},
+             {kProven},
+             CopyUse::kAll},
+        Case{"OldConfiguration", {kOld, kFresh}, {kProven}, CopyUse::kNone},
+        Case{"OldRegistrations", {kFresh, kOld}, {kProven}, CopyUse::kNone},
+        Case{"OneOfTheOthersIsProven",
+             {kOld, kOld},
+             {kUnproven, kSilent, kProven},
+             CopyUse::kNone},
+        Case{"TheStoreAnswersNobody",
+             {kOld, kOld},
+             {kUnproven, kSilent},
+             CopyUse::kAll},
+        Case{"AnOutageBegins",
+             {kOld, kOld},
+             {kReadsFail, kUnproven},
+             CopyUse::kAll},
+        Case{"OneOfTheOthersIsAnswered",
+             {kOld, kOld},
+             {kReadsFail, kProven},
+             CopyUse::kNone},
+        Case{"OthersStateNoProof",
+             {kOld, kOld},
+             {kStatesNoProof},
+             CopyUse::kAll},
+        Case{"AllOthersAreSilent",
+             {kOld, kOld},
+             {kSilent, kSilent},
+             CopyUse::kAnonymous},
+        Case{"TheOnlyInstance", {kOld, kOld}, {}, CopyUse::kAll},
+        Case{"RegistrationsNeverRead",
+             {kFresh, std::nullopt},
+             {kProven},
+             CopyUse::kAll}),
+    [](const auto& info) { return info.param.m_name; });
+
+}  // namespace
+}  // namespace nutmeghollow
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -45,6 +45,12 @@
 /// most twice as old, so that unknown routes and keys can be denied, and
 /// changes are in force within two seconds even when one response is lost.
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(800);
+/// Maximum wait of a request for changes of the registrations.
+constexpr Duration kMaxRegistrationWait = std::chrono::milliseconds(2000);
+/// Share of the time within which a change must be in force that one request
+/// may wait. A copy that follows a reader is confirmed up to two waits late,
+/// and a silent reader is given up 0.4 s after its wait.
+constexpr double kWaitShareOfLimit = 0.35;
 /// Interval between checks of the settings file for changes.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
 /// Memory of the HTTP library per connection, beyond the header limit.
@@ -75,13 +81,25 @@
   return text.str();
 }
 
+Duration WaitForLimit(Duration limit) {
+  return std::chrono::duration_cast<Duration>(limit * kWaitShareOfLimit);
+}
+
 /// @return the wait of one request for configuration changes. The latest
 /// confirmation is up to two waits old just before the next response, and one
 /// lost response must not stop the service of requests with a key.
 Duration ConfigurationWait(const Settings& settings) {
   constexpr int kWaitsPerRevocationLimit = 4;
-  return std::min(kMaxConfigurationWait, settings.m_gateway.m_revocation_limit /
-                                             kWaitsPerRevocationLimit);
+  const GatewaySettings& gateway = settings.m_gateway;
+  return std::min({kMaxConfigurationWait,
+                   gateway.m_revocation_limit / kWaitsPerRevocationLimit,
+                   WaitForLimit(gateway.m_configuration_limit)});
+}
+
+/// @return the wait of one request for changes of the registrations.
+Duration RegistrationWait(const Settings& settings) {
+  return std::min(kMaxRegistrationWait,
+                  WaitForLimit(settings.m_gateway.m_registration_limit));
 }
 
 net::HttpServerOptions ServerOptions() {
@@ -227,7 +245,7 @@
       m_registration_follower(loop,
                               m_peer_feed,
                               {.m_table = protocol.m_registration_table,
-                               .m_wait = std::chrono::milliseconds(2000),
+                               .m_wait = RegistrationWait(settings),
                                .m_min_period = std::chrono::milliseconds(250)},
                               RegistrationEvents()),
       m_instance_follower(loop,
@@ -274,6 +292,9 @@
   m_state.m_store_failed_recently = [this] {
     return m_store_reads.FailedRecently();
   };
+  m_state.m_use_of_copies = [this](TimePoint now) {
+    return CheckUseOfCopies(now);
+  };
   m_state.m_on_refusal_limit = [this] { m_fleet.NoteRefusalLimit(); };
   m_state.m_request_permit = [this](std::vector<LimitedProcess> processes,
                                     std::function<void()> done) {
@@ -322,6 +343,10 @@
     const auto age = m_state.ProofAge(BootTime());
     return age ? std::chrono::duration<double>(*age).count() : -1.0;
   });
+  metrics.SetGauge("nutmeg_gateway_registrations_age_seconds", "", [this] {
+    const auto age = m_state.AgesOfCopies(BootTime()).m_registrations;
+    return age ? std::chrono::duration<double>(*age).count() : -1.0;
+  });
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
   });
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -54,6 +54,9 @@
 
   void HandleReachability(ReachabilityState before, ReachabilityState state);
 
+  /// @return the requests that may be decided from the copies of the tables;
+  /// logs a change.
+  CopyUse CheckUseOfCopies(TimePoint now);
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
   /// Handles a revision that another live instance has in force.
@@ -111,6 +114,7 @@
   net::Timer m_trim_timer;
   net::Timer m_copy_timer;
   Duration m_copy_delay{};
+  CopyUse m_last_copy_use = CopyUse::kAll;
 };
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -22,6 +22,7 @@
 #include "nutmeghollow/attempt_policy.h"
 #include "nutmeghollow/body_memory.h"
 #include "nutmeghollow/configuration_freshness.h"
+#include "nutmeghollow/copy_use.h"
 #include "nutmeghollow/duration_estimate.h"
 #include "nutmeghollow/gateway_drain.h"
 #include "nutmeghollow/metrics.h"
@@ -83,6 +84,10 @@
   /// @return true when the store recently refused, or did not answer, reads of
   /// this instance. May be empty.
   std::function<bool()> m_store_failed_recently;
+  /// When the copy of the registrations was last confirmed to be current.
+  std::optional<TimePoint> m_registrations_confirmed_at;
+  /// @return the requests that may be decided from the copies now.
+  std::function<CopyUse(TimePoint)> m_use_of_copies;
   UpstreamPool m_pool;
   RetryAllowance m_allowance;
   ResponseMemoryBudget m_response_memory;
@@ -109,6 +114,14 @@
     const auto confirmed = m_freshness.ConfirmedAt();
     return confirmed ? std::optional<Duration>(now - *confirmed) : std::nullopt;
   }
+  /// @return the times since the copies were last confirmed to be current.
+  CopyTimes AgesOfCopies(TimePoint now) const {
+    CopyTimes ages{ProofAge(now), std::nullopt};
+    if (m_registrations_confirmed_at) {
+      ages.m_registrations = now - *m_registrations_confirmed_at;
+    }
+    return ages;
+  }
   /// @return a uniformly distributed number in [min, max).
   double Draw(double min, double max) {
     return std::uniform_real_distribution<double>(min, max)(m_random);
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -1,6 +1,8 @@
 // What the gateway does with the rows of the platform's tables.
 #include <algorithm>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "libnet/event_loop.h"
 #include "libnet/log.h"
@@ -51,6 +53,26 @@
   m_copy_delay = std::min(2 * m_copy_delay, kMaxCopyDelay);
 }
 
+CopyUse Gateway::Impl::CheckUseOfCopies(TimePoint now) {
+  const GatewaySettings& settings = m_settings.m_gateway;
+  const CopyTimes ages = m_state.AgesOfCopies(now);
+  const CopyUse use = UseOfCopies(
+      m_directory, m_settings.m_instance.m_id, ages,
+      {settings.m_configuration_limit, settings.m_registration_limit});
+  if (use != std::exchange(m_last_copy_use, use)) {
+    const auto milliseconds = [](const std::optional<Duration>& age) {
+      return age ? std::int64_t{age->count() / 1000} : -1;
+    };
+    Log(LogLevel::kWarning, "use_of_copies_changed",
+        {{"requests", std::string(NameOf(use))},
+         {"configuration_age_ms", milliseconds(ages.m_configuration)},
+         {"registrations_age_ms", milliseconds(ages.m_registrations)},
+         {"revision",
+          static_cast<std::int64_t>(m_state.RevisionInForce().value())}});
+  }
+  return use;
+}
+
 void Gateway::Impl::RetryLostTables() {
   for (TableFollower* follower :
        {&m_configuration_follower, &m_registration_follower,
@@ -108,8 +130,9 @@
     m_registrations.HandleRow(row);
     return true;
   };
-  events.m_on_confirmed = [this](TimePoint /*confirmed_at*/) {
+  events.m_on_confirmed = [this](TimePoint confirmed_at) {
     m_registrations_read = true;
+    m_state.m_registrations_confirmed_at = confirmed_at;
     m_peer_feed_server.RespondToPending(
         m_state.m_protocol.m_registration_table);
   };
--- a/src/nutmegd/route_relay.h
+++ b/src/nutmegd/route_relay.h
@@ -181,9 +181,10 @@
   void LogDenial(int status, TimePoint now) const;
   /// @return true when this instance may stop before the request is done.
   bool MayBeCutByDrain(TimePoint now) const;
-  /// Finds the customer of the request's API key.
-  /// @return why the request may not be sent with this key.
-  Rejection CheckKey(const HttpRoute& route, TimePoint now);
+  /// Checks the copies of the tables, and finds the customer of the request's
+  /// API key.
+  /// @return why the request may not be sent.
+  Rejection CheckMayServe(const HttpRoute& route, TimePoint now);
   /// Checks the request again with the configuration in force, and refuses it
   /// when it is no longer allowed. Chooses another service when the route no
   /// longer has the chosen one.
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -138,7 +138,7 @@
             m_state->m_others_ready() ? std::optional(kRetryElsewhereDelay)
                                       : std::nullopt};
   }
-  return CheckKey(m_route, now);
+  return CheckMayServe(m_route, now);
 }
 
 bool RouteRelay::MayBeCutByDrain(TimePoint now) const {
@@ -153,16 +153,22 @@
                                       m_state->m_others_ready());
 }
 
-RouteRelay::Rejection RouteRelay::CheckKey(const HttpRoute& route,
-                                           TimePoint now) {
+RouteRelay::Rejection RouteRelay::CheckMayServe(const HttpRoute& route,
+                                                TimePoint now) {
   m_priority = route.m_priority;
   m_customer = CustomerId();
   m_homes = route.m_homes;
+  const CopyUse use = m_state->m_use_of_copies(now);
+  if (use == CopyUse::kNone) {
+    return {kStatusUnavailable, "tables not proven current",
+            kRetryElsewhereDelay};
+  }
   if (!m_configuration->RequiresKeys()) {
     return {};
   }
   const CustomerKeys* customer = m_configuration->FindCustomer(m_request.m_key);
-  if (customer != nullptr && m_state->MayServeKeyedRequests(now)) {
+  if (customer != nullptr && use == CopyUse::kAll &&
+      m_state->MayServeKeyedRequests(now)) {
     m_customer = customer->m_id;
     m_homes = Intersect(route.m_homes, customer->m_homes);
     m_priority = customer->m_priority.value_or(route.m_priority);
@@ -185,7 +191,7 @@
     EndUnserved(kStatusBadGateway, "route was removed");
     return false;
   }
-  const Rejection rejection = CheckKey(*route, now);
+  const Rejection rejection = CheckMayServe(*route, now);
   if (rejection.m_status != 0) {
     EndUnserved(kStatusBadGateway, rejection.m_reason);
     return false;
@@ -211,7 +217,8 @@
   m_configuration = m_state->m_configuration;
   const HttpRoute* route = m_configuration->FindRoute(
       m_request.m_host, PathOf(m_exchange->Request().m_target));
-  const bool allowed = route != nullptr && CheckKey(*route, now).m_status == 0;
+  const bool allowed =
+      route != nullptr && CheckMayServe(*route, now).m_status == 0;
   const bool late = now - m_attempt->m_sent_at > kUpstreamConnectTimeout;
   const bool takes_requests = m_state->m_pool.TakesRequests(
       MakeQuery(), m_attempt->m_upstream, m_attempt->m_start_time_ms);
--- a/src/nutmegd/settings.cpp
+++ b/src/nutmegd/settings.cpp
@@ -269,6 +269,10 @@
     SectionReader reader = Open("gateway");
     reader.ReadEndpoint("entry_address", &target.m_entry_address, true);
     reader.ReadMilliseconds("revocation_limit_ms", &target.m_revocation_limit);
+    reader.ReadMilliseconds("configuration_limit_ms",
+                            &target.m_configuration_limit);
+    reader.ReadMilliseconds("registration_limit_ms",
+                            &target.m_registration_limit);
     reader.ReadSeconds("stop_grace_seconds", &target.m_stop_grace);
     reader.ReadSeconds("retry_window_seconds", &target.m_retry_window);
     const auto read_number = [&](const char* key, double* number) {
--- a/src/nutmegd/settings.h
+++ b/src/nutmegd/settings.h
@@ -148,6 +148,12 @@
   /// revocation_limit_ms: maximum time after the revocation of an API key until
   /// every instance rejects it.
   Duration m_revocation_limit = std::chrono::seconds(5);
+  /// configuration_limit_ms: maximum time after a change of the configuration
+  /// until every instance follows it.
+  Duration m_configuration_limit = std::chrono::seconds(3);
+  /// registration_limit_ms: maximum time after an upstream's registration says
+  /// that it leaves until no instance uses it.
+  Duration m_registration_limit = std::chrono::seconds(3);
   /// stop_grace_seconds: time from the start of the drain until the process is
   /// killed.
   Duration m_stop_grace = std::chrono::seconds(8);
