--- a/src/nutmegd/settings_test.cpp
+++ b/src/nutmegd/settings_test.cpp
@@ -68,13 +68,16 @@
   text.resize(text.find("[fleet]"));
   text +=
       "[gateway]\nentry_address = \"127.0.0.1:5\"\nstop_grace_seconds = 8\n"
-      "retry_ratio = 0.25\n[callers]\nbody_memory_share = 0.5\n";
+      "retry_ratio = 0.25\nconfiguration_limit_ms = 2000\n"
+      "registration_limit_ms = 4000\n[callers]\nbody_memory_share = 0.5\n";
   text.insert(text.find("[platform]"), "memory_mb = 160\n");
   const auto settings = ParseSettings(text, "f");
   ASSERT_TRUE(settings);
   EXPECT_TRUE(settings->m_gateway.m_enabled);
   EXPECT_EQ(settings->m_gateway.m_stop_grace, std::chrono::seconds(8));
   EXPECT_DOUBLE_EQ(settings->m_gateway.m_retry_ratio, 0.25);
+  EXPECT_EQ(settings->m_gateway.m_configuration_limit, std::chrono::seconds(2));
+  EXPECT_EQ(settings->m_gateway.m_registration_limit, std::chrono::seconds(4));
   EXPECT_EQ(settings->m_instance.m_memory_mb, 160);
   EXPECT_DOUBLE_EQ(settings->m_callers.m_body_memory_share, 0.5);
 }
