Compare the age of a copy with that of the same table elsewhere

Callers saw: while the store confirmed the registrations to nobody but the configuration to all, every instance refused every request (503, "tables not proven current") from registration_limit_ms on.

Cause: digests stated the age of the configuration's proof only. An instance whose registrations were over their limit took the young proof of another instance's configuration for a sign that the store answers others, so that all instances waited for each other.

Digests state the age of the registrations as well (registrationsAgeMs), and the age of each table is compared with that of the same table elsewhere: if it is old everywhere, no instance has newer rows that this one lacks. Older builds do not state it, and prove nothing about the registrations.

--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -4,9 +4,9 @@
 ///
 /// A copy that was not confirmed within the time in which a change must be in
 /// force may lack a change. Whether there can be one depends on the others:
-/// while the store answers another instance, changes are made. While it answers
-/// nobody, no change is confirmed either, and the copies may be used on. An
-/// instance that hears no other one cannot tell the two apart.
+/// while the store answers another instance for that table, changes are made.
+/// While it answers nobody, none is known anywhere, and the copy may be used
+/// on. An instance that hears no other one cannot tell the two apart.
 #pragma once
 
 #include <optional>
--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -25,6 +25,8 @@
   /// Age of its proof of the configuration when it last reported it; unset when
   /// it has none or its build does not report it.
   std::optional<Duration> m_proof_age;
+  /// As m_proof_age, about the registrations.
+  std::optional<Duration> m_registrations_age;
   /// The store refused or did not answer its own reads, as last reported.
   bool m_store_fails = false;
   /// Revision that it has in force, as last reported.
--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -58,6 +58,8 @@
   /// Age of the sender's proof that its configuration is current; unset when
   /// it has none or does not state it.
   std::optional<Duration> m_proof_age;
+  /// As m_proof_age, about the registrations.
+  std::optional<Duration> m_registrations_age;
   /// The store refused or did not answer the sender's own reads recently.
   bool m_store_fails = false;
 };
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -10,6 +10,14 @@
   return age && limit && *age > *limit;
 }
 
+/// @return true when this instance's copy of a table is over the limit, but
+/// another instance's is not.
+bool IsBehind(const std::optional<Duration>& age,
+              const std::optional<Duration>& age_elsewhere,
+              const std::optional<Duration>& limit) {
+  return IsOver(age, limit) && age_elsewhere && !IsOver(age_elsewhere, limit);
+}
+
 }  // namespace
 
 bool MayLackChanges(const CopyTimes& ages, const CopyTimes& limits) {
@@ -36,8 +44,11 @@
     }
     any_alive = true;
     // In an outage of the store, proofs are still young at its beginning.
-    if (!instance.m_store_fails && instance.m_proof_age &&
-        !IsOver(instance.m_proof_age, limits.m_configuration)) {
+    if (!instance.m_store_fails &&
+        (IsBehind(ages.m_configuration, instance.m_proof_age,
+                  limits.m_configuration) ||
+         IsBehind(ages.m_registrations, instance.m_registrations_age,
+                  limits.m_registrations))) {
       return CopyUse::kNone;
     }
   }
--- a/src/libnutmeg/copy_use_test.cpp
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -16,6 +16,7 @@
   bool m_alive;
   std::optional<Duration> m_proof_age;
   bool m_store_fails = false;
+  std::optional<Duration> m_registrations_age = m_proof_age;
 };
 
 struct Case {
@@ -32,6 +33,9 @@
 const Other kStatesNoProof{true, std::nullopt};
 const Other kSilent{false, kFresh};
 const Other kReadsFail{true, kFresh, true};
+const Other kProvenConfiguration{true, kFresh, false, kOld};
+const Other kProvenRegistrations{true, kOld, false, kFresh};
+const Other kStatesNoRegistrations{true, kFresh, false, std::nullopt};
 
 class UseOfCopiesTable : public testing::TestWithParam<Case> {};
 
@@ -40,6 +44,7 @@
   EntryInstance self;
   self.m_id = InstanceId("self");
   self.m_proof_age = kFresh;
+  self.m_registrations_age = kFresh;
   directory.Put(self);
   for (const Other& other : GetParam().m_others) {
     EntryInstance instance;
@@ -47,6 +52,7 @@
     instance.m_alive = other.m_alive;
     instance.m_proof_age = other.m_proof_age;
     instance.m_store_fails = other.m_store_fails;
+    instance.m_registrations_age = other.m_registrations_age;
     directory.Put(instance);
   }
   EXPECT_EQ(UseOfCopies(directory, InstanceId("self"), GetParam().m_ages,
@@ -65,6 +71,26 @@
              CopyUse::kAll},
         Case{"OldConfiguration", {kOld, kFresh}, {kProven}, CopyUse::kNone},
         Case{"OldRegistrations", {kFresh, kOld}, {kProven}, CopyUse::kNone},
+        Case{"RegistrationsAreConfirmedToNobody",
+             {kFresh, kOld},
+             {kProvenConfiguration, kProvenConfiguration},
+             CopyUse::kAll},
+        Case{"TheConfigurationIsConfirmedToNobody",
+             {kOld, kFresh},
+             {kProvenRegistrations, kProvenRegistrations},
+             CopyUse::kAll},
+        Case{"RegistrationsAreConfirmedToAnother",
+             {kFresh, kOld},
+             {kProvenConfiguration, kProvenRegistrations},
+             CopyUse::kNone},
+        Case{"TheConfigurationIsConfirmedToAnother",
+             {kOld, kFresh},
+             {kProvenRegistrations, kProvenConfiguration},
+             CopyUse::kNone},
+        Case{"OthersStateNoAgeOfRegistrations",
+             {kFresh, kOld},
+             {kStatesNoRegistrations},
+             CopyUse::kAll},
         Case{"OneOfTheOthersIsProven",
              {kOld, kOld},
              {kUnproven, kSilent, kProven},
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -140,4 +140,6 @@
   proofAgeMs @19 :UInt32;
   # The store refused or did not answer the sender's own reads recently.
   storeFails @20 :Bool;
+  # As proofAgeMs, about the sender's copy of the registrations.
+  registrationsAgeMs @21 :UInt32;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -1608,6 +1608,8 @@
 
   inline bool getStoreFails() const;
 
+  inline  ::uint32_t getRegistrationsAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1751,6 +1753,9 @@
   inline bool getStoreFails();
   inline void setStoreFails(bool value);
 
+  inline  ::uint32_t getRegistrationsAgeMs();
+  inline void setRegistrationsAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3183,6 +3188,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Digest::Reader::getRegistrationsAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Digest::Builder::getRegistrationsAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setRegistrationsAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -230,14 +230,23 @@
 }
 
 /// @return the age in milliseconds, plus 1, since 0 stands for none.
-std::uint32_t EncodeProofAge(Duration age) {
+std::uint32_t EncodeAge(const std::optional<Duration>& age) {
+  if (!age) {
+    return 0;
+  }
   constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max() - 1;
   const auto age_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+      std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age_ms, 0, kMax)) +
          1;
 }
 
+std::optional<Duration> DecodeAge(std::uint32_t encoded) {
+  return encoded > 0
+             ? std::optional<Duration>(std::chrono::milliseconds(encoded - 1))
+             : std::nullopt;
+}
+
 void WriteRooms(wire::Digest::Builder root,
                 const FleetDigest& digest,
                 TimePoint now) {
@@ -345,9 +354,8 @@
       static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(
                                      digest.m_clock.time_since_epoch())
                                      .count()));
-  if (digest.m_proof_age) {
-    root.setProofAgeMs(EncodeProofAge(*digest.m_proof_age));
-  }
+  root.setProofAgeMs(EncodeAge(digest.m_proof_age));
+  root.setRegistrationsAgeMs(EncodeAge(digest.m_registrations_age));
   root.setStoreFails(digest.m_store_fails);
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -387,9 +395,8 @@
       digest.m_reach = static_cast<UpstreamReach>(root.getReach());
     }
     digest.m_clock = ReadClock(root.getClockMs());
-    if (root.getProofAgeMs() > 0) {
-      digest.m_proof_age = std::chrono::milliseconds(root.getProofAgeMs() - 1);
-    }
+    digest.m_proof_age = DecodeAge(root.getProofAgeMs());
+    digest.m_registrations_age = DecodeAge(root.getRegistrationsAgeMs());
     digest.m_store_fails = root.getStoreFails();
     if (root.hasLoad()) {
       digest.m_load = ReadLoad(root.getLoad());
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -45,10 +45,12 @@
 TEST_P(ProofAge, IsKeptInARoundTrip) {
   FleetDigest digest;
   digest.m_proof_age = GetParam().m_sent;
+  digest.m_registrations_age = GetParam().m_sent;
   digest.m_store_fails = GetParam().m_sent.has_value();
   const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
   ASSERT_TRUE(read);
   EXPECT_EQ(read->m_proof_age, GetParam().m_received);
+  EXPECT_EQ(read->m_registrations_age, GetParam().m_received);
   EXPECT_EQ(read->m_store_fails, digest.m_store_fails);
 }
 
@@ -62,6 +64,16 @@
                     ProofCase{std::chrono::hours(24 * 365),
                               std::chrono::milliseconds(0xFFFFFFFEU)}));
 
+// Failure: the age of one table must not be taken for that of the other.
+TEST(FleetDigest, AgesOfTheTablesAreKeptApart) {
+  FleetDigest digest;
+  digest.m_registrations_age = std::chrono::milliseconds(700);
+  const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->m_proof_age, std::nullopt);
+  EXPECT_EQ(read->m_registrations_age, std::chrono::milliseconds(700));
+}
+
 TEST(FleetDigest, FitsIntoADatagramWhenFull) {
   FleetDigest digest;
   for (std::uint32_t index = 0; index < 200; ++index) {
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -211,6 +211,7 @@
   digest.m_reach = m_hooks.m_reach();
   digest.m_clock = BootTime();
   digest.m_proof_age = m_hooks.m_proof_age();
+  digest.m_registrations_age = m_hooks.m_registrations_age();
   digest.m_store_fails = m_hooks.m_store_fails();
   return digest;
 }
@@ -218,6 +219,7 @@
 void FleetLink::UpdateOwnEntry() {
   if (EntryInstance* self = m_directory->Find(m_self)) {
     self->m_proof_age = m_hooks.m_proof_age();
+    self->m_registrations_age = m_hooks.m_registrations_age();
     self->m_store_fails = m_hooks.m_store_fails();
   }
 }
@@ -389,6 +391,7 @@
     entry->m_alive = true;
     entry->m_reach = digest->m_reach;
     entry->m_proof_age = digest->m_proof_age;
+    entry->m_registrations_age = digest->m_registrations_age;
     entry->m_store_fails = digest->m_store_fails;
     entry->m_revision = digest->m_revision;
     m_hooks.m_on_revision(digest->m_revision);
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -42,6 +42,8 @@
   /// @return the age of its proof that its configuration is current; unset when
   /// it has none.
   std::function<std::optional<Duration>()> m_proof_age;
+  /// @return as m_proof_age, about the registrations.
+  std::function<std::optional<Duration>()> m_registrations_age;
   /// @return true when the store fails for this instance's own reads.
   std::function<bool()> m_store_fails;
   /// Called with streams to record for another instance.
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -200,6 +200,10 @@
                [this](Revision revision) { HandleRevisionElsewhere(revision); },
            .m_reach = [this] { return m_reachability.OwnReach(); },
            .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
+           .m_registrations_age =
+               [this] {
+                 return m_state.AgesOfCopies(BootTime()).m_registrations;
+               },
            .m_store_fails = [this] { return m_store_reads.Fails(); },
            .m_on_stream_report =
                [this](const InstanceId& from, const StreamReport& report) {
