Free the memory of a body when its reservation ends

Callers saw nothing; the process of a small machine took 223 MiB of the 120 allowed while 200 callers sent chunked bodies far above the limit, and could be ended by the system.

Cause: MhdExchange::DiscardBody assigned an empty string to the body, which keeps the capacity in libstdc++, and gave the reservation back. Each body above the limit held up to 1 MiB outside the budget until its caller had sent the rest.

Swapping with an empty string frees the capacity at once.

--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -213,7 +213,8 @@
 }
 
 void MhdExchange::DiscardBody() {
-  m_request.m_body = std::string();
+  // Assignment of an empty string would keep the memory.
+  std::string().swap(m_request.m_body);
   m_reservation = BodyReservation();
 }
 
