Give newer rows to other instances while the store is away

Callers saw: during an outage of the store, most instances went on by the revision before the newest one, although one or two instances had the newest in force; requests were run by a service from which the route had moved.

Cause: the others know the higher revision from digests and ask for the rows, but an instance whose own reads fail answered every request for its tables with 503, since its copy is not confirmed.

The new unit test fails without the change (kUnknown instead of kDone).

Requests for a newer copy say that an unconfirmed one will do. The rows confirm nothing, and only those of a higher version are taken over. Readers are chosen as before, and older builds answer 503 as before.

--- a/src/nutmegd/peer_feed.cpp
+++ b/src/nutmegd/peer_feed.cpp
@@ -60,7 +60,8 @@
                                parameter("nonce"),
                                BootTime(),
                                parameter("packed") == "1",
-                               parameter("whole") == "1"};
+                               parameter("whole") == "1",
+                               parameter("unconfirmed") == "1"};
   if (!follower->second->IsCurrent() ||
       follower->second->Version() > pending.m_after ||
       parameter("wait") == "0") {
@@ -73,7 +74,9 @@
 void PeerFeedServer::Respond(const PendingRequest& pending) {
   const TableFollower& follower = *m_followers.at(pending.m_table);
   const net::FleetKeys* keys = m_keys();
-  if (!follower.IsCurrent() || keys == nullptr) {
+  const bool has_copy =
+      pending.m_unconfirmed ? follower.HasRows() : follower.IsCurrent();
+  if (!has_copy || keys == nullptr) {
     pending.m_exchange->Respond(kStatusUnavailable, {}, "");
     return;
   }
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -53,6 +53,8 @@
     TimePoint m_received_at{};
     bool m_packed = false;  ///< The response may be compressed.
     bool m_whole = false;   ///< The response may be the whole table.
+    /// The response may be an unconfirmed copy.
+    bool m_unconfirmed = false;
   };
   /// The last packed response for a table, without its time.
   struct PackedChanges {
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -285,10 +285,11 @@
     const std::string nonce = ToHex(net::RandomBytes(kNonceBytes));
     net::HttpCall call;
     call.m_endpoint = reader;
-    call.m_path = fmt::format("{}?table={}&after={}&nonce={}{}{}{}", kFeedPath,
-                              request->m_table, request->m_after.value(), nonce,
-                              kPackedParameter, kWholeParameter,
-                              without_wait ? kWithoutWait : "");
+    call.m_path = fmt::format(
+        "{}?table={}&after={}&nonce={}{}{}{}{}", kFeedPath, request->m_table,
+        request->m_after.value(), nonce, kPackedParameter, kWholeParameter,
+        without_wait ? kWithoutWait : "",
+        request->m_from_newer ? kUnconfirmedParameter : "");
     call.m_headers = {{kMacHeader, HexMac(keys, call.m_path)}};
     call.m_connect_timeout = kConnectTimeout;
     call.m_head_timeout = without_wait ? kReaderTimeoutMargin
--- a/src/nutmegd/peer_feed_follower_test.cpp
+++ b/src/nutmegd/peer_feed_follower_test.cpp
@@ -172,6 +172,28 @@
   EXPECT_EQ(m_result->m_rows[0].m_value, "newer");
 }
 
+// Failure: during an outage of the platform, an instance did not give its newer
+// rows to those that had not got them before.
+TEST_F(PeerFeedTest, GivesNewerRowsWhileThePlatformRefusesIt) {
+  m_feed.Respond(FeedStatus::kDone, 6, {Row("a", 6)});
+  RunFor(milliseconds(5));
+  m_feed.Respond(FeedStatus::kUnknown);
+  ASSERT_FALSE(m_follower->IsCurrent());
+  m_peer = MakePeerFeed(m_loop, *m_client, m_direct.Hooks(),
+                        {.m_keys = [this] { return &m_client_keys; },
+                         .m_readers = [this] { return m_readers; },
+                         .m_newer = [this] { return m_readers; }});
+  m_peer.m_read_copy(
+      "table", milliseconds(600),
+      [this](net::FeedResult result) { m_result = std::move(result); });
+  RunUntil([this] { return m_result.has_value(); });
+  ASSERT_TRUE(m_result);
+  ASSERT_EQ(m_result->m_status, FeedStatus::kDone);
+  ASSERT_EQ(m_result->m_rows.size(), 1U);
+  EXPECT_EQ(m_result->m_rows[0].m_version, FeedVersion(6));
+  EXPECT_LE(*m_result->m_confirmed_at, m_follower->ConfirmedAt());
+}
+
 TEST_F(PeerFeedTest, ReadsTheWholeTableFromAReaderWhenThePlatformRefuses) {
   m_peer.m_read_all("table", milliseconds(600), [this](net::FeedResult result) {
     m_result = std::move(result);
--- a/src/nutmegd/peer_feed_format.h
+++ b/src/nutmegd/peer_feed_format.h
@@ -30,6 +30,9 @@
 /// Accepts the whole table when the changes are no longer retained; only with
 /// kPackedParameter. Older builds ignore it and answer kStatusGone.
 inline constexpr const char* kWholeParameter = "&whole=1";
+/// Accepts the copy of an instance whose own reads fail, together with
+/// kWithoutWait. Older builds ignore it and answer kStatusUnavailable.
+inline constexpr const char* kUnconfirmedParameter = "&unconfirmed=1";
 /// Value "1" in a response with the whole table. The MAC then also covers
 /// kWholeMark, before the nonce.
 inline constexpr const char* kWholeHeader = "nutmeg-whole";
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -69,6 +69,8 @@
 
   /// @return true when the table has been read and the last request succeeded.
   bool IsCurrent() const { return m_loaded && m_failures == 0; }
+  /// @return true when the copy has rows, even if they may be outdated.
+  bool HasRows() const { return !m_rows.empty(); }
   /// @return when the copy was last confirmed to be current.
   TimePoint ConfirmedAt() const { return m_confirmed_at; }
   /// @return the instance that gave the last response; empty when the platform
