--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -141,12 +141,12 @@
         self.m_process.send_signal(number)
 
     def memory(self):
-        """Returns the resident memory in bytes, 0 when it has ended."""
+        """Returns the memory in bytes without mapped files, 0 at its end."""
         try:
             with open(f"/proc/{self.m_process.pid}/status",
                       encoding="utf-8") as file:
                 for line in file:
-                    if line.startswith("VmRSS:"):
+                    if line.startswith("RssAnon:"):
                         return int(line.split()[1]) * 1024
         except OSError:
             pass
