Request newer rows of all instances that have them, and log each outcome

Cause: a request for newer rows asked two instances at most, and the next one came after a delay that doubled up to 8 s although nobody had answered. It was not sent while the table was read again after a loss of history, which does not end while the store is away, and its answer was dropped when another table was regained. None of this was logged. Rows that were added or removed were skipped.

Now all instances with newer rows are asked, the next one as soon as one fails. Requests do not depend on the follower's own reads. copy_read and copy_not_read tell source, reason, version and number of newer rows. Rows that are newer than all that the copy includes are added, and removed ones removed; an older response does not take them back, and a platform that went back replaces them.

--- a/src/libnet/row_feed.h
+++ b/src/libnet/row_feed.h
@@ -70,10 +70,13 @@
   std::function<
       void(const std::string& table, Duration timeout, FeedCallback callback)>
       m_read_all;
-  /// Reads all rows of a table from another instance that has newer ones. Empty
-  /// in feeds that call the platform only.
-  std::function<
-      void(const std::string& table, Duration timeout, FeedCallback callback)>
+  /// Reads rows of a table from another instance that has newer ones: those
+  /// that changed after a version, or all of them when it does not retain these
+  /// changes. Empty in feeds that call the platform only.
+  std::function<void(const std::string& table,
+                     FeedVersion after,
+                     Duration timeout,
+                     FeedCallback callback)>
       m_read_copy = {};
   /// Waits for changes of a table after a version; the result has no rows when
   /// none occurs within the wait.
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -51,6 +51,9 @@
 /// may wait. A copy that follows a reader is confirmed up to two waits late,
 /// and a silent reader is given up 0.4 s after its wait.
 constexpr double kWaitShareOfLimit = 0.35;
+/// Time that a change may take to reach this instance after another one. Above
+/// it the rows are requested from that one.
+constexpr Duration kConfigurationTolerance = std::chrono::milliseconds(300);
 /// Interval between checks of the settings file for changes.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
 /// Memory of the HTTP library per connection, beyond the header limit.
@@ -284,7 +287,10 @@
                        }),
       m_drain_timer(loop, [this] { CheckDrain(); }),
       m_trim_timer(loop, ReleaseFreeMemory),
-      m_copy_timer(loop, [this] { RequestNewerCopy(); }) {
+      m_configuration_copies(loop,
+                             &m_configuration_follower,
+                             kConfigurationTolerance,
+                             ConfigurationCopies()) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -11,6 +11,7 @@
 
 #include "libnet/event_loop.h"
 #include "libnet/http_server.h"
+#include "nutmegd/copy_requests.h"
 #include "nutmegd/fleet_link.h"
 #include "nutmegd/gateway.h"
 #include "nutmegd/gateway_state.h"
@@ -61,8 +62,8 @@
   void RetryLostTables();
   /// Handles a revision that another live instance has in force.
   void HandleRevisionElsewhere(Revision revision);
-  /// Requests the configuration from an instance that has a higher revision.
-  void RequestNewerCopy();
+  /// @return the hooks of the requests for newer configurations.
+  CopyRequestHooks ConfigurationCopies();
   /// @return the hooks of the feed through other instances.
   PeerFeedHooks FeedHooks();
   TableFollowerEvents ConfigurationEvents();
@@ -112,8 +113,7 @@
   net::Timer m_settings_timer;
   net::Timer m_drain_timer;
   net::Timer m_trim_timer;
-  net::Timer m_copy_timer;
-  Duration m_copy_delay{};
+  CopyRequests m_configuration_copies;
   CopyUse m_last_copy_use = CopyUse::kAll;
 };
 
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -1,5 +1,4 @@
 // What the gateway does with the rows of the platform's tables.
-#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -21,36 +20,26 @@
 /// then its document and the responses to the followers have been freed.
 constexpr Duration kTrimDelay = std::chrono::seconds(2);
 
-/// Time that a change may take to reach this instance after another one. Above
-/// it the copy is requested from that one.
-constexpr Duration kOutdatedTolerance = std::chrono::milliseconds(300);
-/// Delay from one request for the copy to the next one. It doubles, since a row
-/// that this build cannot read stays unused.
-constexpr Duration kMinCopyDelay = std::chrono::milliseconds(250);
-constexpr Duration kMaxCopyDelay = std::chrono::seconds(8);
-
 }  // namespace
 
 void Gateway::Impl::HandleRevisionElsewhere(Revision revision) {
   m_state.m_freshness.NoteElsewhere(revision);
-  if (m_state.m_freshness.IsOutdated() && !m_copy_timer.Active()) {
-    m_copy_delay = kMinCopyDelay;
-    m_copy_timer.Start(kOutdatedTolerance);
-  }
+  m_configuration_copies.NoteNewer();
 }
 
-void Gateway::Impl::RequestNewerCopy() {
-  if (!m_state.m_freshness.IsOutdated()) {
-    return;
-  }
-  const Revision newest = m_state.m_freshness.NewestElsewhere();
-  Log(LogLevel::kWarning, "configuration_outdated",
-      {{"revision",
-        static_cast<std::int64_t>(m_state.RevisionInForce().value())},
-       {"newest_revision", static_cast<std::int64_t>(newest.value())}});
-  m_configuration_follower.RequestCopy();
-  m_copy_timer.Start(m_copy_delay);
-  m_copy_delay = std::min(2 * m_copy_delay, kMaxCopyDelay);
+CopyRequestHooks Gateway::Impl::ConfigurationCopies() {
+  CopyRequestHooks hooks;
+  hooks.m_is_outdated = [this] { return m_state.m_freshness.IsOutdated(); };
+  // All rows: one of an earlier change may be missing here.
+  hooks.m_after = [] { return net::FeedVersion(); };
+  hooks.m_log = [this] {
+    const Revision newest = m_state.m_freshness.NewestElsewhere();
+    Log(LogLevel::kWarning, "configuration_outdated",
+        {{"revision",
+          static_cast<std::int64_t>(m_state.RevisionInForce().value())},
+         {"newest_revision", static_cast<std::int64_t>(newest.value())}});
+  };
+  return hooks;
 }
 
 CopyUse Gateway::Impl::CheckUseOfCopies(TimePoint now) {
@@ -85,7 +74,7 @@
   PeerFeedHooks hooks;
   hooks.m_keys = [this] { return m_fleet.Keys(); };
   hooks.m_readers = [this] { return m_instance_rows.Readers(); };
-  hooks.m_newer = [this] {
+  hooks.m_newer = [this](const std::string& /*table*/) {
     return m_instance_rows.WithRevisionAbove(m_state.RevisionInForce());
   };
   m_store_reads.Connect(&hooks);
@@ -101,9 +90,6 @@
     const bool is_used =
         AdoptConfigurationRow(m_state, row, m_configuration_follower.Source());
     m_state.m_freshness.NoteInForce(m_state.RevisionInForce());
-    if (!m_state.m_freshness.IsOutdated()) {
-      m_copy_timer.Stop();
-    }
     m_trim_timer.Start(kTrimDelay);
     return is_used;
   };
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -85,9 +85,9 @@
   /// @return peer addresses of the readers to send requests to, in the order of
   /// preference; empty when this instance should read from the platform itself.
   std::function<std::vector<Endpoint>()> m_readers;
-  /// @return peer addresses of instances with a newer configuration, from which
+  /// @return peer addresses of instances with newer rows of a table, from which
   /// copies are read. May be empty.
-  std::function<std::vector<Endpoint>()> m_newer = {};
+  std::function<std::vector<Endpoint>(const std::string& table)> m_newer = {};
   /// @return true when a read may be sent to the platform now; it then counts
   /// as sent. May be empty: then reads may be sent at any time.
   std::function<bool()> m_may_call_store;
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -1,7 +1,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +34,9 @@
 /// called: a silent one takes up to 1.2 s, the next one 0.4 s, and a change has
 /// to be in force within 3 s.
 constexpr int kMaxReadersPerRequest = 2;
+/// Number of sources that may fail for one request for newer rows: all others
+/// of a small fleet.
+constexpr int kMaxCopySources = 6;
 /// A source that fails within this time did not delay the request.
 constexpr Duration kQuickFailure = std::chrono::milliseconds(200);
 /// Time for a reader's response beyond its own wait for the platform.
@@ -131,17 +133,21 @@
         });
   }
 
-  /// Reads a whole table from an instance with a newer configuration.
+  /// Reads rows from an instance that has newer ones.
   void ReadCopy(const std::string& table,
+                FeedVersion after,
                 Duration timeout,
                 const net::FeedCallback& callback) {
     const auto request = std::make_shared<Request>();
     request->m_table = table;
     request->m_timeout = timeout;
     request->m_callback = callback;
+    request->m_after = after;
     request->m_from_newer = true;
     request->m_store_tried = true;
-    TryNext(request, {FeedStatus::kRejected, {}, {}, "no newer copy", {}});
+    TryNext(
+        request,
+        {FeedStatus::kRejected, {}, {}, "no live instance has newer rows", {}});
     ++m_copy_requests;
   }
 
@@ -157,7 +163,7 @@
     int m_failed_sources = 0;
     std::vector<Endpoint> m_tried;
     bool m_store_tried = false;
-    /// The sources are the instances with a newer configuration.
+    /// The sources are the instances with newer rows.
     bool m_from_newer = false;
     bool m_reads_all = false;  ///< The whole table is wanted.
   };
@@ -192,8 +198,10 @@
   /// @param failure result of the previous one.
   void TryNext(const RequestPtr& request, FeedResult failure) {
     const net::FleetKeys* keys = m_hooks.m_keys();
+    const int max_sources =
+        request->m_from_newer ? kMaxCopySources : kMaxReadersPerRequest;
     const bool may_ask_reader =
-        keys != nullptr && request->m_failed_sources < kMaxReadersPerRequest;
+        keys != nullptr && request->m_failed_sources < max_sources;
     const std::optional<Endpoint> reader =
         may_ask_reader ? NextReader(*request) : std::nullopt;
     if (reader) {
@@ -209,8 +217,9 @@
     if (!request.m_from_newer) {
       return m_hooks.m_readers();
     }
-    std::vector<Endpoint> newer =
-        m_hooks.m_newer ? m_hooks.m_newer() : std::vector<Endpoint>();
+    std::vector<Endpoint> newer = m_hooks.m_newer
+                                      ? m_hooks.m_newer(request.m_table)
+                                      : std::vector<Endpoint>();
     if (!newer.empty()) {
       // Each request begins with another one: a copy need not help.
       const auto first =
@@ -302,7 +311,8 @@
          requested_at = BootTime()](const net::HttpResponse& response) {
           const Wait done = std::move(m_waits.at(number));
           m_waits.erase(number);
-          FeedResult result = Read(response, nonce, requested_at);
+          FeedResult result =
+              ReadResponse(response, m_hooks.m_keys(), nonce, requested_at);
           if (IsOlderCopy(*done.m_request, result)) {
             // The reader is sound, and another one may have a newer copy.
             TryNext(request, {FeedStatus::kUnknown,
@@ -408,53 +418,6 @@
            result.m_confirmed_at > m_confirmed_at[table];
   }
 
-  static FeedResult ReadPacked(const std::string& body,
-                               const std::string& offset_text,
-                               TimePoint requested_at) {
-    std::int64_t offset = 0;
-    const char* end = offset_text.data() + offset_text.size();
-    const auto parsed = std::from_chars(offset_text.data(), end, offset);
-    const auto rows = Decompress(body, kResponseLimit);
-    if (parsed.ec != std::errc() || parsed.ptr != end || !rows) {
-      return {FeedStatus::kUnknown, {}, {}, "a malformed response", {}};
-    }
-    return DeserializeRows(*rows, requested_at + Duration(offset));
-  }
-
-  FeedResult Read(const net::HttpResponse& response,
-                  const std::string& nonce,
-                  TimePoint requested_at) const {
-    FeedResult failed;
-    failed.m_detail = fmt::format("status {} {}", response.m_status,
-                                  response.m_call_result.m_detail);
-    if (response.m_call_result.m_outcome != net::HttpCallOutcome::kComplete) {
-      return failed;
-    }
-    if (response.m_status == kStatusGone) {
-      failed.m_status = FeedStatus::kHistoryNotRetained;
-      return failed;
-    }
-    const net::FleetKeys* keys = m_hooks.m_keys();
-    const auto header = [&response](const char* name) {
-      return net::HeaderValue(response.m_headers, name);
-    };
-    const std::string offset = header(kOffsetHeader);
-    const bool is_whole = !header(kWholeHeader).empty();
-    if (response.m_status != 200 || keys == nullptr ||
-        !HasValidMac(
-            *keys,
-            (is_whole ? kWholeMark : "") + nonce + offset + response.m_body,
-            header(kMacHeader))) {
-      return failed;
-    }
-    if (!offset.empty()) {
-      FeedResult result = ReadPacked(response.m_body, offset, requested_at);
-      result.m_is_whole = is_whole;
-      return result;
-    }
-    return DeserializeRows(response.m_body, requested_at);
-  }
-
   net::HttpClient& m_client;
   net::RowFeed m_direct;
   PeerFeedHooks m_hooks;
@@ -481,9 +444,10 @@
                             const net::FeedCallback& callback) {
     peers->ReadAll(table, timeout, callback);
   };
-  feed.m_read_copy = [peers](const std::string& table, Duration timeout,
+  feed.m_read_copy = [peers](const std::string& table, net::FeedVersion after,
+                             Duration timeout,
                              const net::FeedCallback& callback) {
-    peers->ReadCopy(table, timeout, callback);
+    peers->ReadCopy(table, after, timeout, callback);
   };
   feed.m_wait_changes =
       [peers](const std::string& table, net::FeedVersion after, Duration wait,
--- a/src/nutmegd/peer_feed_follower_test.cpp
+++ b/src/nutmegd/peer_feed_follower_test.cpp
@@ -63,6 +63,12 @@
         [this](net::FeedResult result) { m_result = std::move(result); });
   }
 
+  void RequestNewerRows(std::uint64_t after) {
+    m_peer.m_read_copy(
+        "table", FeedVersion(after), milliseconds(600),
+        [this](net::FeedResult result) { m_result = std::move(result); });
+  }
+
   net::FleetKeys m_server_keys{{std::string(32, 'k')}};
   net::FleetKeys m_client_keys{{std::string(32, 'k')}};
   GatewayState m_state;
@@ -158,7 +164,7 @@
   RequestChanges(4);
   RunUntil([this] { return m_result.has_value(); });
   ASSERT_TRUE(m_result);
-  m_follower->RequestCopy();
+  RequestCopy();
   m_feed.m_copies.front()({FeedStatus::kDone,
                            {{"a", "newer", FeedVersion(5), false}},
                            FeedVersion(5),
@@ -182,10 +188,8 @@
   m_peer = MakePeerFeed(m_loop, *m_client, m_direct.Hooks(),
                         {.m_keys = [this] { return &m_client_keys; },
                          .m_readers = [this] { return m_readers; },
-                         .m_newer = [this] { return m_readers; }});
-  m_peer.m_read_copy(
-      "table", milliseconds(600),
-      [this](net::FeedResult result) { m_result = std::move(result); });
+                         .m_newer = [this](auto) { return m_readers; }});
+  RequestNewerRows(0);
   RunUntil([this] { return m_result.has_value(); });
   ASSERT_TRUE(m_result);
   ASSERT_EQ(m_result->m_status, FeedStatus::kDone);
@@ -194,6 +198,23 @@
   EXPECT_LE(*m_result->m_confirmed_at, m_follower->ConfirmedAt());
 }
 
+// Failure: newer rows were requested of two instances only, and the other ones
+// not before a delay that doubled with each request.
+TEST_F(PeerFeedTest, RequestsNewerRowsOfAllInstancesThatHaveThem) {
+  const Endpoint source = m_readers.front();
+  m_readers = {Endpoint("127.0.0.1:1"), Endpoint("127.0.0.1:2"),
+               Endpoint("127.0.0.1:3"), source};
+  m_peer = MakePeerFeed(m_loop, *m_client, m_direct.Hooks(),
+                        {.m_keys = [this] { return &m_client_keys; },
+                         .m_readers = [] { return std::vector<Endpoint>(); },
+                         .m_newer = [this](auto) { return m_readers; }});
+  RequestNewerRows(0);
+  RunUntil([this] { return m_result.has_value(); });
+  ASSERT_TRUE(m_result);
+  ASSERT_EQ(m_result->m_status, FeedStatus::kDone);
+  EXPECT_EQ(m_result->m_source, source);
+}
+
 TEST_F(PeerFeedTest, ReadsTheWholeTableFromAReaderWhenThePlatformRefuses) {
   m_peer.m_read_all("table", milliseconds(600), [this](net::FeedResult result) {
     m_result = std::move(result);
--- a/src/nutmegd/peer_feed_format.cpp
+++ b/src/nutmegd/peer_feed_format.cpp
@@ -1,9 +1,11 @@
 #include "nutmegd/peer_feed_format.h"
 
+#include <fmt/format.h>
 #include <zlib.h>
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -17,6 +19,23 @@
 using net::ToHex;
 using nlohmann::json;
 
+namespace {
+
+FeedResult ReadPacked(const std::string& body,
+                      const std::string& offset_text,
+                      TimePoint requested_at) {
+  std::int64_t offset = 0;
+  const char* end = offset_text.data() + offset_text.size();
+  const auto parsed = std::from_chars(offset_text.data(), end, offset);
+  const auto rows = Decompress(body, kResponseLimit);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !rows) {
+    return {FeedStatus::kUnknown, {}, {}, "a malformed response", {}};
+  }
+  return DeserializeRows(*rows, requested_at + Duration(offset));
+}
+
+}  // namespace
+
 std::string HexMac(const net::FleetKeys& keys, std::string_view text) {
   const net::Mac mac = net::ComputeMac(keys.m_keys.front(), text);
   return ToHex({reinterpret_cast<const char*>(mac.data()), mac.size()});
@@ -114,4 +133,38 @@
   return text;
 }
 
+FeedResult ReadResponse(const net::HttpResponse& response,
+                        const net::FleetKeys* keys,
+                        const std::string& nonce,
+                        TimePoint requested_at) {
+  FeedResult failed;
+  failed.m_detail = fmt::format("status {} {}", response.m_status,
+                                response.m_call_result.m_detail);
+  if (response.m_call_result.m_outcome != net::HttpCallOutcome::kComplete) {
+    return failed;
+  }
+  if (response.m_status == kStatusGone) {
+    failed.m_status = FeedStatus::kHistoryNotRetained;
+    return failed;
+  }
+  const auto header = [&response](const char* name) {
+    return net::HeaderValue(response.m_headers, name);
+  };
+  const std::string offset = header(kOffsetHeader);
+  const bool is_whole = !header(kWholeHeader).empty();
+  if (response.m_status != 200 || keys == nullptr ||
+      !HasValidMac(
+          *keys,
+          (is_whole ? kWholeMark : "") + nonce + offset + response.m_body,
+          header(kMacHeader))) {
+    return failed;
+  }
+  if (!offset.empty()) {
+    FeedResult result = ReadPacked(response.m_body, offset, requested_at);
+    result.m_is_whole = is_whole;
+    return result;
+  }
+  return DeserializeRows(response.m_body, requested_at);
+}
+
 }  // namespace nutmeghollow
--- a/src/nutmegd/peer_feed_format.h
+++ b/src/nutmegd/peer_feed_format.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "libnet/fleet_key.h"
+#include "libnet/http_client.h"
 #include "libnet/row_feed.h"
 
 namespace nutmeghollow {
@@ -63,6 +64,17 @@
 net::FeedResult DeserializeRows(const std::string& body,
                                 TimePoint requested_at);
 
+/// @param keys null when they are not known.
+/// @param nonce of the request.
+/// @param requested_at when the request was sent, on the clock of this
+/// instance.
+/// @return the rows of a response, or a failure with a detail when it has none
+/// or is not authentic.
+net::FeedResult ReadResponse(const net::HttpResponse& response,
+                             const net::FleetKeys* keys,
+                             const std::string& nonce,
+                             TimePoint requested_at);
+
 /// @return the text, compressed.
 std::string Compress(const std::string& text);
 
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -1,7 +1,9 @@
 #include "nutmegd/table_follower.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "libnet/log.h"
 
@@ -65,37 +67,89 @@
   }
 }
 
-void TableFollower::RequestCopy() {
-  if (!m_loaded || !m_feed.m_read_copy) {
-    return;
-  }
-  m_feed.m_read_copy(m_options.m_table, m_options.m_timeout_margin,
-                     [this, alive = std::weak_ptr<bool>(m_alive)](
-                         const net::FeedResult& result) {
-                       if (!alive.expired()) {
-                         HandleCopy(result);
-                       }
-                     });
+void TableFollower::RequestCopy(net::FeedVersion after,
+                                std::function<void(bool is_read)> done) {
+  m_feed.m_read_copy(
+      m_options.m_table, after, m_options.m_timeout_margin,
+      [this, exists = std::weak_ptr<bool>(m_exists),
+       done = std::move(done)](const net::FeedResult& result) {
+        if (exists.expired()) {
+          return;
+        }
+        const bool is_read = result.m_status == net::FeedStatus::kDone;
+        if (is_read) {
+          HandleCopy(result);
+        } else {
+          Log(LogLevel::kWarning, "copy_not_read",
+              {{"table", m_options.m_table}, {"reason", result.m_detail}});
+        }
+        done(is_read);
+      });
 }
 
 void TableFollower::HandleCopy(const net::FeedResult& result) {
-  if (result.m_status != net::FeedStatus::kDone) {
-    return;
-  }
   m_source = result.m_source;
+  std::vector<net::FeedRow> newer;
+  std::set<std::string> keys;
+  net::FeedVersion version = result.m_version;
   for (const net::FeedRow& row : result.m_rows) {
-    const auto own = m_rows.find(row.m_key);
-    if (own == m_rows.end()) {
-      continue;
+    keys.insert(row.m_key);
+    version = std::max(version, row.m_version);
+    if (IsNewerInCopy(row)) {
+      newer.push_back(row);
     }
-    // A row of the same version may have been damaged on its way here.
-    const bool is_other = own->second.m_version == row.m_version &&
-                          own->second.m_value != row.m_value;
-    if (own->second.m_version < row.m_version || is_other) {
-      Retain(row);
-      HandleRow(row);
+  }
+  if (result.m_is_whole && result.m_version >= IncludedVersion()) {
+    for (const auto& [key, row] : m_rows) {
+      if (!keys.contains(key) && row.m_version <= result.m_version) {
+        newer.push_back({key, "", result.m_version, true});
+      }
     }
   }
+  Log(LogLevel::kInfo, "copy_read",
+      {{"table", m_options.m_table},
+       {"source", m_source.str()},
+       {"newer_rows", static_cast<std::int64_t>(newer.size())},
+       {"version", static_cast<std::int64_t>(version.value())}});
+  for (const net::FeedRow& row : newer) {
+    Retain(row);
+    HandleRow(row);
+  }
+  m_copied_version = std::max(m_copied_version, version);
+  m_copied_at = net::BootTime();
+}
+
+bool TableFollower::IsNewerInCopy(const net::FeedRow& row) const {
+  const std::optional<net::FeedVersion> version = VersionOf(row.m_key);
+  if (!version) {
+    // An older one was removed here.
+    return !row.m_removed && row.m_version > IncludedVersion();
+  }
+  const auto own = m_rows.find(row.m_key);
+  // A row of the same version may have been damaged on its way here.
+  const bool is_other = own != m_rows.end() && !row.m_removed &&
+                        row.m_version == *version &&
+                        row.m_value != own->second.m_value;
+  return row.m_version > *version || is_other;
+}
+
+std::optional<net::FeedVersion> TableFollower::VersionOf(
+    const std::string& key) const {
+  const auto row = m_rows.find(key);
+  if (row != m_rows.end()) {
+    return row->second.m_version;
+  }
+  const auto change =
+      std::find_if(m_changes.begin(), m_changes.end(),
+                   [&key](const Change& one) { return one.m_key == key; });
+  return change == m_changes.end() ? std::nullopt
+                                   : std::optional(change->m_version);
+}
+
+bool TableFollower::MayPrecedeCopies(const net::FeedResult& result,
+                                     TimePoint requested_at) const {
+  return m_copied_version > m_version &&
+         (!result.m_source.empty() || requested_at <= m_copied_at);
 }
 
 void TableFollower::HandleAllRows(const net::FeedResult& result,
@@ -110,18 +164,22 @@
   }
   HandleSuccess();
   m_source = result.m_source;
+  const bool may_be_older =
+      !result.m_source.empty() || MayPrecedeCopies(result, requested_at);
   std::map<std::string, net::FeedRow> missing = m_rows;
   for (const net::FeedRow& row : result.m_rows) {
-    const auto own = missing.find(row.m_key);
-    const bool is_older = !result.m_source.empty() && own != missing.end() &&
-                          row.m_version < own->second.m_version;
     missing.erase(row.m_key);
-    if (!is_older) {
+    if (!may_be_older || row.m_version >= VersionOf(row.m_key)) {
       HandleRow(row);
     }
   }
   for (const auto& [key, row] : missing) {
-    HandleRow({key, "", result.m_version, true});
+    if (!may_be_older || row.m_version <= result.m_version) {
+      HandleRow({key, "", result.m_version, true});
+    }
+  }
+  if (!may_be_older) {
+    m_copied_version = {};
   }
   m_loaded = true;
   m_version = result.m_version;
@@ -145,12 +203,14 @@
     HandleAllRows(result, requested_at);
     return;
   }
-  if (result.m_source.empty() && result.m_version < m_version) {
+  const bool may_be_older = MayPrecedeCopies(result, requested_at);
+  const net::FeedVersion before = may_be_older ? m_version : IncludedVersion();
+  if (result.m_source.empty() && result.m_version < before) {
     // The platform's version went back, or the response is an old one.
     Log(LogLevel::kWarning, "table_version_went_back",
         {{"table", m_options.m_table},
          {"version", static_cast<std::int64_t>(result.m_version.value())},
-         {"before", static_cast<std::int64_t>(m_version.value())}});
+         {"before", static_cast<std::int64_t>(before.value())}});
     m_loaded = false;
     SendRequest();
     return;
@@ -158,8 +218,10 @@
   HandleSuccess();
   m_source = result.m_source;
   for (const net::FeedRow& row : result.m_rows) {
-    Retain(row);
-    HandleRow(row);
+    if (!may_be_older || row.m_version >= VersionOf(row.m_key)) {
+      Retain(row);
+      HandleRow(row);
+    }
   }
   m_version = std::max(m_version, result.m_version);
   Confirm(result, requested_at);
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -10,11 +10,13 @@
 
 #include <ev.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "libnet/event_loop.h"
@@ -78,6 +80,11 @@
   const Endpoint& Source() const { return m_source; }
   /// @return the version of the newest change that the copy includes.
   net::FeedVersion Version() const { return m_version; }
+  /// @return the version up to which no change is missing, including those from
+  /// copies of other instances.
+  net::FeedVersion IncludedVersion() const {
+    return std::max(m_version, m_copied_version);
+  }
   /// @return number of rows that were read, changed or removed; rows from
   /// copies of other instances change them without a new version.
   std::uint64_t Updates() const { return m_updates; }
@@ -93,11 +100,14 @@
   /// Sends a request immediately if the last one failed, and abandons an
   /// earlier one in progress. Called when the platform responds again.
   void RetryIfLost();
-  /// Reads the rows of another instance that has newer ones, and takes over
-  /// those, and those of the same version that differ. The copy is not
-  /// confirmed by them, and rows are neither added nor removed. Called when the
-  /// rows here are known to be older.
-  void RequestCopy();
+  /// Reads rows from another instance that has newer ones, and takes over those
+  /// that are newer, and those of the same version that differ. The copy is not
+  /// confirmed by them. Called when the rows here are known to be older.
+  /// @param after version after which changes are wanted; zero for all rows.
+  /// @param done called at the end, with true if an instance gave its rows. Not
+  /// called once this object is gone.
+  void RequestCopy(net::FeedVersion after,
+                   std::function<void(bool is_read)> done);
   /// Sets the maximum backoff, for example according to the size of the fleet.
   void SetMaxBackoff(Duration max_backoff) {
     m_options.m_max_backoff = max_backoff;
@@ -108,6 +118,13 @@
   void HandleAllRows(const net::FeedResult& result, TimePoint requested_at);
   void HandleChanges(const net::FeedResult& result, TimePoint requested_at);
   void HandleCopy(const net::FeedResult& result);
+  bool IsNewerInCopy(const net::FeedRow& row) const;
+  /// @return the version of the newest change of a row, if one is known.
+  std::optional<net::FeedVersion> VersionOf(const std::string& key) const;
+  /// @return true when a response may be older than what copies of other
+  /// instances gave.
+  bool MayPrecedeCopies(const net::FeedResult& result,
+                        TimePoint requested_at) const;
   void HandleRow(const net::FeedRow& row);
   void HandleSuccess();
   void Confirm(const net::FeedResult& result, TimePoint requested_at);
@@ -134,12 +151,17 @@
   std::deque<Change> m_changes;
   net::FeedVersion m_changes_after;  ///< All later changes are in m_changes.
   TimePoint m_confirmed_at{};
+  /// Version of the copies of other instances that were taken over.
+  net::FeedVersion m_copied_version;
+  TimePoint m_copied_at{};
   Endpoint m_source;
   int m_failures = 0;  ///< Consecutive.
   TimePoint m_last_success_at{};
   /// Callbacks hold a weak reference and do nothing when it has expired.
   /// Replaced to abandon the requests in progress.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  /// As m_alive, for requests for copies, which are never abandoned.
+  std::shared_ptr<bool> m_exists = std::make_shared<bool>(true);
 };
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/table_follower_for_test.h
+++ b/src/nutmegd/table_follower_for_test.h
@@ -33,8 +33,9 @@
       m_after = after;
       m_pending.push_back(callback);
     };
-    feed.m_read_copy = [this](const std::string&, Duration,
-                              const net::FeedCallback& callback) {
+    feed.m_read_copy = [this](const std::string&, net::FeedVersion after,
+                              Duration, const net::FeedCallback& callback) {
+      m_copy_after = after;
       m_copies.push_back(callback);
     };
     return feed;
@@ -65,12 +66,30 @@
     callback(std::move(result));
   }
 
+  /// Gives the rows of another instance.
+  void RespondWithNewerRows(std::uint64_t version,
+                            std::vector<net::FeedRow> rows,
+                            bool is_whole = false) {
+    ASSERT_FALSE(m_copies.empty());
+    const net::FeedCallback callback = m_copies.front();
+    m_copies.pop_front();
+    net::FeedResult result{net::FeedStatus::kDone,
+                           std::move(rows),
+                           net::FeedVersion(version),
+                           "",
+                           {}};
+    result.m_is_whole = is_whole;
+    result.m_source = Endpoint("127.0.0.1:9");
+    callback(std::move(result));
+  }
+
   int m_reads = 0;
   int m_waits = 0;
   net::FeedVersion m_after;
   Duration m_wait{};
   std::deque<net::FeedCallback> m_pending;
   std::deque<net::FeedCallback> m_copies;
+  net::FeedVersion m_copy_after;
 };
 
 /// Value of a row that the owner of the follower does not use.
@@ -118,6 +137,11 @@
     }
   }
 
+  /// Requests newer rows, from which the whole table is wanted.
+  void RequestCopy() {
+    m_follower->RequestCopy(net::FeedVersion(), [](bool) {});
+  }
+
   static net::FeedRow Row(const char* key, std::uint64_t version) {
     return {key, "value", net::FeedVersion(version), false};
   }
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -84,13 +84,8 @@
   m_feed.Respond(FeedStatus::kDone, 7);
   RunUntil([this] { return m_feed.m_waits == 2; });
   const int confirmations = m_confirmations;
-  m_follower->RequestCopy();
-  ASSERT_EQ(m_feed.m_copies.size(), 1U);
-  m_feed.m_copies.front()({FeedStatus::kDone,
-                           {Row("a", 5), Row("b", 3), Row("removed", 1)},
-                           FeedVersion(6),
-                           "",
-                           {}});
+  RequestCopy();
+  m_feed.RespondWithNewerRows(6, {Row("a", 5), Row("b", 3), Row("removed", 1)});
   EXPECT_EQ(m_seen, "+a +b +a ");
   EXPECT_EQ(m_confirmations, confirmations);
   EXPECT_EQ(m_follower->Version(), FeedVersion(7));
@@ -98,6 +93,104 @@
   EXPECT_EQ(m_feed.m_waits, 2) << "the request in progress stays";
 }
 
+// Failure: no rows were requested of other instances while the table was read
+// again, which does not end while the platform is away.
+TEST_F(TableFollowerTest, TakesNewerRowsWhileTheTableCannotBeReadAgain) {
+  m_feed.Respond(FeedStatus::kDone, 3, {Row("a", 2)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.Respond(FeedStatus::kHistoryNotRetained);
+  RequestCopy();
+  m_feed.RespondWithNewerRows(6, {Row("a", 5)});
+  EXPECT_EQ(m_seen, "+a +a ");
+}
+
+// Failure: rows from a copy were dropped when another table was read again.
+TEST_F(TableFollowerTest, TakesNewerRowsThatArriveAfterARetry) {
+  m_feed.Respond(FeedStatus::kDone, 3, {Row("a", 2)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.Respond(FeedStatus::kUnknown);
+  RequestCopy();
+  m_follower->RetryIfLost();
+  m_feed.RespondWithNewerRows(6, {Row("a", 5)});
+  EXPECT_EQ(m_seen, "+a lost +a ");
+}
+
+struct NewerRowsCase {
+  const char* m_name;
+  bool m_is_whole;
+  std::vector<FeedRow> m_rows;
+  const char* m_seen;
+};
+
+class NewerRows : public TableFollowerTest,
+                  public testing::WithParamInterface<NewerRowsCase> {};
+
+// Failure: rows that were added or removed did not reach an instance whose
+// reads failed, since copies changed the rows that it had only.
+TEST_P(NewerRows, AreAddedAndRemoved) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 2), Row("b", 5)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  RequestCopy();
+  m_feed.RespondWithNewerRows(9, GetParam().m_rows, GetParam().m_is_whole);
+  EXPECT_EQ(m_seen, "+a +b " + std::string(GetParam().m_seen));
+  EXPECT_EQ(m_follower->Version(), FeedVersion(5)) << "it is not confirmed";
+  EXPECT_EQ(m_follower->IncludedVersion(), FeedVersion(9));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Copies,
+    NewerRows,
+    testing::Values(
+        NewerRowsCase{"Added", false, {{"c", "x", FeedVersion(8)}}, "+c "},
+        NewerRowsCase{"Removed",
+                      false,
+                      {{"a", "", FeedVersion(9), true}},
+                      "-a "},
+        NewerRowsCase{"RemovedBeforeItCame",
+                      false,
+                      {{"c", "", FeedVersion(9), true}},
+                      ""},
+        NewerRowsCase{"RemovedHereLater",
+                      false,
+                      {{"c", "x", FeedVersion(4)}},
+                      ""},
+        NewerRowsCase{"Older", false, {{"b", "x", FeedVersion(4)}}, ""},
+        NewerRowsCase{"MissingInTheWholeTable",
+                      true,
+                      {{"b", "value", FeedVersion(5)}},
+                      "-a "}),
+    [](const auto& info) { return std::string(info.param.m_name); });
+
+// Failure: a response that was older than the rows from a copy took them back.
+TEST_F(TableFollowerTest, KeepsRowsOfACopyAfterAnOlderResponse) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 2), Row("b", 3)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  RequestCopy();
+  m_feed.RespondWithNewerRows(9, {Row("a", 8), Removed("b", 9)});
+  m_feed.Respond(FeedStatus::kDone, 7, {Row("a", 6), Row("b", 7)});
+  EXPECT_EQ(m_seen, "+a +b +a -b ");
+  EXPECT_EQ(m_follower->Version(), FeedVersion(7));
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  m_feed.Respond(FeedStatus::kDone, 9, {Row("a", 8), Removed("b", 9)});
+  EXPECT_EQ(m_follower->Version(), FeedVersion(9));
+}
+
+// Failure: after the platform came back from an older copy, rows that it no
+// longer has stayed in use.
+TEST_F(TableFollowerTest, ReadsAllAgainWhenTheVersionIsBelowThatOfACopy) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 5)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  RequestCopy();
+  m_feed.RespondWithNewerRows(9, {Row("a", 9)});
+  m_feed.Respond(FeedStatus::kDone, 5);
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  m_feed.Respond(FeedStatus::kDone, 6);
+  EXPECT_EQ(m_feed.m_reads, 2);
+  m_feed.Respond(FeedStatus::kDone, 6, {Row("a", 5)});
+  EXPECT_EQ(m_follower->IncludedVersion(), FeedVersion(6));
+  EXPECT_EQ(m_seen, "+a +a +a ");
+}
+
 TEST_F(TableFollowerTest, KeepsARowThatIsNewerThanInACopyOfAnotherInstance) {
   m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 5)});
   RunUntil([this] { return m_feed.m_waits == 1; });
