Give a server's leaving that one instance knows of to all others

Cause: nothing told an instance that another one has newer registrations. The configuration has its revision in each digest; registrations had no version, and rows were requested of other instances for the configuration only.

Digests now state the version of the newest change in the sender's copy of the registrations. An instance that lacks it for 600 ms, and has no confirmation since it was stated, requests the changes. A later confirmation by the store ends that, so that a version which the store has lost does not count.

--- a/src/include/nutmeghollow/entry_directory.h
+++ b/src/include/nutmeghollow/entry_directory.h
@@ -31,6 +31,9 @@
   bool m_store_fails = false;
   /// Revision that it has in force, as last reported.
   Revision m_revision = {};
+  /// Version of the newest change in its copy of the registrations, as last
+  /// reported; zero when its build does not report it.
+  RowVersion m_registrations_version = {};
 };
 
 /// Directory of instances, keyed by id.
--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -62,6 +62,9 @@
   std::optional<Duration> m_registrations_age;
   /// The store refused or did not answer the sender's own reads recently.
   bool m_store_fails = false;
+  /// Version of the newest change in the sender's copy of the registrations;
+  /// zero when it has none or does not state it.
+  RowVersion m_registrations_version;
 };
 
 /// Maximum entries of each list, so that a digest fits into one datagram.
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -142,4 +142,7 @@
   storeFails @20 :Bool;
   # As proofAgeMs, about the sender's copy of the registrations.
   registrationsAgeMs @21 :UInt32;
+  # Version of the newest change in the sender's copy of the registrations; 0:
+  # not stated.
+  registrationsVersion @22 :UInt64;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -256,7 +256,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 4, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 5, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1610,6 +1610,8 @@
 
   inline  ::uint32_t getRegistrationsAgeMs() const;
 
+  inline  ::uint64_t getRegistrationsVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1756,6 +1758,9 @@
   inline  ::uint32_t getRegistrationsAgeMs();
   inline void setRegistrationsAgeMs( ::uint32_t value);
 
+  inline  ::uint64_t getRegistrationsVersion();
+  inline void setRegistrationsVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3202,6 +3207,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Digest::Reader::getRegistrationsVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getRegistrationsVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setRegistrationsVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -357,6 +357,7 @@
   root.setProofAgeMs(EncodeAge(digest.m_proof_age));
   root.setRegistrationsAgeMs(EncodeAge(digest.m_registrations_age));
   root.setStoreFails(digest.m_store_fails);
+  root.setRegistrationsVersion(digest.m_registrations_version.value());
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
   const auto bytes = stream.getArray();
@@ -398,6 +399,7 @@
     digest.m_proof_age = DecodeAge(root.getProofAgeMs());
     digest.m_registrations_age = DecodeAge(root.getRegistrationsAgeMs());
     digest.m_store_fails = root.getStoreFails();
+    digest.m_registrations_version = RowVersion(root.getRegistrationsVersion());
     if (root.hasLoad()) {
       digest.m_load = ReadLoad(root.getLoad());
     }
--- a/src/libnutmeg/fleet_digest_test.cpp
+++ b/src/libnutmeg/fleet_digest_test.cpp
@@ -47,11 +47,13 @@
   digest.m_proof_age = GetParam().m_sent;
   digest.m_registrations_age = GetParam().m_sent;
   digest.m_store_fails = GetParam().m_sent.has_value();
+  digest.m_registrations_version = RowVersion(GetParam().m_sent ? 9 : 0);
   const auto read = DecodeDigest(EncodeDigest(digest, kNow), kNow);
   ASSERT_TRUE(read);
   EXPECT_EQ(read->m_proof_age, GetParam().m_received);
   EXPECT_EQ(read->m_registrations_age, GetParam().m_received);
   EXPECT_EQ(read->m_store_fails, digest.m_store_fails);
+  EXPECT_EQ(read->m_registrations_version, digest.m_registrations_version);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -213,6 +213,7 @@
   digest.m_proof_age = m_hooks.m_proof_age();
   digest.m_registrations_age = m_hooks.m_registrations_age();
   digest.m_store_fails = m_hooks.m_store_fails();
+  digest.m_registrations_version = m_hooks.m_registrations_version();
   return digest;
 }
 
@@ -394,7 +395,9 @@
     entry->m_registrations_age = digest->m_registrations_age;
     entry->m_store_fails = digest->m_store_fails;
     entry->m_revision = digest->m_revision;
+    entry->m_registrations_version = digest->m_registrations_version;
     m_hooks.m_on_revision(digest->m_revision);
+    m_hooks.m_on_registrations_version(digest->m_registrations_version);
   }
 }
 
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -46,6 +46,10 @@
   std::function<std::optional<Duration>()> m_registrations_age;
   /// @return true when the store fails for this instance's own reads.
   std::function<bool()> m_store_fails;
+  /// @return the version of the newest change in its copy of the registrations.
+  std::function<RowVersion()> m_registrations_version;
+  /// Called with the version that another instance states.
+  std::function<void(RowVersion)> m_on_registrations_version;
   /// Called with streams to record for another instance.
   std::function<void(const InstanceId& from, const StreamReport& report)>
       m_on_stream_report;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -54,6 +54,9 @@
 /// Time that a change may take to reach this instance after another one. Above
 /// it the rows are requested from that one.
 constexpr Duration kConfigurationTolerance = std::chrono::milliseconds(300);
+/// Changes of the registrations are read in batches, by a reader and its
+/// followers.
+constexpr Duration kRegistrationTolerance = std::chrono::milliseconds(600);
 /// Interval between checks of the settings file for changes.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
 /// Memory of the HTTP library per connection, beyond the header limit.
@@ -208,6 +211,15 @@
                  return m_state.AgesOfCopies(BootTime()).m_registrations;
                },
            .m_store_fails = [this] { return m_store_reads.Fails(); },
+           .m_registrations_version =
+               [this] {
+                 return RowVersion(
+                     m_registration_follower.NewestChange().value());
+               },
+           .m_on_registrations_version =
+               [this](RowVersion version) {
+                 HandleRegistrationsElsewhere(version);
+               },
            .m_on_stream_report =
                [this](const InstanceId& from, const StreamReport& report) {
                  m_streams.HandleReport(from, report);
@@ -290,7 +302,11 @@
       m_configuration_copies(loop,
                              &m_configuration_follower,
                              kConfigurationTolerance,
-                             ConfigurationCopies()) {
+                             ConfigurationCopies()),
+      m_registration_copies(loop,
+                            &m_registration_follower,
+                            kRegistrationTolerance,
+                            RegistrationCopies()) {
   m_state.m_loop = loop;
   m_state.m_client = &m_client;
   m_state.m_crash_detector = &m_crash_detector;
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "libnet/event_loop.h"
 #include "libnet/http_server.h"
@@ -62,8 +63,14 @@
   void RetryLostTables();
   /// Handles a revision that another live instance has in force.
   void HandleRevisionElsewhere(Revision revision);
+  /// Handles the version of another live instance's copy of the registrations.
+  void HandleRegistrationsElsewhere(RowVersion version);
   /// @return the hooks of the requests for newer configurations.
   CopyRequestHooks ConfigurationCopies();
+  /// @return the hooks of the requests for newer registrations.
+  CopyRequestHooks RegistrationCopies();
+  /// @return peer addresses of live instances with newer rows of a table.
+  std::vector<Endpoint> SourcesOfNewerRows(const std::string& table) const;
   /// @return the hooks of the feed through other instances.
   PeerFeedHooks FeedHooks();
   TableFollowerEvents ConfigurationEvents();
@@ -114,6 +121,7 @@
   net::Timer m_drain_timer;
   net::Timer m_trim_timer;
   CopyRequests m_configuration_copies;
+  CopyRequests m_registration_copies;
   CopyUse m_last_copy_use = CopyUse::kAll;
 };
 
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -2,6 +2,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "libnet/event_loop.h"
 #include "libnet/log.h"
@@ -42,6 +43,41 @@
   return hooks;
 }
 
+void Gateway::Impl::HandleRegistrationsElsewhere(RowVersion version) {
+  m_state.m_registrations_lag.NoteElsewhere(version.value(), BootTime());
+  m_registration_copies.NoteNewer();
+}
+
+CopyRequestHooks Gateway::Impl::RegistrationCopies() {
+  CopyRequestHooks hooks;
+  hooks.m_is_outdated = [this] {
+    m_state.m_registrations_lag.NoteOwn(
+        m_registration_follower.IncludedVersion().value());
+    return m_state.m_registrations_lag.IsBehind();
+  };
+  hooks.m_after = [this] { return m_registration_follower.IncludedVersion(); };
+  hooks.m_log = [this] {
+    Log(LogLevel::kWarning, "registrations_outdated",
+        {{"version", static_cast<std::int64_t>(
+                         m_registration_follower.IncludedVersion().value())},
+         {"newest_version",
+          static_cast<std::int64_t>(m_state.m_registrations_lag.Newest())}});
+  };
+  return hooks;
+}
+
+std::vector<Endpoint> Gateway::Impl::SourcesOfNewerRows(
+    const std::string& table) const {
+  const bool is_configuration =
+      table == m_state.m_protocol.m_configuration_table;
+  return m_instance_rows.SourcesOfNewerRows([&](const EntryInstance& other) {
+    return is_configuration
+               ? other.m_revision > m_state.RevisionInForce()
+               : other.m_registrations_version.value() >
+                     m_registration_follower.IncludedVersion().value();
+  });
+}
+
 CopyUse Gateway::Impl::CheckUseOfCopies(TimePoint now) {
   const GatewaySettings& settings = m_settings.m_gateway;
   const CopyTimes ages = m_state.AgesOfCopies(now);
@@ -74,8 +110,8 @@
   PeerFeedHooks hooks;
   hooks.m_keys = [this] { return m_fleet.Keys(); };
   hooks.m_readers = [this] { return m_instance_rows.Readers(); };
-  hooks.m_newer = [this](const std::string& /*table*/) {
-    return m_instance_rows.WithRevisionAbove(m_state.RevisionInForce());
+  hooks.m_newer = [this](const std::string& table) {
+    return SourcesOfNewerRows(table);
   };
   m_store_reads.Connect(&hooks);
   return hooks;
@@ -119,6 +155,7 @@
   events.m_on_confirmed = [this](TimePoint confirmed_at) {
     m_registrations_read = true;
     m_state.m_registrations_confirmed_at = confirmed_at;
+    m_state.m_registrations_lag.NoteConfirmed(confirmed_at);
     m_peer_feed_server.RespondToPending(
         m_state.m_protocol.m_registration_table);
   };
--- a/src/nutmegd/instance_rows.cpp
+++ b/src/nutmegd/instance_rows.cpp
@@ -114,13 +114,13 @@
   return addresses;
 }
 
-std::vector<Endpoint> InstanceRows::WithRevisionAbove(Revision revision) const {
+std::vector<Endpoint> InstanceRows::SourcesOfNewerRows(
+    const std::function<bool(const EntryInstance&)>& has_newer_rows) const {
   const InstanceSettings& self = m_settings->m_instance;
   std::vector<std::tuple<bool, std::uint64_t, Endpoint>> order;
   for (const auto& [id, instance] : m_directory->Instances()) {
     const Endpoint address = m_fleet->AddressOf(id);
-    if (instance.m_alive && instance.m_revision > revision &&
-        !address.empty()) {
+    if (instance.m_alive && has_newer_rows(instance) && !address.empty()) {
       order.emplace_back(instance.m_data_centre != self.m_data_centre,
                          HashText(self.m_id.str() + "/" + id.str()), address);
     }
--- a/src/nutmegd/instance_rows.h
+++ b/src/nutmegd/instance_rows.h
@@ -43,10 +43,12 @@
   /// platform's tables, in the order of preference; empty when this instance
   /// reads them itself.
   std::vector<Endpoint> Readers();
-  /// @return peer addresses of the other live instances with a revision above
-  /// the given one, those of the own data centre first. The order differs
-  /// between instances, so that many outdated ones do not ask the same one.
-  std::vector<Endpoint> WithRevisionAbove(Revision revision) const;
+  /// @param has_newer_rows given another instance, as it last reported itself.
+  /// @return peer addresses of the other live instances that have newer rows,
+  /// those of the own data centre first. The order differs between instances,
+  /// so that many outdated ones do not ask the same one.
+  std::vector<Endpoint> SourcesOfNewerRows(
+      const std::function<bool(const EntryInstance&)>& has_newer_rows) const;
   /// Writes the row of this instance, with retries until it succeeds.
   void WriteOwnRow();
   /// Removes the row of this instance, with retries until it succeeds.
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -166,6 +166,10 @@
   m_source = result.m_source;
   const bool may_be_older =
       !result.m_source.empty() || MayPrecedeCopies(result, requested_at);
+  if (!may_be_older) {
+    m_copied_version = {};
+    m_newest_change = {};
+  }
   std::map<std::string, net::FeedRow> missing = m_rows;
   for (const net::FeedRow& row : result.m_rows) {
     missing.erase(row.m_key);
@@ -178,9 +182,6 @@
       HandleRow({key, "", result.m_version, true});
     }
   }
-  if (!may_be_older) {
-    m_copied_version = {};
-  }
   m_loaded = true;
   m_version = result.m_version;
   m_changes.clear();
@@ -253,6 +254,7 @@
   } else if (is_used || !m_rows.contains(row.m_key)) {
     m_rows[row.m_key] = row;
   }
+  m_newest_change = std::max(m_newest_change, row.m_version);
   ++m_updates;
 }
 
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -85,6 +85,8 @@
   net::FeedVersion IncludedVersion() const {
     return std::max(m_version, m_copied_version);
   }
+  /// @return the version of the newest change of a row of the copy.
+  net::FeedVersion NewestChange() const { return m_newest_change; }
   /// @return number of rows that were read, changed or removed; rows from
   /// copies of other instances change them without a new version.
   std::uint64_t Updates() const { return m_updates; }
@@ -144,6 +146,7 @@
   net::Timer m_timer;
   bool m_loaded = false;
   net::FeedVersion m_version;
+  net::FeedVersion m_newest_change;
   std::uint64_t m_updates = 0;
   std::map<std::string, net::FeedRow> m_rows;
   /// The newest change of each row that changed, ordered by version. The values
