Do not run requests by a copy that is known to lack a change in force

Cause: what an instance knows of its copy ended denials only.

An instance now refuses (503 with Retry-After, as with an unproven copy) once it has known for half of the limit of a newer copy that it did not get, while a live instance states that copy. The other half is left for the time from the change to the digest. When no live instance has it, nobody can serve by it, and service goes on: an outage of the store ends no service. A row that this build cannot read does not count. use_of_copies_changed tells for how long newer copies have been known.

--- a/src/include/nutmeghollow/configuration_freshness.h
+++ b/src/include/nutmeghollow/configuration_freshness.h
@@ -8,14 +8,15 @@
 /// A confirmation is only as good as the response that it rests on. While
 /// another instance has a higher revision in force, or the newest row cannot be
 /// read, the configuration here is older whatever the responses say, and no
-/// request is denied because of it. Requests that it allows are served as long
-/// as confirmations come: a row that one build cannot read must not stop the
-/// service of all its instances.
+/// request is denied because of it. How long requests that it allows may be
+/// served then is decided in copy_use.h. A row that this build cannot read does
+/// not count: it must not stop the service of all its instances.
 #pragma once
 
 #include <algorithm>
 #include <optional>
 
+#include "nutmeghollow/copy_lag.h"
 #include "nutmeghollow/types.h"
 
 namespace nutmeghollow {
@@ -56,17 +57,27 @@
     }
   }
   /// Records the revision in force here.
-  void NoteInForce(Revision revision) { m_in_force = revision; }
+  void NoteInForce(Revision revision) {
+    m_in_force = revision;
+    m_lag.NoteOwn(revision.value());
+  }
   /// Records a revision that another instance has in force. The highest one
   /// counts also when that instance is silent later: a configuration never goes
   /// back.
-  void NoteElsewhere(Revision revision) {
+  void NoteElsewhere(Revision revision, TimePoint now) {
     m_newest_elsewhere = std::max(m_newest_elsewhere, revision);
+    m_lag.NoteElsewhere(revision.value(), now);
   }
   /// @return the highest revision that another instance had in force.
   Revision NewestElsewhere() const { return m_newest_elsewhere; }
   /// @return true when another instance had a higher revision in force.
   bool IsOutdated() const { return m_newest_elsewhere > m_in_force; }
+  /// @return for how long a higher revision has been known to be in force at
+  /// another instance; nothing if there is none, or if its row is here and
+  /// cannot be read.
+  std::optional<Duration> OutdatedFor(TimePoint now) const {
+    return m_row_is_readable ? m_lag.At(now) : std::nullopt;
+  }
   /// Records whether the newest row could be read. One that could not stays
   /// unused, and the earlier configuration in force.
   void NoteRow(bool is_readable) { m_row_is_readable = is_readable; }
@@ -87,6 +98,7 @@
   std::optional<TimePoint> m_confirmed_at;
   Revision m_in_force;
   Revision m_newest_elsewhere;
+  CopyLag m_lag;
   bool m_row_is_readable = true;
 };
 
--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -7,6 +7,10 @@
 /// while the store answers another instance for that table, changes are made.
 /// While it answers nobody, none is known anywhere, and the copy may be used
 /// on. An instance that hears no other one cannot tell the two apart.
+///
+/// A copy that is known to lack a change is not used once the change must be in
+/// force, however new its confirmation is, as long as a live instance has it.
+/// When that instance is gone, nobody can serve by the newer copy.
 #pragma once
 
 #include <optional>
@@ -45,6 +49,24 @@
                     const CopyTimes& ages,
                     const CopyTimes& limits);
 
+/// Versions of this instance's copies, and for how long other instances have
+/// been known to have newer ones.
+struct CopyVersions {
+  Revision m_revision;
+  RowVersion m_registrations;
+  CopyTimes m_outdated_for;  ///< Unset for a copy of which no newer is known.
+};
+
+/// @param directory the instances, with what they last reported.
+/// @param self this instance.
+/// @param limits times within which a change must be in force.
+/// @return true when a live instance has a change that this one lacks and that
+/// must be in force by now.
+bool LacksChangeInForce(const EntryDirectory& directory,
+                        const InstanceId& self,
+                        const CopyVersions& versions,
+                        const CopyTimes& limits);
+
 /// @return "all", "anonymous" or "none".
 const char* NameOf(CopyUse use);
 
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -18,8 +18,38 @@
   return IsOver(age, limit) && age_elsewhere && !IsOver(age_elsewhere, limit);
 }
 
+/// The other half of the limit is left for the time from the change to the
+/// digest by which it became known here.
+bool IsOutdatedTooLong(const std::optional<Duration>& outdated_for,
+                       const std::optional<Duration>& limit) {
+  return outdated_for && limit && *outdated_for > *limit / 2;
+}
+
 }  // namespace
 
+bool LacksChangeInForce(const EntryDirectory& directory,
+                        const InstanceId& self,
+                        const CopyVersions& versions,
+                        const CopyTimes& limits) {
+  const bool configuration_is_late = IsOutdatedTooLong(
+      versions.m_outdated_for.m_configuration, limits.m_configuration);
+  const bool registrations_are_late = IsOutdatedTooLong(
+      versions.m_outdated_for.m_registrations, limits.m_registrations);
+  if (!configuration_is_late && !registrations_are_late) {
+    return false;
+  }
+  return std::any_of(
+      directory.Instances().begin(), directory.Instances().end(),
+      [&](const auto& entry) {
+        const EntryInstance& other = entry.second;
+        return entry.first != self && other.m_alive &&
+               ((configuration_is_late &&
+                 other.m_revision > versions.m_revision) ||
+                (registrations_are_late &&
+                 other.m_registrations_version > versions.m_registrations));
+      });
+}
+
 bool MayLackChanges(const CopyTimes& ages, const CopyTimes& limits) {
   return IsOver(ages.m_configuration, limits.m_configuration) ||
          IsOver(ages.m_registrations, limits.m_registrations);
--- a/src/libnutmeg/copy_use_test.cpp
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// Another instance.
 struct Other {
@@ -122,5 +123,75 @@
              CopyUse::kAll}),
     [](const auto& info) { return info.param.m_name; });
 
+struct LackCase {
+  const char* m_name;
+  CopyTimes m_outdated_for;
+  Revision m_revision;         ///< Of the other instance; 5 here.
+  RowVersion m_registrations;  ///< Of the other instance; 90 here.
+  bool m_alive = true;
+  bool m_lacks = false;
+};
+
+class LacksChange : public testing::TestWithParam<LackCase> {};
+
+// Failure: an instance that knew of a newer revision, and could not get it, ran
+// requests by the old one for as long as confirmations came.
+TEST_P(LacksChange, OnceItMustBeInForceAndALiveInstanceHasIt) {
+  EntryDirectory directory;
+  EntryInstance other;
+  other.m_id = InstanceId("other");
+  other.m_alive = GetParam().m_alive;
+  other.m_revision = GetParam().m_revision;
+  other.m_registrations_version = GetParam().m_registrations;
+  directory.Put(other);
+  EntryInstance self;
+  self.m_id = InstanceId("self");
+  self.m_revision = Revision(9);
+  self.m_registrations_version = RowVersion(99);
+  directory.Put(self);
+  const CopyVersions versions{Revision(5), RowVersion(90),
+                              GetParam().m_outdated_for};
+  EXPECT_EQ(LacksChangeInForce(directory, self.m_id, versions,
+                               {seconds(2), seconds(4)}),
+            GetParam().m_lacks);
+  EXPECT_FALSE(LacksChangeInForce(directory, self.m_id, versions, {}))
+      << "without limits";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lags,
+    LacksChange,
+    testing::Values(LackCase{"NoneIsKnown", {}, Revision(5), RowVersion(90)},
+                    LackCase{"JustKnown",
+                             {milliseconds(900), milliseconds(900)},
+                             Revision(6),
+                             RowVersion(91)},
+                    LackCase{"KnownForLong",
+                             {milliseconds(1100), {}},
+                             Revision(6),
+                             RowVersion(90),
+                             true,
+                             true},
+                    LackCase{"HolderIsGone",
+                             {milliseconds(1100), milliseconds(2100)},
+                             Revision(6),
+                             RowVersion(91),
+                             false},
+                    LackCase{"HolderHasAnOlderOneNow",
+                             {milliseconds(1100), milliseconds(2100)},
+                             Revision(5),
+                             RowVersion(90)},
+                    LackCase{"Registrations",
+                             {{}, milliseconds(2100)},
+                             Revision(5),
+                             RowVersion(91),
+                             true,
+                             true},
+                    LackCase{"RegistrationsJustKnown",
+                             {{}, milliseconds(1900)},
+                             Revision(6),
+                             RowVersion(91)}),
+    [](const auto& info) { return std::string(info.param.m_name); });
+
 }  // namespace
 }  // namespace nutmeghollow
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -24,6 +24,7 @@
 #include "nutmegd/route_relay.h"
 #include "nutmegd/store_reads.h"
 #include "nutmegd/table_follower.h"
+#include "nutmeghollow/copy_lag.h"
 #include "nutmeghollow/entry_directory.h"
 
 namespace nutmeghollow {
@@ -65,6 +66,8 @@
   void HandleRevisionElsewhere(Revision revision);
   /// Handles the version of another live instance's copy of the registrations.
   void HandleRegistrationsElsewhere(RowVersion version);
+  /// @return how far the registrations here are behind those elsewhere.
+  CopyLag& LagOfRegistrations();
   /// @return the hooks of the requests for newer configurations.
   CopyRequestHooks ConfigurationCopies();
   /// @return the hooks of the requests for newer registrations.
@@ -122,6 +125,7 @@
   net::Timer m_trim_timer;
   CopyRequests m_configuration_copies;
   CopyRequests m_registration_copies;
+  CopyLag m_registrations_lag;
   CopyUse m_last_copy_use = CopyUse::kAll;
 };
 
--- a/src/nutmegd/gateway_state.h
+++ b/src/nutmegd/gateway_state.h
@@ -22,7 +22,6 @@
 #include "nutmeghollow/attempt_policy.h"
 #include "nutmeghollow/body_memory.h"
 #include "nutmeghollow/configuration_freshness.h"
-#include "nutmeghollow/copy_lag.h"
 #include "nutmeghollow/copy_use.h"
 #include "nutmeghollow/duration_estimate.h"
 #include "nutmeghollow/gateway_drain.h"
@@ -87,7 +86,6 @@
   std::function<bool()> m_store_failed_recently;
   /// When the copy of the registrations was last confirmed to be current.
   std::optional<TimePoint> m_registrations_confirmed_at;
-  CopyLag m_registrations_lag;
   /// @return the requests that may be decided from the copies now.
   std::function<CopyUse(TimePoint)> m_use_of_copies;
   UpstreamPool m_pool;
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 void Gateway::Impl::HandleRevisionElsewhere(Revision revision) {
-  m_state.m_freshness.NoteElsewhere(revision);
+  m_state.m_freshness.NoteElsewhere(revision, BootTime());
   m_configuration_copies.NoteNewer();
 }
 
@@ -43,25 +43,27 @@
   return hooks;
 }
 
+CopyLag& Gateway::Impl::LagOfRegistrations() {
+  m_registrations_lag.NoteOwn(
+      m_registration_follower.IncludedVersion().value());
+  return m_registrations_lag;
+}
+
 void Gateway::Impl::HandleRegistrationsElsewhere(RowVersion version) {
-  m_state.m_registrations_lag.NoteElsewhere(version.value(), BootTime());
+  LagOfRegistrations().NoteElsewhere(version.value(), BootTime());
   m_registration_copies.NoteNewer();
 }
 
 CopyRequestHooks Gateway::Impl::RegistrationCopies() {
   CopyRequestHooks hooks;
-  hooks.m_is_outdated = [this] {
-    m_state.m_registrations_lag.NoteOwn(
-        m_registration_follower.IncludedVersion().value());
-    return m_state.m_registrations_lag.IsBehind();
-  };
+  hooks.m_is_outdated = [this] { return LagOfRegistrations().IsBehind(); };
   hooks.m_after = [this] { return m_registration_follower.IncludedVersion(); };
   hooks.m_log = [this] {
     Log(LogLevel::kWarning, "registrations_outdated",
         {{"version", static_cast<std::int64_t>(
                          m_registration_follower.IncludedVersion().value())},
          {"newest_version",
-          static_cast<std::int64_t>(m_state.m_registrations_lag.Newest())}});
+          static_cast<std::int64_t>(m_registrations_lag.Newest())}});
   };
   return hooks;
 }
@@ -81,9 +83,16 @@
 CopyUse Gateway::Impl::CheckUseOfCopies(TimePoint now) {
   const GatewaySettings& settings = m_settings.m_gateway;
   const CopyTimes ages = m_state.AgesOfCopies(now);
-  const CopyUse use = UseOfCopies(
-      m_directory, m_settings.m_instance.m_id, ages,
-      {settings.m_configuration_limit, settings.m_registration_limit});
+  const CopyTimes limits{settings.m_configuration_limit,
+                         settings.m_registration_limit};
+  const CopyVersions versions{
+      m_state.RevisionInForce(),
+      RowVersion(m_registration_follower.IncludedVersion().value()),
+      {m_state.m_freshness.OutdatedFor(now), LagOfRegistrations().At(now)}};
+  const InstanceId& self = m_settings.m_instance.m_id;
+  const CopyUse use = LacksChangeInForce(m_directory, self, versions, limits)
+                          ? CopyUse::kNone
+                          : UseOfCopies(m_directory, self, ages, limits);
   if (use != std::exchange(m_last_copy_use, use)) {
     const auto milliseconds = [](const std::optional<Duration>& age) {
       return age ? std::int64_t{age->count() / 1000} : -1;
@@ -92,6 +101,10 @@
         {{"requests", std::string(NameOf(use))},
          {"configuration_age_ms", milliseconds(ages.m_configuration)},
          {"registrations_age_ms", milliseconds(ages.m_registrations)},
+         {"configuration_outdated_ms",
+          milliseconds(versions.m_outdated_for.m_configuration)},
+         {"registrations_outdated_ms",
+          milliseconds(versions.m_outdated_for.m_registrations)},
          {"revision",
           static_cast<std::int64_t>(m_state.RevisionInForce().value())}});
   }
@@ -155,7 +168,7 @@
   events.m_on_confirmed = [this](TimePoint confirmed_at) {
     m_registrations_read = true;
     m_state.m_registrations_confirmed_at = confirmed_at;
-    m_state.m_registrations_lag.NoteConfirmed(confirmed_at);
+    m_registrations_lag.NoteConfirmed(confirmed_at);
     m_peer_feed_server.RespondToPending(
         m_state.m_protocol.m_registration_table);
   };
