--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -91,6 +91,12 @@
   return std::chrono::duration_cast<Duration>(limit * kWaitShareOfLimit);
 }
 
+/// @return the duration in seconds; zero if there is none.
+double Seconds(const std::optional<Duration>& duration) {
+  return std::chrono::duration<double>(duration.value_or(Duration::zero()))
+      .count();
+}
+
 /// @return the wait of one request for configuration changes. The latest
 /// confirmation is up to two waits old just before the next response, and one
 /// lost response must not stop the service of requests with a key.
@@ -373,6 +379,12 @@
     const auto age = m_state.AgesOfCopies(BootTime()).m_registrations;
     return age ? std::chrono::duration<double>(*age).count() : -1.0;
   });
+  metrics.SetGauge("nutmeg_gateway_configuration_outdated_seconds", "", [this] {
+    return Seconds(m_state.m_freshness.OutdatedFor(BootTime()));
+  });
+  metrics.SetGauge("nutmeg_gateway_registrations_outdated_seconds", "", [this] {
+    return Seconds(LagOfRegistrations().At(BootTime()));
+  });
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
   });
