Do not serve by an older copy when cut off from all others

Cause: an instance that hears no other one cannot tell a cut from the end of all others, and goes on. With a newer revision known, others have had it in force, and the copy here is certainly older.

Such an instance now refuses as well. When others are heard and none has the newer copy, service goes on as before.

--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -10,7 +10,9 @@
 ///
 /// A copy that is known to lack a change is not used once the change must be in
 /// force, however new its confirmation is, as long as a live instance has it.
-/// When that instance is gone, nobody can serve by the newer copy.
+/// When that instance is gone and others are heard, nobody can serve by the
+/// newer copy. When no other one is heard, this instance is likely cut off, and
+/// the others have it.
 #pragma once
 
 #include <optional>
@@ -60,8 +62,8 @@
 /// @param directory the instances, with what they last reported.
 /// @param self this instance.
 /// @param limits times within which a change must be in force.
-/// @return true when a live instance has a change that this one lacks and that
-/// must be in force by now.
+/// @return true when this instance lacks a change that must be in force by now,
+/// and a live instance has it or no other one is heard.
 bool LacksChangeInForce(const EntryDirectory& directory,
                         const InstanceId& self,
                         const CopyVersions& versions,
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -38,16 +38,22 @@
   if (!configuration_is_late && !registrations_are_late) {
     return false;
   }
-  return std::any_of(
-      directory.Instances().begin(), directory.Instances().end(),
-      [&](const auto& entry) {
-        const EntryInstance& other = entry.second;
-        return entry.first != self && other.m_alive &&
-               ((configuration_is_late &&
-                 other.m_revision > versions.m_revision) ||
-                (registrations_are_late &&
-                 other.m_registrations_version > versions.m_registrations));
-      });
+  bool any_known = false;
+  bool any_alive = false;
+  for (const auto& [id, other] : directory.Instances()) {
+    if (id == self) {
+      continue;
+    }
+    any_known = true;
+    any_alive = any_alive || other.m_alive;
+    if (other.m_alive &&
+        ((configuration_is_late && other.m_revision > versions.m_revision) ||
+         (registrations_are_late &&
+          other.m_registrations_version > versions.m_registrations))) {
+      return true;
+    }
+  }
+  return any_known && !any_alive;
 }
 
 bool MayLackChanges(const CopyTimes& ages, const CopyTimes& limits) {
--- a/src/libnutmeg/copy_use_test.cpp
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -130,6 +130,7 @@
   RowVersion m_registrations;  ///< Of the other instance; 90 here.
   bool m_alive = true;
   bool m_lacks = false;
+  bool m_third_is_heard = true;
 };
 
 class LacksChange : public testing::TestWithParam<LackCase> {};
@@ -144,6 +145,12 @@
   other.m_revision = GetParam().m_revision;
   other.m_registrations_version = GetParam().m_registrations;
   directory.Put(other);
+  EntryInstance third;
+  third.m_id = InstanceId("third");
+  third.m_alive = GetParam().m_third_is_heard;
+  third.m_revision = Revision(5);
+  third.m_registrations_version = RowVersion(90);
+  directory.Put(third);
   EntryInstance self;
   self.m_id = InstanceId("self");
   self.m_revision = Revision(9);
@@ -177,6 +184,20 @@
                              Revision(6),
                              RowVersion(91),
                              false},
+                    LackCase{"NoOtherIsHeard",
+                             {milliseconds(1100), {}},
+                             Revision(6),
+                             RowVersion(90),
+                             false,
+                             true,
+                             false},
+                    LackCase{"NoOtherIsHeardAndNothingIsMissing",
+                             {},
+                             Revision(5),
+                             RowVersion(90),
+                             false,
+                             false,
+                             false},
                     LackCase{"HolderHasAnOlderOneNow",
                              {milliseconds(1100), milliseconds(2100)},
                              Revision(5),
