Do not give others the removal of registrations that may come back

Registrations expire in an outage and come back within two seconds; an instance retains their upstreams meanwhile. One that regained the store first would state the version of these removals, and others, whose own reads still fail, would have taken them over at once.

An instance states no version of its registrations while it awaits them.

--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -219,6 +219,10 @@
            .m_store_fails = [this] { return m_store_reads.Fails(); },
            .m_registrations_version =
                [this] {
+                 // Others would remove upstreams that are about to come back.
+                 if (m_registrations.AwaitsRegistrations(BootTime())) {
+                   return RowVersion();
+                 }
                  return RowVersion(
                      m_registration_follower.NewestChange().value());
                },
--- a/src/nutmegd/registrations.h
+++ b/src/nutmegd/registrations.h
@@ -34,6 +34,8 @@
   /// Records that the platform responds again.
   /// @param outage time without a successful response.
   void HandleRegained(Duration outage);
+  /// @return true while registrations that expired in an outage may come back.
+  bool AwaitsRegistrations(TimePoint now) const { return now < m_retain_until; }
 
  private:
   void Remove(const UpstreamId& id, const char* reason);
--- a/src/nutmegd/registrations_test.cpp
+++ b/src/nutmegd/registrations_test.cpp
@@ -35,6 +35,9 @@
     registrations.HandleRow({id.str(), "", net::FeedVersion(1), false});
     ASSERT_NE(pool.Find(id), nullptr);
     registrations.HandleRegained(GetParam().m_outage);
+    // Other instances are not given such removals meanwhile.
+    EXPECT_EQ(registrations.AwaitsRegistrations(net::BootTime()),
+              GetParam().m_retained);
     registrations.HandleRow({id.str(), "", net::FeedVersion(2), true});
     EXPECT_EQ(pool.Find(id) != nullptr, GetParam().m_retained);
   }
