An instance that the store fails for does not stop others by its newer copy

In an outage of the store one instance whose digests arrive and whose rows cannot be had (its port is cut, it is slow, or it has just been killed) would have made all others refuse until the end of the outage, anonymous requests too.

Only an instance that the store answers counts as a holder of a newer copy.

--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -9,10 +9,10 @@
 /// on. An instance that hears no other one cannot tell the two apart.
 ///
 /// A copy that is known to lack a change is not used once the change must be in
-/// force, however new its confirmation is, as long as a live instance has it.
-/// When that instance is gone and others are heard, nobody can serve by the
-/// newer copy. When no other one is heard, this instance is likely cut off, and
-/// the others have it.
+/// force, however new its confirmation is, as long as a live instance that the
+/// store answers has it. In an outage of the store, one holder whose rows
+/// cannot be had must not end the service of all others. When no other instance
+/// is heard, this one is likely cut off, and the others have the change.
 #pragma once
 
 #include <optional>
@@ -63,7 +63,7 @@
 /// @param self this instance.
 /// @param limits times within which a change must be in force.
 /// @return true when this instance lacks a change that must be in force by now,
-/// and a live instance has it or no other one is heard.
+/// and a live instance that the store answers has it, or no other one is heard.
 bool LacksChangeInForce(const EntryDirectory& directory,
                         const InstanceId& self,
                         const CopyVersions& versions,
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -46,7 +46,7 @@
     }
     any_known = true;
     any_alive = any_alive || other.m_alive;
-    if (other.m_alive &&
+    if (other.m_alive && !other.m_store_fails &&
         ((configuration_is_late && other.m_revision > versions.m_revision) ||
          (registrations_are_late &&
           other.m_registrations_version > versions.m_registrations))) {
--- a/src/libnutmeg/copy_use_test.cpp
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -131,6 +131,7 @@
   bool m_alive = true;
   bool m_lacks = false;
   bool m_third_is_heard = true;
+  bool m_store_fails = false;  ///< For the other instance.
 };
 
 class LacksChange : public testing::TestWithParam<LackCase> {};
@@ -142,6 +143,7 @@
   EntryInstance other;
   other.m_id = InstanceId("other");
   other.m_alive = GetParam().m_alive;
+  other.m_store_fails = GetParam().m_store_fails;
   other.m_revision = GetParam().m_revision;
   other.m_registrations_version = GetParam().m_registrations;
   directory.Put(other);
@@ -184,6 +186,14 @@
                              Revision(6),
                              RowVersion(91),
                              false},
+                    LackCase{"TheStoreFailsForTheHolder",
+                             {milliseconds(1100), milliseconds(2100)},
+                             Revision(6),
+                             RowVersion(91),
+                             true,
+                             false,
+                             true,
+                             true},
                     LackCase{"NoOtherIsHeard",
                              {milliseconds(1100), {}},
                              Revision(6),
