Keep rows of copies in the history and against older responses of readers

A whole table from a reader that was older than the rows from a copy dropped these from the history: they were no longer given to others, and the next older copy put a removed row back. Rows of a copy that came through a reader were taken back by the next reader. An instance that had not read a table took a copy of another one, whose use nothing bounded, since it had no age. A request after a failure came up to 8 s later when earlier ones had not helped.

--- a/src/nutmegd/copy_requests.cpp
+++ b/src/nutmegd/copy_requests.cpp
@@ -47,8 +47,9 @@
   if (!m_hooks.m_is_outdated()) {
     return;
   }
-  m_timer.Start(m_delay);
-  m_delay = std::min(2 * m_delay, is_read ? kMaxDelay : kMaxDelayAfterFailure);
+  const Duration max_delay = is_read ? kMaxDelay : kMaxDelayAfterFailure;
+  m_timer.Start(std::min(m_delay, max_delay));
+  m_delay = std::min(2 * m_delay, max_delay);
 }
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -69,6 +69,14 @@
 
 void TableFollower::RequestCopy(net::FeedVersion after,
                                 std::function<void(bool is_read)> done) {
+  // A copy that was never confirmed has no age, which bounds its use.
+  if (m_confirmed_at == TimePoint() || !m_feed.m_read_copy) {
+    Log(LogLevel::kWarning, "copy_not_read",
+        {{"table", m_options.m_table},
+         {"reason", std::string("the table has not been read yet")}});
+    done(false);
+    return;
+  }
   m_feed.m_read_copy(
       m_options.m_table, after, m_options.m_timeout_margin,
       [this, exists = std::weak_ptr<bool>(m_exists),
@@ -99,7 +107,7 @@
       newer.push_back(row);
     }
   }
-  if (result.m_is_whole && result.m_version >= IncludedVersion()) {
+  if (result.m_is_whole && result.m_version > IncludedVersion()) {
     for (const auto& [key, row] : m_rows) {
       if (!keys.contains(key) && row.m_version <= result.m_version) {
         newer.push_back({key, "", result.m_version, true});
@@ -148,7 +156,7 @@
 
 bool TableFollower::MayPrecedeCopies(const net::FeedResult& result,
                                      TimePoint requested_at) const {
-  return m_copied_version > m_version &&
+  return std::max(m_copied_version, m_newest_change) > m_version &&
          (!result.m_source.empty() || requested_at <= m_copied_at);
 }
 
@@ -184,7 +192,10 @@
   }
   m_loaded = true;
   m_version = result.m_version;
-  m_changes.clear();
+  // Those of copies of other instances may be newer.
+  std::erase_if(m_changes, [this](const Change& change) {
+    return change.m_version <= m_version;
+  });
   m_changes_after = m_version;
   Confirm(result, requested_at);
 }
@@ -225,6 +236,10 @@
     }
   }
   m_version = std::max(m_version, result.m_version);
+  if (m_newest_change > m_version) {
+    // The source has rows from a copy, and so has this instance now.
+    m_copied_at = net::BootTime();
+  }
   Confirm(result, requested_at);
 }
 
--- a/src/nutmegd/table_follower_for_test.h
+++ b/src/nutmegd/table_follower_for_test.h
@@ -66,6 +66,21 @@
     callback(std::move(result));
   }
 
+  /// Responds with changes, as another instance does.
+  void RespondWithChanges(std::uint64_t version,
+                          std::vector<net::FeedRow> rows) {
+    ASSERT_FALSE(m_pending.empty());
+    const net::FeedCallback callback = m_pending.front();
+    m_pending.pop_front();
+    net::FeedResult result{net::FeedStatus::kDone,
+                           std::move(rows),
+                           net::FeedVersion(version),
+                           "",
+                           {}};
+    result.m_source = Endpoint("127.0.0.1:9");
+    callback(std::move(result));
+  }
+
   /// Gives the rows of another instance.
   void RespondWithNewerRows(std::uint64_t version,
                             std::vector<net::FeedRow> rows,
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -175,6 +175,42 @@
   EXPECT_EQ(m_follower->Version(), FeedVersion(9));
 }
 
+// Failure: a whole table that was older than the rows from a copy took them
+// from the history, so that they were neither given to others nor kept here.
+TEST_F(TableFollowerTest, KeepsRowsOfACopyAfterAnOlderWholeTable) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 2), Row("b", 3)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  RequestCopy();
+  m_feed.RespondWithNewerRows(9, {Row("a", 8), Removed("b", 9)});
+  m_feed.RespondWithCopy(7, {Row("a", 6), Row("b", 3)});
+  EXPECT_EQ(m_seen, "+a +b +a -b ");
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(7)).m_rows.size(), 2U);
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  m_feed.RespondWithCopy(8, {Row("a", 8), Row("b", 3)});
+  EXPECT_EQ(m_seen, "+a +b +a -b +a ");
+}
+
+// Failure: rows of a copy that came through a reader were taken back by the
+// next reader, which did not have them.
+TEST_F(TableFollowerTest, KeepsRowsThatAReaderHasFromACopy) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 2)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.RespondWithChanges(5, {Row("a", 9)});
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  m_feed.RespondWithChanges(7, {Row("a", 6)});
+  EXPECT_EQ(m_seen, "+a +a ");
+  EXPECT_EQ(m_follower->Version(), FeedVersion(7));
+}
+
+// Failure: an instance that had not read the table took a copy of another one,
+// and used it without a bound, since it had no age.
+TEST_F(TableFollowerTest, RequestsNoCopyBeforeTheTableHasBeenRead) {
+  bool is_read = true;
+  m_follower->RequestCopy(FeedVersion(), [&](bool read) { is_read = read; });
+  EXPECT_FALSE(is_read);
+  EXPECT_TRUE(m_feed.m_copies.empty());
+}
+
 // Failure: after the platform came back from an older copy, rows that it no
 // longer has stayed in use.
 TEST_F(TableFollowerTest, ReadsAllAgainWhenTheVersionIsBelowThatOfACopy) {
