--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -33,7 +33,7 @@
 
 /// Times that concern the copies of the configuration and the registrations.
 struct CopyTimes {
-  std::optional<Duration> m_configuration;  ///< Unset when it was never read.
+  std::optional<Duration> m_configuration;  ///< Unset when there is none.
   std::optional<Duration> m_registrations;
 };
 
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -387,7 +387,7 @@
     return Seconds(m_state.m_freshness.OutdatedFor(BootTime()));
   });
   metrics.SetGauge("nutmeg_gateway_registrations_outdated_seconds", "", [this] {
-    return Seconds(LagOfRegistrations().At(BootTime()));
+    return Seconds(UpdateRegistrationsLag().At(BootTime()));
   });
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -66,8 +66,9 @@
   void HandleRevisionElsewhere(Revision revision);
   /// Handles the version of another live instance's copy of the registrations.
   void HandleRegistrationsElsewhere(RowVersion version);
-  /// @return how far the registrations here are behind those elsewhere.
-  CopyLag& LagOfRegistrations();
+  /// Notes the registrations that are here now.
+  /// @return how far they are behind those elsewhere.
+  CopyLag& UpdateRegistrationsLag();
   /// @return the hooks of the requests for newer configurations.
   CopyRequestHooks ConfigurationCopies();
   /// @return the hooks of the requests for newer registrations.
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -43,20 +43,20 @@
   return hooks;
 }
 
-CopyLag& Gateway::Impl::LagOfRegistrations() {
+CopyLag& Gateway::Impl::UpdateRegistrationsLag() {
   m_registrations_lag.NoteOwn(
       m_registration_follower.IncludedVersion().value());
   return m_registrations_lag;
 }
 
 void Gateway::Impl::HandleRegistrationsElsewhere(RowVersion version) {
-  LagOfRegistrations().NoteElsewhere(version.value(), BootTime());
+  UpdateRegistrationsLag().NoteElsewhere(version.value(), BootTime());
   m_registration_copies.NoteNewer();
 }
 
 CopyRequestHooks Gateway::Impl::RegistrationCopies() {
   CopyRequestHooks hooks;
-  hooks.m_is_outdated = [this] { return LagOfRegistrations().IsBehind(); };
+  hooks.m_is_outdated = [this] { return UpdateRegistrationsLag().IsBehind(); };
   hooks.m_after = [this] { return m_registration_follower.IncludedVersion(); };
   hooks.m_log = [this] {
     Log(LogLevel::kWarning, "registrations_outdated",
@@ -88,7 +88,7 @@
   const CopyVersions versions{
       m_state.RevisionInForce(),
       RowVersion(m_registration_follower.IncludedVersion().value()),
-      {m_state.m_freshness.OutdatedFor(now), LagOfRegistrations().At(now)}};
+      {m_state.m_freshness.OutdatedFor(now), UpdateRegistrationsLag().At(now)}};
   const InstanceId& self = m_settings.m_instance.m_id;
   const CopyUse use = LacksChangeInForce(m_directory, self, versions, limits)
                           ? CopyUse::kNone
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -80,8 +80,8 @@
   const Endpoint& Source() const { return m_source; }
   /// @return the version of the newest change that the copy includes.
   net::FeedVersion Version() const { return m_version; }
-  /// @return the version up to which no change is missing, including those from
-  /// copies of other instances.
+  /// @return the version up to which changes were received, from copies of
+  /// other instances too.
   net::FeedVersion IncludedVersion() const {
     return std::max(m_version, m_copied_version);
   }
@@ -163,7 +163,7 @@
   /// Callbacks hold a weak reference and do nothing when it has expired.
   /// Replaced to abandon the requests in progress.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-  /// As m_alive, for requests for copies, which are never abandoned.
+  /// As m_alive, for requests for copies; never replaced.
   std::shared_ptr<bool> m_exists = std::make_shared<bool>(true);
 };
 
