Do not serve by an older copy when cut off with a few others

Cause: any other instance that is heard counted as a sign that this one is not cut off.

An instance that knows of a newer copy and hears less than half of the others now refuses. An outage of the store with the only holder gone still ends no service.

--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -11,8 +11,9 @@
 /// A copy that is known to lack a change is not used once the change must be in
 /// force, however new its confirmation is, as long as a live instance that the
 /// store answers has it. In an outage of the store, one holder whose rows
-/// cannot be had must not end the service of all others. When no other instance
-/// is heard, this one is likely cut off, and the others have the change.
+/// cannot be had must not end the service of all others. An instance
+/// that hears less than half of the others is likely cut off, and the rest have
+/// the change.
 #pragma once
 
 #include <optional>
@@ -63,7 +64,8 @@
 /// @param self this instance.
 /// @param limits times within which a change must be in force.
 /// @return true when this instance lacks a change that must be in force by now,
-/// and a live instance that the store answers has it, or no other one is heard.
+/// and a live instance that the store answers has it, or less than half of the
+/// others are heard.
 bool LacksChangeInForce(const EntryDirectory& directory,
                         const InstanceId& self,
                         const CopyVersions& versions,
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -38,14 +38,14 @@
   if (!configuration_is_late && !registrations_are_late) {
     return false;
   }
-  bool any_known = false;
-  bool any_alive = false;
+  int known = 0;
+  int alive = 0;
   for (const auto& [id, other] : directory.Instances()) {
     if (id == self) {
       continue;
     }
-    any_known = true;
-    any_alive = any_alive || other.m_alive;
+    ++known;
+    alive += other.m_alive ? 1 : 0;
     if (other.m_alive && !other.m_store_fails &&
         ((configuration_is_late && other.m_revision > versions.m_revision) ||
          (registrations_are_late &&
@@ -53,7 +53,7 @@
       return true;
     }
   }
-  return any_known && !any_alive;
+  return 2 * alive < known;
 }
 
 bool MayLackChanges(const CopyTimes& ages, const CopyTimes& limits) {
--- a/src/libnutmeg/copy_use_test.cpp
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -132,6 +132,7 @@
   bool m_lacks = false;
   bool m_third_is_heard = true;
   bool m_store_fails = false;  ///< For the other instance.
+  int m_silent = 0;            ///< Further instances that are not heard.
 };
 
 class LacksChange : public testing::TestWithParam<LackCase> {};
@@ -153,6 +154,12 @@
   third.m_revision = Revision(5);
   third.m_registrations_version = RowVersion(90);
   directory.Put(third);
+  for (int index = 0; index < GetParam().m_silent; ++index) {
+    EntryInstance silent;
+    silent.m_id = InstanceId("silent" + std::to_string(index));
+    silent.m_alive = false;
+    directory.Put(silent);
+  }
   EntryInstance self;
   self.m_id = InstanceId("self");
   self.m_revision = Revision(9);
@@ -201,6 +208,24 @@
                              false,
                              true,
                              false},
+                    LackCase{"OnlyAnotherOutdatedOneIsHeard",
+                             {milliseconds(1100), {}},
+                             Revision(6),
+                             RowVersion(90),
+                             false,
+                             true,
+                             true,
+                             false,
+                             4},
+                    LackCase{"HalfOfTheOthersAreHeard",
+                             {milliseconds(1100), {}},
+                             Revision(5),
+                             RowVersion(90),
+                             true,
+                             false,
+                             true,
+                             false,
+                             2},
                     LackCase{"NoOtherIsHeardAndNothingIsMissing",
                              {},
                              Revision(5),
