Bound the age of a missing change by proofs of instances without it

Cause: an instance that knows of a newer copy refused once it had known of it for half of the limit. The other half was left for the time until it became known. The others had themselves got that change 1.03 s after it was made, since the reader that they followed had just been cut off.

Digests already state when the sender's copy was confirmed. A copy of a lower version that was confirmed at some time tells that the change was made later. CopyLag keeps the latest such time, and LacksChangeInForce refuses once the change may be older than the limit; half of the limit stays the bound where no such proof is known. The instance's own confirmations do not count: they are what is in doubt. The same holds for registrations.

--- a/src/include/nutmeghollow/configuration_freshness.h
+++ b/src/include/nutmeghollow/configuration_freshness.h
@@ -64,19 +64,22 @@
   /// Records a revision that another instance has in force. The highest one
   /// counts also when that instance is silent later: a configuration never goes
   /// back.
-  void NoteElsewhere(Revision revision, TimePoint now) {
+  /// @param confirmed_at as for CopyLag.
+  void NoteElsewhere(Revision revision,
+                     std::optional<TimePoint> confirmed_at,
+                     TimePoint now) {
     m_newest_elsewhere = std::max(m_newest_elsewhere, revision);
-    m_lag.NoteElsewhere(revision.value(), now);
+    m_lag.NoteElsewhere(revision.value(), confirmed_at, now);
   }
   /// @return the highest revision that another instance had in force.
   Revision NewestElsewhere() const { return m_newest_elsewhere; }
   /// @return true when another instance had a higher revision in force.
   bool IsOutdated() const { return m_newest_elsewhere > m_in_force; }
-  /// @return for how long a higher revision has been known to be in force at
-  /// another instance; nothing if there is none, or if its row is here and
-  /// cannot be read.
-  std::optional<Duration> OutdatedFor(TimePoint now) const {
-    return m_row_is_readable ? m_lag.At(now) : std::nullopt;
+  /// @return the oldest change that another instance has in force and this one
+  /// has not; nothing if there is none, or if its row is here and cannot be
+  /// read.
+  std::optional<MissingChange> OldestMissing(TimePoint now) const {
+    return m_row_is_readable ? m_lag.OldestMissing(now) : std::nullopt;
   }
   /// Records whether the newest row could be read. One that could not stays
   /// unused, and the earlier configuration in force.
--- a/src/include/nutmeghollow/copy_lag.h
+++ b/src/include/nutmeghollow/copy_lag.h
@@ -1,6 +1,6 @@
 /// @file
-/// Tracks for how long other instances are known to have a newer copy of a
-/// table than this one.
+/// Tracks which changes of a table other instances have and this one lacks, and
+/// how old they are.
 #pragma once
 
 #include <cstdint>
@@ -11,12 +11,24 @@
 
 namespace nutmeghollow {
 
+/// How long ago the oldest change that is missing here was made.
+struct MissingChange {
+  Duration m_known_for{};  ///< Time since another instance stated its version.
+  /// At most so long ago; unset if no other instance was confirmed to lack it.
+  std::optional<Duration> m_max_age;
+};
+
 /// Versions that other instances stated and this one lacks. Times are of a
 /// clock that keeps running while the host is suspended.
 class CopyLag {
  public:
-  /// Records the version of another instance's copy.
-  void NoteElsewhere(std::uint64_t version, TimePoint now);
+  /// Records what another instance stated about its copy.
+  /// @param version of its newest change; zero if none is stated.
+  /// @param confirmed_at when the copy was last confirmed to include all
+  /// changes made until then, if it was. Higher versions were made later.
+  void NoteElsewhere(std::uint64_t version,
+                     std::optional<TimePoint> confirmed_at,
+                     TimePoint now);
   /// Records the version up to which this instance lacks no change.
   void NoteOwn(std::uint64_t version);
   /// Records that the copy here is confirmed to include all changes made before
@@ -29,17 +41,18 @@
   std::uint64_t Newest() const {
     return m_missing.empty() ? 0 : m_missing.back().m_version;
   }
-  /// @return for how long the oldest of them has been known; nothing if there
-  /// is none.
-  std::optional<Duration> At(TimePoint now) const;
+  /// @return the oldest change that is missing here; nothing if there is none.
+  std::optional<MissingChange> OldestMissing(TimePoint now) const;
 
  private:
   struct Missing {
     std::uint64_t m_version = 0;
     TimePoint m_known_since{};
+    std::optional<TimePoint> m_made_after;
   };
 
   std::uint64_t m_own = 0;
+  std::optional<TimePoint> m_confirmed_elsewhere;  ///< The latest of all.
   std::deque<Missing> m_missing;  ///< In the order of versions and of times.
 };
 
--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -14,10 +14,15 @@
 /// cannot be had must not end the service of all others. An instance
 /// that hears less than half of the others is likely cut off, and the rest have
 /// the change.
+///
+/// The age of a change is bounded by the confirmations of instances that lacked
+/// it. One that became known late, since the others got it late as well, must
+/// be in force as early as any other.
 #pragma once
 
 #include <optional>
 
+#include "nutmeghollow/copy_lag.h"
 #include "nutmeghollow/entry_directory.h"
 #include "nutmeghollow/types.h"
 
@@ -52,12 +57,13 @@
                     const CopyTimes& ages,
                     const CopyTimes& limits);
 
-/// Versions of this instance's copies, and for how long other instances have
-/// been known to have newer ones.
+/// Versions of this instance's copies, and the changes that other instances are
+/// known to have.
 struct CopyVersions {
   Revision m_revision;
   RowVersion m_registrations;
-  CopyTimes m_outdated_for;  ///< Unset for a copy of which no newer is known.
+  std::optional<MissingChange> m_missing_revision;
+  std::optional<MissingChange> m_missing_registrations;
 };
 
 /// @param directory the instances, with what they last reported.
--- a/src/libnutmeg/configuration_freshness_test.cpp
+++ b/src/libnutmeg/configuration_freshness_test.cpp
@@ -54,18 +54,19 @@
   ConfigurationFreshness freshness;
   freshness.Confirm(start);
   freshness.NoteInForce(Revision(GetParam().m_in_force));
-  freshness.NoteElsewhere(Revision(GetParam().m_newest), start);
+  freshness.NoteElsewhere(Revision(GetParam().m_newest), {}, start);
   // An instance that restarts states no revision.
-  freshness.NoteElsewhere(Revision(), start);
+  freshness.NoteElsewhere(Revision(), {}, start);
   freshness.Confirm(start + milliseconds(1500));
   const TimePoint now = start + milliseconds(1600);
   EXPECT_EQ(freshness.IsOutdated(), !GetParam().m_may_deny);
   EXPECT_EQ(freshness.MayDeny(milliseconds(2000), now), GetParam().m_may_deny);
   EXPECT_TRUE(freshness.Within(milliseconds(1000), now));
-  EXPECT_EQ(freshness.OutdatedFor(now),
-            GetParam().m_may_deny ? std::nullopt
-                                  : std::optional(Duration(now - start)))
+  const auto missing = freshness.OldestMissing(now);
+  EXPECT_EQ(missing.has_value(), !GetParam().m_may_deny)
       << "a confirmation does not end it";
+  EXPECT_EQ(missing.value_or(MissingChange{now - start}).m_known_for,
+            now - start);
   freshness.NoteInForce(Revision(6));
   EXPECT_TRUE(freshness.MayDeny(milliseconds(2000), now));
 }
@@ -87,8 +88,8 @@
   freshness.NoteRow(false);
   EXPECT_FALSE(freshness.MayDeny(milliseconds(2000), start));
   EXPECT_TRUE(freshness.Within(milliseconds(2000), start));
-  freshness.NoteElsewhere(Revision(7), start);
-  EXPECT_FALSE(freshness.OutdatedFor(start)) << "requests are served";
+  freshness.NoteElsewhere(Revision(7), {}, start);
+  EXPECT_FALSE(freshness.OldestMissing(start)) << "requests are served";
   freshness.NoteInForce(Revision(7));
   freshness.NoteRow(true);
   EXPECT_TRUE(freshness.MayDeny(milliseconds(2000), start));
--- a/src/libnutmeg/copy_lag.cpp
+++ b/src/libnutmeg/copy_lag.cpp
@@ -1,5 +1,7 @@
 #include "nutmeghollow/copy_lag.h"
 
+#include <algorithm>
+
 namespace nutmeghollow {
 namespace {
 
@@ -8,14 +10,25 @@
 
 }  // namespace
 
-void CopyLag::NoteElsewhere(std::uint64_t version, TimePoint now) {
-  if (version <= m_own || version <= Newest()) {
+void CopyLag::NoteElsewhere(std::uint64_t version,
+                            std::optional<TimePoint> confirmed_at,
+                            TimePoint now) {
+  if (version > m_own && version > Newest()) {
+    if (m_missing.size() < kMaxMissing) {
+      m_missing.push_back({version, now, m_confirmed_elsewhere});
+    } else {
+      m_missing.back().m_version = version;
+    }
+  }
+  if (version == 0 || !confirmed_at) {
     return;
   }
-  if (m_missing.size() < kMaxMissing) {
-    m_missing.push_back({version, now});
-  } else {
-    m_missing.back().m_version = version;
+  // An unset time is before all others.
+  m_confirmed_elsewhere = std::max(m_confirmed_elsewhere, confirmed_at);
+  for (Missing& missing : m_missing) {
+    if (missing.m_version > version) {
+      missing.m_made_after = std::max(missing.m_made_after, confirmed_at);
+    }
   }
 }
 
@@ -33,10 +46,16 @@
   }
 }
 
-std::optional<Duration> CopyLag::At(TimePoint now) const {
-  return m_missing.empty()
-             ? std::nullopt
-             : std::optional<Duration>(now - m_missing.front().m_known_since);
+std::optional<MissingChange> CopyLag::OldestMissing(TimePoint now) const {
+  if (m_missing.empty()) {
+    return std::nullopt;
+  }
+  const Missing& oldest = m_missing.front();
+  MissingChange change{now - oldest.m_known_since, std::nullopt};
+  if (oldest.m_made_after) {
+    change.m_max_age = now - *oldest.m_made_after;
+  }
+  return change;
 }
 
 }  // namespace nutmeghollow
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -18,11 +18,13 @@
   return IsOver(age, limit) && age_elsewhere && !IsOver(age_elsewhere, limit);
 }
 
-/// The other half of the limit is left for the time from the change to the
-/// digest by which it became known here.
-bool IsOutdatedTooLong(const std::optional<Duration>& outdated_for,
-                       const std::optional<Duration>& limit) {
-  return outdated_for && limit && *outdated_for > *limit / 2;
+/// Where the age of the change is unknown, half of the limit is left for the
+/// time until it became known here.
+bool IsMissingTooLong(const std::optional<MissingChange>& missing,
+                      const std::optional<Duration>& limit) {
+  return missing && limit &&
+         (missing->m_known_for > *limit / 2 ||
+          IsOver(missing->m_max_age, limit));
 }
 
 }  // namespace
@@ -31,10 +33,10 @@
                         const InstanceId& self,
                         const CopyVersions& versions,
                         const CopyTimes& limits) {
-  const bool configuration_is_late = IsOutdatedTooLong(
-      versions.m_outdated_for.m_configuration, limits.m_configuration);
-  const bool registrations_are_late = IsOutdatedTooLong(
-      versions.m_outdated_for.m_registrations, limits.m_registrations);
+  const bool configuration_is_late =
+      IsMissingTooLong(versions.m_missing_revision, limits.m_configuration);
+  const bool registrations_are_late = IsMissingTooLong(
+      versions.m_missing_registrations, limits.m_registrations);
   if (!configuration_is_late && !registrations_are_late) {
     return false;
   }
--- a/src/libnutmeg/copy_use_test.cpp
+++ b/src/libnutmeg/copy_use_test.cpp
@@ -125,7 +125,7 @@
 
 struct LackCase {
   const char* m_name;
-  CopyTimes m_outdated_for;
+  CopyTimes m_known_for;       ///< Unset for a copy of which no newer is known.
   Revision m_revision;         ///< Of the other instance; 5 here.
   RowVersion m_registrations;  ///< Of the other instance; 90 here.
   bool m_alive = true;
@@ -133,8 +133,15 @@
   bool m_third_is_heard = true;
   bool m_store_fails = false;  ///< For the other instance.
   int m_silent = 0;            ///< Further instances that are not heard.
+  CopyTimes m_max_ages = {};   ///< Of the missing changes.
 };
 
+std::optional<MissingChange> Missing(const std::optional<Duration>& known_for,
+                                     const std::optional<Duration>& max_age) {
+  return known_for ? std::optional(MissingChange{*known_for, max_age})
+                   : std::nullopt;
+}
+
 class LacksChange : public testing::TestWithParam<LackCase> {};
 
 // Failure: an instance that knew of a newer revision, and could not get it, ran
@@ -165,8 +172,12 @@
   self.m_revision = Revision(9);
   self.m_registrations_version = RowVersion(99);
   directory.Put(self);
-  const CopyVersions versions{Revision(5), RowVersion(90),
-                              GetParam().m_outdated_for};
+  const CopyTimes& known_for = GetParam().m_known_for;
+  const CopyTimes& max_ages = GetParam().m_max_ages;
+  const CopyVersions versions{
+      Revision(5), RowVersion(90),
+      Missing(known_for.m_configuration, max_ages.m_configuration),
+      Missing(known_for.m_registrations, max_ages.m_registrations)};
   EXPECT_EQ(LacksChangeInForce(directory, self.m_id, versions,
                                {seconds(2), seconds(4)}),
             GetParam().m_lacks);
@@ -237,6 +248,36 @@
                              {milliseconds(1100), milliseconds(2100)},
                              Revision(5),
                              RowVersion(90)},
+                    LackCase{"JustKnownAndMayBeOverTheLimit",
+                             {milliseconds(100), {}},
+                             Revision(6),
+                             RowVersion(90),
+                             true,
+                             true,
+                             true,
+                             false,
+                             0,
+                             {milliseconds(2001), {}}},
+                    LackCase{"KnownForLessThanHalfOfTheLimitAndWithinIt",
+                             {milliseconds(900), milliseconds(1900)},
+                             Revision(6),
+                             RowVersion(91),
+                             true,
+                             false,
+                             true,
+                             false,
+                             0,
+                             {milliseconds(2000), milliseconds(4000)}},
+                    LackCase{"RegistrationsMayBeOverTheLimit",
+                             {{}, milliseconds(100)},
+                             Revision(6),
+                             RowVersion(91),
+                             true,
+                             true,
+                             true,
+                             false,
+                             0,
+                             {{}, milliseconds(4001)}},
                     LackCase{"Registrations",
                              {{}, milliseconds(2100)},
                              Revision(5),
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -396,8 +396,12 @@
     entry->m_store_fails = digest->m_store_fails;
     entry->m_revision = digest->m_revision;
     entry->m_registrations_version = digest->m_registrations_version;
-    m_hooks.m_on_revision(digest->m_revision);
-    m_hooks.m_on_registrations_version(digest->m_registrations_version);
+    const auto before = [now](const std::optional<Duration>& age) {
+      return age ? std::optional(now - *age) : std::nullopt;
+    };
+    m_hooks.m_on_revision(digest->m_revision, before(digest->m_proof_age));
+    m_hooks.m_on_registrations_version(digest->m_registrations_version,
+                                       before(digest->m_registrations_age));
   }
 }
 
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -35,8 +35,10 @@
   std::function<bool()> m_ready;
   /// @return the revision in force at this instance.
   std::function<Revision()> m_revision;
-  /// Called with the revision that another instance has in force.
-  std::function<void(Revision)> m_on_revision;
+  /// Called with the revision that another instance has in force, and when that
+  /// was confirmed to be current, if it was.
+  std::function<void(Revision, std::optional<TimePoint> confirmed_at)>
+      m_on_revision;
   /// @return what this instance says about its paths to upstreams.
   std::function<UpstreamReach()> m_reach;
   /// @return the age of its proof that its configuration is current; unset when
@@ -48,8 +50,9 @@
   std::function<bool()> m_store_fails;
   /// @return the version of the newest change in its copy of the registrations.
   std::function<RowVersion()> m_registrations_version;
-  /// Called with the version that another instance states.
-  std::function<void(RowVersion)> m_on_registrations_version;
+  /// As m_on_revision, about the registrations.
+  std::function<void(RowVersion, std::optional<TimePoint> confirmed_at)>
+      m_on_registrations_version;
   /// Called with streams to record for another instance.
   std::function<void(const InstanceId& from, const StreamReport& report)>
       m_on_stream_report;
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -91,10 +92,11 @@
   return std::chrono::duration_cast<Duration>(limit * kWaitShareOfLimit);
 }
 
-/// @return the duration in seconds; zero if there is none.
-double Seconds(const std::optional<Duration>& duration) {
-  return std::chrono::duration<double>(duration.value_or(Duration::zero()))
-      .count();
+/// @return for how long a change has been known, in seconds; zero if there is
+/// none.
+double SecondsKnown(const std::optional<MissingChange>& change) {
+  return change ? std::chrono::duration<double>(change->m_known_for).count()
+                : 0;
 }
 
 /// @return the wait of one request for configuration changes. The latest
@@ -197,47 +199,45 @@
                      [this](const InstanceId& to, std::uint32_t report) {
                        m_fleet.SendRecorded(to, report);
                      }}),
-      m_fleet(
-          loop,
-          settings.m_instance.m_id,
-          settings.m_instance.m_peer_address,
-          m_feed,
-          kInstanceTable,
-          &m_directory,
-          &m_state.m_pool,
-          &m_crash_detector,
-          {.m_ready = [this] { return Ready(); },
-           .m_revision = [this] { return m_state.RevisionInForce(); },
-           .m_on_revision =
-               [this](Revision revision) { HandleRevisionElsewhere(revision); },
-           .m_reach = [this] { return m_reachability.OwnReach(); },
-           .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
-           .m_registrations_age =
-               [this] {
-                 return m_state.AgesOfCopies(BootTime()).m_registrations;
-               },
-           .m_store_fails = [this] { return m_store_reads.Fails(); },
-           .m_registrations_version =
-               [this] {
-                 // Others would remove upstreams that are about to come back.
-                 if (m_registrations.AwaitsRegistrations(BootTime())) {
-                   return RowVersion();
-                 }
-                 return RowVersion(
-                     m_registration_follower.NewestChange().value());
-               },
-           .m_on_registrations_version =
-               [this](RowVersion version) {
-                 HandleRegistrationsElsewhere(version);
-               },
-           .m_on_stream_report =
-               [this](const InstanceId& from, const StreamReport& report) {
-                 m_streams.HandleReport(from, report);
-               },
-           .m_on_recorded =
-               [this](const InstanceId& from, std::uint32_t report) {
-                 m_streams.HandleRecorded(from, report);
-               }}),
+      m_fleet(loop,
+              settings.m_instance.m_id,
+              settings.m_instance.m_peer_address,
+              m_feed,
+              kInstanceTable,
+              &m_directory,
+              &m_state.m_pool,
+              &m_crash_detector,
+              {.m_ready = [this] { return Ready(); },
+               .m_revision = [this] { return m_state.RevisionInForce(); },
+               .m_on_revision =
+                   std::bind_front(&Impl::HandleRevisionElsewhere, this),
+               .m_reach = [this] { return m_reachability.OwnReach(); },
+               .m_proof_age = [this] { return m_state.ProofAge(BootTime()); },
+               .m_registrations_age =
+                   [this] {
+                     return m_state.AgesOfCopies(BootTime()).m_registrations;
+                   },
+               .m_store_fails = [this] { return m_store_reads.Fails(); },
+               .m_registrations_version =
+                   [this] {
+                     // Others would remove upstreams that are about to come
+                     // back.
+                     if (m_registrations.AwaitsRegistrations(BootTime())) {
+                       return RowVersion();
+                     }
+                     return RowVersion(
+                         m_registration_follower.NewestChange().value());
+                   },
+               .m_on_registrations_version =
+                   std::bind_front(&Impl::HandleRegistrationsElsewhere, this),
+               .m_on_stream_report =
+                   [this](const InstanceId& from, const StreamReport& report) {
+                     m_streams.HandleReport(from, report);
+                   },
+               .m_on_recorded =
+                   [this](const InstanceId& from, std::uint32_t report) {
+                     m_streams.HandleRecorded(from, report);
+                   }}),
       m_instance_rows(loop,
                       &m_settings,
                       m_feed,
@@ -384,10 +384,10 @@
     return age ? std::chrono::duration<double>(*age).count() : -1.0;
   });
   metrics.SetGauge("nutmeg_gateway_configuration_outdated_seconds", "", [this] {
-    return Seconds(m_state.m_freshness.OutdatedFor(BootTime()));
+    return SecondsKnown(m_state.m_freshness.OldestMissing(BootTime()));
   });
   metrics.SetGauge("nutmeg_gateway_registrations_outdated_seconds", "", [this] {
-    return Seconds(UpdateRegistrationsLag().At(BootTime()));
+    return SecondsKnown(UpdateRegistrationsLag().OldestMissing(BootTime()));
   });
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -63,9 +63,13 @@
   /// Retries the lost tables at once, since the platform responds again.
   void RetryLostTables();
   /// Handles a revision that another live instance has in force.
-  void HandleRevisionElsewhere(Revision revision);
+  /// @param confirmed_at when it was confirmed there to be current.
+  void HandleRevisionElsewhere(Revision revision,
+                               std::optional<TimePoint> confirmed_at);
   /// Handles the version of another live instance's copy of the registrations.
-  void HandleRegistrationsElsewhere(RowVersion version);
+  /// @param confirmed_at when that was confirmed there to be current.
+  void HandleRegistrationsElsewhere(RowVersion version,
+                                    std::optional<TimePoint> confirmed_at);
   /// Notes the registrations that are here now.
   /// @return how far they are behind those elsewhere.
   CopyLag& UpdateRegistrationsLag();
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -23,8 +23,10 @@
 
 }  // namespace
 
-void Gateway::Impl::HandleRevisionElsewhere(Revision revision) {
-  m_state.m_freshness.NoteElsewhere(revision, BootTime());
+void Gateway::Impl::HandleRevisionElsewhere(
+    Revision revision,
+    std::optional<TimePoint> confirmed_at) {
+  m_state.m_freshness.NoteElsewhere(revision, confirmed_at, BootTime());
   m_configuration_copies.NoteNewer();
 }
 
@@ -49,8 +51,11 @@
   return m_registrations_lag;
 }
 
-void Gateway::Impl::HandleRegistrationsElsewhere(RowVersion version) {
-  UpdateRegistrationsLag().NoteElsewhere(version.value(), BootTime());
+void Gateway::Impl::HandleRegistrationsElsewhere(
+    RowVersion version,
+    std::optional<TimePoint> confirmed_at) {
+  UpdateRegistrationsLag().NoteElsewhere(version.value(), confirmed_at,
+                                         BootTime());
   m_registration_copies.NoteNewer();
 }
 
@@ -88,7 +93,8 @@
   const CopyVersions versions{
       m_state.RevisionInForce(),
       RowVersion(m_registration_follower.IncludedVersion().value()),
-      {m_state.m_freshness.OutdatedFor(now), UpdateRegistrationsLag().At(now)}};
+      m_state.m_freshness.OldestMissing(now),
+      UpdateRegistrationsLag().OldestMissing(now)};
   const InstanceId& self = m_settings.m_instance.m_id;
   const CopyUse use = LacksChangeInForce(m_directory, self, versions, limits)
                           ? CopyUse::kNone
@@ -97,14 +103,24 @@
     const auto milliseconds = [](const std::optional<Duration>& age) {
       return age ? std::int64_t{age->count() / 1000} : -1;
     };
+    const auto known_for = [](const std::optional<MissingChange>& change) {
+      return change ? std::optional(change->m_known_for) : std::nullopt;
+    };
+    const auto max_age = [](const std::optional<MissingChange>& change) {
+      return change ? change->m_max_age : std::nullopt;
+    };
     Log(LogLevel::kWarning, "use_of_copies_changed",
         {{"requests", std::string(NameOf(use))},
          {"configuration_age_ms", milliseconds(ages.m_configuration)},
          {"registrations_age_ms", milliseconds(ages.m_registrations)},
          {"configuration_outdated_ms",
-          milliseconds(versions.m_outdated_for.m_configuration)},
+          milliseconds(known_for(versions.m_missing_revision))},
+         {"configuration_change_age_ms",
+          milliseconds(max_age(versions.m_missing_revision))},
          {"registrations_outdated_ms",
-          milliseconds(versions.m_outdated_for.m_registrations)},
+          milliseconds(known_for(versions.m_missing_registrations))},
+         {"registrations_change_age_ms",
+          milliseconds(max_age(versions.m_missing_registrations))},
          {"revision",
           static_cast<std::int64_t>(m_state.RevisionInForce().value())}});
   }
