Serve no requests with a key when cut off with a few others

Cause: UseOfCopies asked only whether any other instance is heard. It now asks what LacksChangeInForce asks since: whether less than half of them are.

--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -6,14 +6,14 @@
 /// force may lack a change. Whether there can be one depends on the others:
 /// while the store answers another instance for that table, changes are made.
 /// While it answers nobody, none is known anywhere, and the copy may be used
-/// on. An instance that hears no other one cannot tell the two apart.
+/// on. An instance that hears less than half of the others is likely cut off,
+/// and cannot tell the two apart.
 ///
 /// A copy that is known to lack a change is not used once the change must be in
 /// force, however new its confirmation is, as long as a live instance that the
 /// store answers has it. In an outage of the store, one holder whose rows
-/// cannot be had must not end the service of all others. An instance
-/// that hears less than half of the others is likely cut off, and the rest have
-/// the change.
+/// cannot be had must not end the service of all others. Where less than half
+/// of the others are heard, the rest likely have the change.
 ///
 /// The age of a change is bounded by the confirmations of instances that lacked
 /// it. One that became known late, since the others got it late as well, must
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -18,6 +18,20 @@
   return IsOver(age, limit) && age_elsewhere && !IsOver(age_elsewhere, limit);
 }
 
+/// Counts the other instances.
+struct Others {
+  int m_known = 0;
+  int m_alive = 0;
+
+  void Add(const EntryInstance& other) {
+    ++m_known;
+    m_alive += other.m_alive ? 1 : 0;
+  }
+  /// @return true when this instance is likely cut off: it hears less than half
+  /// of the others.
+  bool AreMostlySilent() const { return 2 * m_alive < m_known; }
+};
+
 /// Where the age of the change is unknown, half of the limit is left for the
 /// time until it became known here.
 bool IsMissingTooLong(const std::optional<MissingChange>& missing,
@@ -40,14 +54,12 @@
   if (!configuration_is_late && !registrations_are_late) {
     return false;
   }
-  int known = 0;
-  int alive = 0;
+  Others others;
   for (const auto& [id, other] : directory.Instances()) {
     if (id == self) {
       continue;
     }
-    ++known;
-    alive += other.m_alive ? 1 : 0;
+    others.Add(other);
     if (other.m_alive && !other.m_store_fails &&
         ((configuration_is_late && other.m_revision > versions.m_revision) ||
          (registrations_are_late &&
@@ -55,7 +67,7 @@
       return true;
     }
   }
-  return 2 * alive < known;
+  return others.AreMostlySilent();
 }
 
 bool MayLackChanges(const CopyTimes& ages, const CopyTimes& limits) {
@@ -70,19 +82,14 @@
   if (!MayLackChanges(ages, limits)) {
     return CopyUse::kAll;
   }
-  bool any_known = false;
-  bool any_alive = false;
+  Others others;
   for (const auto& [id, instance] : directory.Instances()) {
     if (id == self) {
       continue;
     }
-    any_known = true;
-    if (!instance.m_alive) {
-      continue;
-    }
-    any_alive = true;
+    others.Add(instance);
     // In an outage of the store, proofs are still young at its beginning.
-    if (!instance.m_store_fails &&
+    if (instance.m_alive && !instance.m_store_fails &&
         (IsBehind(ages.m_configuration, instance.m_proof_age,
                   limits.m_configuration) ||
          IsBehind(ages.m_registrations, instance.m_registrations_age,
@@ -90,7 +97,7 @@
       return CopyUse::kNone;
     }
   }
-  return any_known && !any_alive ? CopyUse::kAnonymous : CopyUse::kAll;
+  return others.AreMostlySilent() ? CopyUse::kAnonymous : CopyUse::kAll;
 }
 
 const char* NameOf(CopyUse use) {
