Do not retain changes that the platform has lost

After the platform came back from an older copy, a whole read used to clear the changes kept for other followers. Since it kept those above the version read, which may come from copies of other instances, so that instances that follow the table through this one were given changes that the platform had lost, until its versions passed them. Found by reading; no caller saw it.

They are kept only where the response may be older than such a copy. TableFollowerTest.RetainsNoChangesThatThePlatformHasLost failed before, with one row where none is expected.

--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -193,8 +193,8 @@
   m_loaded = true;
   m_version = result.m_version;
   // Those of copies of other instances may be newer.
-  std::erase_if(m_changes, [this](const Change& change) {
-    return change.m_version <= m_version;
+  std::erase_if(m_changes, [this, may_be_older](const Change& change) {
+    return !may_be_older || change.m_version <= m_version;
   });
   m_changes_after = m_version;
   Confirm(result, requested_at);
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -227,6 +227,19 @@
   EXPECT_EQ(m_seen, "+a +a +a ");
 }
 
+// Failure: after the platform came back from an older copy, others were given
+// the changes that it had lost.
+TEST_F(TableFollowerTest, RetainsNoChangesThatThePlatformHasLost) {
+  m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 5)});
+  RunUntil([this] { return m_feed.m_waits == 1; });
+  m_feed.Respond(FeedStatus::kDone, 9, {Row("a", 8), Row("b", 9)});
+  RunUntil([this] { return m_feed.m_waits == 2; });
+  m_feed.Respond(FeedStatus::kDone, 6);
+  m_feed.Respond(FeedStatus::kDone, 6, {Row("a", 5)});
+  EXPECT_EQ(m_follower->ChangesAfter(FeedVersion(6)).m_rows.size(), 0U);
+  EXPECT_EQ(m_follower->AllRows().m_rows.size(), 1U);
+}
+
 TEST_F(TableFollowerTest, KeepsARowThatIsNewerThanInACopyOfAnotherInstance) {
   m_feed.Respond(FeedStatus::kDone, 5, {Row("a", 5)});
   RunUntil([this] { return m_feed.m_waits == 1; });
