Refuse requests with a key only for an unconfirmed configuration

Found in the review, by reading: an instance that hears less than half of the others refused requests with a key also when its configuration had just been confirmed and only the registrations' copy was too old, which says nothing about removed keys. made it likelier: rows of dead instances stay when more than half of a fleet has died, so that the survivors, which the store answers, count as mostly silent.

UseOfCopies now asks for the age of the configuration there. The new case of UseOfCopiesTable, FewAreHeardAndTheConfigurationIsConfirmed, failed before.

--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -97,7 +97,10 @@
       return CopyUse::kNone;
     }
   }
-  return others.AreMostlySilent() ? CopyUse::kAnonymous : CopyUse::kAll;
+  const bool may_lack_keys =
+      IsOver(ages.m_configuration, limits.m_configuration);
+  return may_lack_keys && others.AreMostlySilent() ? CopyUse::kAnonymous
+                                                   : CopyUse::kAll;
 }
 
 const char* NameOf(CopyUse use) {
