Do not take a missing change for younger than it may be

Found in the review, by reading: a confirmation of an instance with a lower version raised the time after which a missing change was made. A version that is stated may stand for several missing ones, and an older one of these may have been made before that confirmation; so the age was too low, and an older copy was used for too long, bounded by half of the limit.

Only confirmations stated before the version was first seen count now. CopyLagTest.BoundsTheAgeOfAChangeByConfirmationsWithoutIt has the case and failed before, with 1.5 s where up to 1.8 s are possible.

--- a/src/include/nutmeghollow/copy_lag.h
+++ b/src/include/nutmeghollow/copy_lag.h
@@ -11,10 +11,11 @@
 
 namespace nutmeghollow {
 
-/// How long ago the oldest change that is missing here was made.
+/// The age of the oldest of the changes that are known to be missing here.
 struct MissingChange {
   Duration m_known_for{};  ///< Time since another instance stated its version.
-  /// At most so long ago; unset if no other instance was confirmed to lack it.
+  /// Upper bound of the time since it was made; unset if no other instance was
+  /// confirmed to lack it.
   std::optional<Duration> m_max_age;
 };
 
@@ -25,7 +26,8 @@
   /// Records what another instance stated about its copy.
   /// @param version of its newest change; zero if none is stated.
   /// @param confirmed_at when the copy was last confirmed to include all
-  /// changes made until then, if it was. Higher versions were made later.
+  /// changes made until then, if it was. A version that is stated for the first
+  /// time later was made later.
   void NoteElsewhere(std::uint64_t version,
                      std::optional<TimePoint> confirmed_at,
                      TimePoint now);
@@ -52,7 +54,8 @@
   };
 
   std::uint64_t m_own = 0;
-  std::optional<TimePoint> m_confirmed_elsewhere;  ///< The latest of all.
+  /// The latest confirmation of a copy whose version was stated.
+  std::optional<TimePoint> m_confirmed_elsewhere;
   std::deque<Missing> m_missing;  ///< In the order of versions and of times.
 };
 
--- a/src/libnutmeg/copy_lag.cpp
+++ b/src/libnutmeg/copy_lag.cpp
@@ -14,21 +14,16 @@
                             std::optional<TimePoint> confirmed_at,
                             TimePoint now) {
   if (version > m_own && version > Newest()) {
+    // Nobody had it at the confirmations that were stated before.
     if (m_missing.size() < kMaxMissing) {
       m_missing.push_back({version, now, m_confirmed_elsewhere});
     } else {
       m_missing.back().m_version = version;
     }
   }
-  if (version == 0 || !confirmed_at) {
-    return;
-  }
-  // An unset time is before all others.
-  m_confirmed_elsewhere = std::max(m_confirmed_elsewhere, confirmed_at);
-  for (Missing& missing : m_missing) {
-    if (missing.m_version > version) {
-      missing.m_made_after = std::max(missing.m_made_after, confirmed_at);
-    }
+  if (version > 0) {
+    // std::max takes an unset time for the earliest.
+    m_confirmed_elsewhere = std::max(m_confirmed_elsewhere, confirmed_at);
   }
 }
 
