Give a change time to arrive before its age counts

Found in the review, by reading: after an outage the latest confirmation of any other instance is older than the limit, so that every change that is made then may be older as well. An instance that heard of one from a digest before its own feed brought it refused requests at once; among the many registrations after an outage this comes often, since a change may take some 50 ms for each reader on its way. Not measured.

The age of a missing change now counts once it has been known for 0.3 s, as long as the request for a copy waits. A change that the others get later than 0.3 s and a digest before the limit is thus used late, by at most 0.3 s and the digest's time.

--- a/src/include/nutmeghollow/copy_use.h
+++ b/src/include/nutmeghollow/copy_use.h
@@ -16,8 +16,8 @@
 /// of the others are heard, the rest likely have the change.
 ///
 /// The age of a change is bounded by the confirmations of instances that lacked
-/// it. One that became known late, since the others got it late as well, must
-/// be in force as early as any other.
+/// it. One that the others got late as well is waited for only as long as it
+/// may take from them to here.
 #pragma once
 
 #include <optional>
--- a/src/libnutmeg/copy_use.cpp
+++ b/src/libnutmeg/copy_use.cpp
@@ -32,13 +32,21 @@
   bool AreMostlySilent() const { return 2 * m_alive < m_known; }
 };
 
-/// Where the age of the change is unknown, half of the limit is left for the
-/// time until it became known here.
+/// Time that a change may take to arrive through this instance's own feed after
+/// another instance has it. After an outage, every change may be older than the
+/// limit, and it would be missing for that long.
+constexpr Duration kArrivalTime = std::chrono::milliseconds(300);
+
+/// Half of the limit is left for the time until the change became known here;
+/// less if it may be older than that.
 bool IsMissingTooLong(const std::optional<MissingChange>& missing,
                       const std::optional<Duration>& limit) {
-  return missing && limit &&
-         (missing->m_known_for > *limit / 2 ||
-          IsOver(missing->m_max_age, limit));
+  if (!missing || !limit) {
+    return false;
+  }
+  const bool may_be_over_limit =
+      missing->m_known_for > kArrivalTime && IsOver(missing->m_max_age, limit);
+  return may_be_over_limit || missing->m_known_for > *limit / 2;
 }
 
 }  // namespace
