Give rows on that a reader has from a copy

Found in the review, by reading: an instance that read a whole table from a reader, whose rows included newer ones from a copy of another instance, used and stated them, and did not give them to those who follow the table through it or request a copy of it: the history began after them. These asked elsewhere, up to 8 s later.

Rows above the version of the response are retained now. TableFollowerTest.RetainsRowsThatAReaderHasFromACopy failed before, with no change where one is expected.

--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -182,6 +182,9 @@
   for (const net::FeedRow& row : result.m_rows) {
     missing.erase(row.m_key);
     if (!may_be_older || row.m_version >= VersionOf(row.m_key)) {
+      if (row.m_version > result.m_version) {
+        Retain(row);  // The reader has it from a copy of another instance.
+      }
       HandleRow(row);
     }
   }
@@ -192,7 +195,8 @@
   }
   m_loaded = true;
   m_version = result.m_version;
-  // Those of copies of other instances may be newer.
+  // Those of copies of other instances may be newer. What is above the version
+  // of a later response of the platform has been lost there.
   std::erase_if(m_changes, [this, may_be_older](const Change& change) {
     return !may_be_older || change.m_version <= m_version;
   });
--- a/src/nutmegd/table_follower_test.cpp
+++ b/src/nutmegd/table_follower_test.cpp
@@ -202,6 +202,16 @@
   EXPECT_EQ(m_follower->Version(), FeedVersion(7));
 }
 
+// Failure: rows that a reader had from a copy were not given on to those who
+// follow the table through this instance.
+TEST_F(TableFollowerTest, RetainsRowsThatAReaderHasFromACopy) {
+  m_feed.RespondWithCopy(5, {Row("a", 9), Row("b", 4)});
+  EXPECT_EQ(m_follower->Version(), FeedVersion(5));
+  const auto changes = m_follower->ChangesAfter(FeedVersion(5)).m_rows;
+  ASSERT_EQ(changes.size(), 1U);
+  EXPECT_EQ(changes[0].m_version, FeedVersion(9));
+}
+
 // Failure: an instance that had not read the table took a copy of another one,
 // and used it without a bound, since it had no age.
 TEST_F(TableFollowerTest, RequestsNoCopyBeforeTheTableHasBeenRead) {
