Read requests with one strict parser, Boost.Beast's

Cause: libmicrohttpd repairs, cuts and renames malformed heads before the product sees a field, and the product and the recipients of what it passes on read the rest in their own ways.

The server keeps its interface and reads requests with the parser of Boost.Beast, which is in a package that the project uses already. What RFC 9112 lets a recipient repair is an error: one 400 or 431, and the connection is closed.

--- a/src/build-scripts/install-deps.sh
+++ b/src/build-scripts/install-deps.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build make git ccache pkg-config openssl python3
   clang-format clang-tidy clang-tools shellcheck
   libev-dev libcapnp-dev libboost1.81-dev libtomlplusplus-dev
-  libmicrohttpd-dev libcurl4-openssl-dev libssl-dev libgflags-dev
+  libcurl4-openssl-dev libssl-dev libgflags-dev
   libfmt-dev libgtest-dev libbenchmark-dev nlohmann-json3-dev
   libsimdjson-dev
   libxxhash-dev zlib1g-dev gnuplot-nox
--- a/src/cmake/Dependencies.cmake
+++ b/src/cmake/Dependencies.cmake
@@ -10,7 +10,6 @@
 find_package(fmt REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(gflags REQUIRED)
-pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(ZLIB REQUIRED IMPORTED_TARGET zlib)
 
--- a/src/libnet/http_exchange.cpp
+++ b/src/libnet/http_exchange.cpp
@@ -1,57 +1,30 @@
 #include "libnet/http_exchange.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cctype>
-#include <cerrno>
-#include <cstring>
 #include <utility>
 
 #include "libnet/event_loop.h"
 #include "libnet/log.h"
-#include "libnet/socket_address.h"
-#include "libnet/text.h"
 
 namespace nutmeghollow::net {
 namespace {
 
-/// Bytes that libmicrohttpd requests from a stream at once.
-constexpr std::size_t kStreamBlockSize = 16 << 10;
 /// Reserved at most for a body of a declared length before its bytes arrive.
 constexpr std::size_t kFirstBodyBytes = 64 << 10;
-/// Parts of a body that are read before other connections and watchers run.
-/// libmicrohttpd moves the rest of its buffer after each chunk, so that 200
-/// callers with chunks of 16 bytes kept the event loop busy for over 6 s.
-constexpr int kMaxPartsInARow = 64;
 /// Without memory for twice as much, a body grows by this part of its capacity.
 constexpr std::size_t kMinGrowthShare = 8;
 /// Smallest capacity of a body whose length is not known.
 constexpr std::size_t kMinBodyBytes = 512;
+/// Memory of a field in addition to its bytes: here, in its copy for an
+/// upstream, and in libcurl.
+constexpr std::size_t kFieldMemory = 256;
+/// Fields above this number count against the budget of bodies. As many are
+/// part of what the limit of connections takes into account.
+constexpr std::size_t kFreeFields = 32;
 
-MHD_Result CollectHeader(void* target,
-                         MHD_ValueKind /*kind*/,
-                         const char* key,
-                         const char* value) {
-  static_cast<HeaderMap*>(target)->emplace(LowerCase(key),
-                                           value == nullptr ? "" : value);
-  return MHD_YES;
-}
-
-MHD_Result CollectQuery(void* target,
-                        MHD_ValueKind /*kind*/,
-                        const char* key,
-                        const char* value) {
-  auto& query = *static_cast<std::map<std::string, std::string>*>(target);
-  query[key] = value == nullptr ? "" : value;
-  return MHD_YES;
-}
-
-ssize_t ReadStreamCallback(void* exchange,
-                           std::uint64_t /*position*/,
-                           char* target,
-                           std::size_t size) {
-  return static_cast<detail::MhdExchange*>(exchange)->ReadStream(target, size);
+/// @return the memory of a request's fields that counts against the budget.
+std::size_t FieldMemory(const HeaderMap& fields) {
+  return kFieldMemory * (fields.size() - std::min(fields.size(), kFreeFields));
 }
 
 }  // namespace
@@ -63,42 +36,27 @@
 
 namespace detail {
 
-MhdExchange::MhdExchange(std::shared_ptr<HttpServerState> server_state,
-                         MHD_Connection* connection)
-    : m_server_state(std::move(server_state)),
-      m_connection(connection),
-      m_flow(static_cast<std::size_t>(
-          m_server_state->m_options.m_stream_high_water.value())) {
-  const MHD_ConnectionInfo* info =
-      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  if (info != nullptr) {
-    m_descriptor = info->connect_fd;
-  }
-}
-
-std::size_t MhdExchange::ReadHeader(const char* method,
-                                    const char* url,
-                                    std::string target) {
-  m_request.m_method = method;
-  m_request.m_path = url;
-  m_request.m_target = std::move(target);
-  MHD_get_connection_values(m_connection, MHD_HEADER_KIND, CollectHeader,
-                            &m_request.m_headers);
-  MHD_get_connection_values(m_connection, MHD_GET_ARGUMENT_KIND, CollectQuery,
-                            &m_request.m_query);
-  std::size_t size = m_request.m_path.size();
-  for (const auto& [name, value] : m_request.m_headers) {
-    size += name.size() + value.size() + 4;
-  }
-  return size;
-}
-
-bool MhdExchange::OpenBody(std::int64_t limit, std::int64_t declared) {
-  m_body_limit = static_cast<std::size_t>(limit);
-  m_declared = static_cast<std::size_t>(std::max<std::int64_t>(declared, 0));
+ServerExchange::ServerExchange(const HttpServerOptions& options,
+                               HttpRequest request,
+                               std::function<void()> on_change)
+    : m_body_memory(options.m_body_memory),
+      m_error_hook(options.m_error_hook),
+      m_discard_limit(
+          static_cast<std::size_t>(options.m_discard_limit.value())),
+      m_on_change(std::move(on_change)),
+      m_request(std::move(request)),
+      m_flow(static_cast<std::size_t>(options.m_stream_high_water.value())) {}
+
+bool ServerExchange::OpenBody(std::size_t limit, std::uint64_t declared) {
+  m_body_limit = limit;
+  m_declared = declared;
   m_reservation = BodyReservation(
-      m_server_state->m_options.m_body_memory, [this] { DropBody(); },
-      BootTime());
+      m_body_memory, [this] { DropBody(); }, BootTime());
+  const std::size_t field_memory = FieldMemory(m_request.m_headers);
+  if (field_memory > 0 && !m_reservation.Reserve(field_memory, BootTime())) {
+    return false;
+  }
+  m_field_memory = field_memory;
   if (m_declared > m_body_limit) {
     m_body_too_large = true;
     return true;
@@ -106,8 +64,7 @@
   return m_declared == 0 || GrowBody(std::min(m_declared, kFirstBodyBytes));
 }
 
-bool MhdExchange::AppendBody(std::string_view data) {
-  const HttpServerOptions& options = m_server_state->m_options;
+bool ServerExchange::AppendBody(std::string_view data) {
   if (m_body_dropped) {
     return false;
   }
@@ -122,9 +79,7 @@
   if (m_body_too_large || m_body_refused) {
     // A refused body is read to its end, so that the caller gets the response.
     m_discarded += data.size();
-    const auto limit =
-        static_cast<std::size_t>(options.m_discard_limit.value());
-    if (m_discarded <= (m_body_refused ? m_body_limit : limit)) {
+    if (m_discarded <= (m_body_refused ? m_body_limit : m_discard_limit)) {
       return true;
     }
     Log(LogLevel::kInfo, "body_closed",
@@ -136,24 +91,7 @@
   return true;
 }
 
-bool MhdExchange::YieldAfterParts() {
-  if (m_server_state->m_stopping || ++m_parts <= kMaxPartsInARow) {
-    return false;
-  }
-  m_parts = 0;
-  m_yielded = true;
-  m_server_state->m_has_yielded = true;
-  MHD_suspend_connection(m_connection);
-  return true;
-}
-
-void MhdExchange::ResumeYielded() {
-  if (std::exchange(m_yielded, false) && m_connection != nullptr) {
-    MHD_resume_connection(m_connection);
-  }
-}
-
-bool MhdExchange::GrowBody(std::size_t size) {
+bool ServerExchange::GrowBody(std::size_t size) {
   if (size <= m_reserved) {
     return true;
   }
@@ -162,11 +100,12 @@
       std::max({size, std::min(2 * m_reserved, most), kMinBodyBytes});
   const TimePoint now = BootTime();
   std::size_t capacity = preferred;
-  if (!m_reservation.Reserve(capacity, now)) {
+  if (!m_reservation.Reserve(m_field_memory + capacity, now)) {
     // Each growth copies the body, so that it must not be by a few bytes.
     capacity = std::min(
         preferred, std::max(size, m_reserved + m_reserved / kMinGrowthShare));
-    if (capacity == preferred || !m_reservation.Reserve(capacity, now)) {
+    if (capacity == preferred ||
+        !m_reservation.Reserve(m_field_memory + capacity, now)) {
       return false;
     }
   }
@@ -179,7 +118,7 @@
   return true;
 }
 
-void MhdExchange::RefuseBody(const char* reason) {
+void ServerExchange::RefuseBody(const char* reason) {
   m_body_refused = true;
   m_reservation.NoteRefused();
   Log(LogLevel::kWarning, "body_refused",
@@ -188,17 +127,16 @@
   DiscardBody();
 }
 
-void MhdExchange::DropBody() {
+void ServerExchange::DropBody() {
   Log(LogLevel::kWarning, "body_closed",
       {{"reason", std::string("gave way to others")},
        {"bytes", static_cast<std::int64_t>(m_request.m_body.size())}});
   m_body_dropped = true;
   DiscardBody();
-  // libmicrohttpd reads the end of the connection and closes it.
-  shutdown(m_descriptor, SHUT_RDWR);
+  NoteChange();
 }
 
-std::shared_ptr<const std::string> MhdExchange::TakeBody() {
+std::shared_ptr<const std::string> ServerExchange::TakeBody() {
   if (m_request.m_body.empty()) {
     return nullptr;
   }
@@ -212,95 +150,56 @@
   return {held, &held->m_text};
 }
 
-void MhdExchange::DiscardBody() {
+void ServerExchange::DiscardBody() {
   // Assignment of an empty string would keep the memory.
   std::string().swap(m_request.m_body);
   m_reservation = BodyReservation();
+  m_field_memory = 0;
 }
 
-MHD_Result MhdExchange::QueueOrSuspend() {
-  if (m_caller_disconnected || (m_aborted && !m_queued)) {
-    return MHD_NO;  // Closes the connection.
-  }
-  if (m_queued) {
-    return MHD_YES;
-  }
-  if (!m_ready) {
-    Suspend();
-    return MHD_YES;
-  }
-  MHD_Response* response =
-      m_streamed ? MHD_create_response_from_callback(
-                       MHD_SIZE_UNKNOWN, kStreamBlockSize, ReadStreamCallback,
-                       this, nullptr)
-                 : MHD_create_response_from_buffer(
-                       m_buffer.size(), m_buffer.data(), MHD_RESPMEM_MUST_COPY);
-  return Queue(response);
-}
-
-MHD_Result MhdExchange::QueueError(int status, const std::string& detail) {
+void ServerExchange::RespondWithError(int status, const std::string& detail) {
   HttpErrorResponse response;
-  if (m_server_state->m_options.m_error_hook) {
-    response = m_server_state->m_options.m_error_hook(status, detail);
+  if (m_error_hook) {
+    response = m_error_hook(status, detail);
   } else {
     response.m_headers = {{"Content-Type", "text/plain"}};
     response.m_body = detail + "\n";
   }
-  m_dispatched = true;
-  m_ready = true;
-  m_status = status;
-  m_headers = std::move(response.m_headers);
-  m_buffer = std::move(response.m_body);
-  return QueueOrSuspend();
-}
-
-MHD_Result MhdExchange::Queue(MHD_Response* response) {
-  if (response == nullptr) {
-    return MHD_NO;
-  }
-  AddHeaders(response);
-  m_queued = true;
-  const MHD_Result result = MHD_queue_response(
-      m_connection, static_cast<unsigned int>(m_status), response);
-  MHD_destroy_response(response);
-  return result;
+  Respond(status, response.m_headers, std::move(response.m_body));
 }
 
-void MhdExchange::AddHeaders(MHD_Response* response) const {
-  for (const auto& [name, value] : m_headers) {
-    MHD_add_response_header(response, name.c_str(), value.c_str());
-  }
-  if (m_server_state->m_close_after_responses) {
-    MHD_add_response_header(response, "Connection", "close");
+void ServerExchange::NoteChange() const {
+  if (!m_detached) {
+    m_on_change();
   }
 }
 
-void MhdExchange::Respond(int status,
-                          const HeaderList& headers,
-                          std::string body) {
-  if (m_ready || m_connection == nullptr) {
+void ServerExchange::Respond(int status,
+                             const HeaderList& headers,
+                             std::string body) {
+  if (m_ready || m_detached) {
     return;
   }
   m_ready = true;
   m_status = status;
   m_headers = headers;
   m_buffer = std::move(body);
-  ResumeIfSuspended();
+  NoteChange();
 }
 
-void MhdExchange::BeginStream(int status, const HeaderList& headers) {
-  if (m_ready || m_connection == nullptr) {
+void ServerExchange::BeginStream(int status, const HeaderList& headers) {
+  if (m_ready || m_detached) {
     return;
   }
   m_ready = true;
   m_streamed = true;
   m_status = status;
   m_headers = headers;
-  ResumeIfSuspended();
+  NoteChange();
 }
 
-bool MhdExchange::Write(std::string_view data) {
-  if (m_connection == nullptr || m_ended || m_aborted) {
+bool ServerExchange::Write(std::string_view data) {
+  if (m_detached || m_ended || m_aborted) {
     return true;
   }
   // What was sent goes, also if the buffer never becomes empty.
@@ -309,34 +208,34 @@
     m_sent = 0;
   }
   m_buffer.append(data);
-  ResumeIfSuspended();
+  NoteChange();
   return m_flow.NoteWritten(Buffered());
 }
 
-void MhdExchange::EndStream() {
+void ServerExchange::EndStream() {
   m_ended = true;
-  ResumeIfSuspended();
+  NoteChange();
 }
 
-void MhdExchange::AbortStream() {
+void ServerExchange::AbortStream() {
   m_aborted = true;
-  ResumeIfSuspended();
+  NoteChange();
+}
+
+std::string ServerExchange::TakeResponseBody() {
+  return std::exchange(m_buffer, std::string());
 }
 
-ssize_t MhdExchange::ReadStream(char* target, std::size_t size) {
-  if (m_aborted || m_caller_disconnected) {
-    ResetIfCloseDelimited();
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+ServerExchange::StreamStep ServerExchange::ReadStream(std::size_t most,
+                                                      std::string* target) {
+  if (m_aborted) {
+    return StreamStep::kAborted;
   }
-  const std::size_t count = std::min(size, Buffered());
+  const std::size_t count = std::min(most, Buffered());
   if (count == 0) {
-    if (m_ended) {
-      return MHD_CONTENT_READER_END_OF_STREAM;
-    }
-    Suspend();
-    return 0;
+    return m_ended ? StreamStep::kEnd : StreamStep::kWait;
   }
-  std::memcpy(target, m_buffer.data() + m_sent, count);
+  target->append(m_buffer, m_sent, count);
   m_sent += count;
   if (m_flow.NoteRead(Buffered())) {
     m_buffer.erase(0, m_sent);
@@ -345,65 +244,33 @@
       m_on_drained();
     }
   }
-  return static_cast<ssize_t>(count);
-}
-
-void MhdExchange::ResetIfCloseDelimited() {
-  if (m_streamed && m_close_delimited && !ResetConnection(m_descriptor)) {
-    Log(LogLevel::kWarning, "stream_not_reset",
-        {{"reason", std::string(std::strerror(errno))}});
-  }
+  return StreamStep::kData;
 }
 
-void MhdExchange::OnDisconnect(std::function<void()> callback) {
+void ServerExchange::OnDisconnect(std::function<void()> callback) {
   m_on_disconnect = std::move(callback);
 }
 
-void MhdExchange::OnDrained(std::function<void()> callback) {
+void ServerExchange::OnDrained(std::function<void()> callback) {
   m_on_drained = std::move(callback);
 }
 
-void MhdExchange::OnEnd(std::function<void(bool complete)> callback) {
+void ServerExchange::OnEnd(std::function<void(bool complete)> callback) {
   m_on_end = std::move(callback);
 }
 
-void MhdExchange::ReportDisconnect() {
-  if (m_caller_disconnected) {
-    return;
-  }
-  m_caller_disconnected = true;
-  const std::function<void()> callback =
-      std::exchange(m_on_disconnect, nullptr);
-  if (callback) {
-    callback();
-  }
-}
-
-void MhdExchange::Detach(bool complete) {
-  m_connection = nullptr;
-  m_suspended = false;
-  if (!complete) {
-    ReportDisconnect();
-  }
-  m_on_disconnect = nullptr;
+void ServerExchange::Detach(bool complete) {
+  m_detached = true;
+  m_caller_disconnected = !complete;
+  const auto on_disconnect = std::exchange(m_on_disconnect, nullptr);
+  const auto on_end = std::exchange(m_on_end, nullptr);
   m_on_drained = nullptr;
-  if (const auto callback = std::exchange(m_on_end, nullptr)) {
-    callback(complete);
+  if (!complete && on_disconnect) {
+    on_disconnect();
   }
-}
-
-void MhdExchange::Suspend() {
-  m_suspended = true;
-  MHD_suspend_connection(m_connection);
-}
-
-void MhdExchange::ResumeIfSuspended() {
-  if (!m_suspended || m_connection == nullptr) {
-    return;
+  if (on_end) {
+    on_end(complete);
   }
-  m_suspended = false;
-  m_server_state->m_needs_run = true;
-  MHD_resume_connection(m_connection);
 }
 
 }  // namespace detail
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -1,5 +1,5 @@
 /// @file
-/// HTTP/1.1 server on libmicrohttpd, driven by a libev event loop.
+/// HTTP/1.1 server on a libev event loop.
 ///
 /// The handler is called once a request's body is complete. It responds
 /// immediately or later, with a whole body or as a stream. To bound the memory
@@ -107,15 +107,15 @@
   /// response only after it has sent its body. Beyond it the connection is
   /// closed.
   Bytes m_discard_limit{64 << 20};
-  Bytes m_header_limit{32 << 10};  ///< Larger headers are rejected with 431.
+  /// Larger heads of requests are rejected with 431.
+  Bytes m_header_limit{32 << 10};
   Bytes m_stream_high_water{256 << 10};  ///< Unsent bytes that pause a writer.
-  /// Memory of libmicrohttpd per connection, in addition to m_header_limit.
-  Bytes m_connection_memory{48 << 10};
   int m_connection_limit = 20000;
   /// Inactive connections are closed after this time, except while the
   /// response is being prepared.
   Duration m_idle_timeout = std::chrono::seconds(120);
   /// Budget for request bodies, shared by servers; null for none.
+  /// The fields of a request with very many of them count as well.
   std::shared_ptr<BodyMemory> m_body_memory;
   HttpErrorHook m_error_hook;  ///< When unset, bodies are plain text.
 };
@@ -143,6 +143,9 @@
   std::size_t OpenRequests() const;
   /// @return number of open connections.
   int Connections() const;
+  /// @return number of requests that were refused because their framing was not
+  /// valid or their header too large.
+  std::int64_t MalformedRequests() const;
   /// @return the listening port, which the system chose if port 0 was given.
   int Port() const;
 
--- a/src/libnet/text.cpp
+++ b/src/libnet/text.cpp
@@ -29,6 +29,28 @@
   return text.find_first_of(kBreaks) != std::string_view::npos;
 }
 
+bool IsFieldName(std::string_view text) {
+  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [kPunctuation](char byte) {
+           const auto value = static_cast<unsigned char>(byte);
+           return value < 0x80 &&
+                  (std::isalnum(value) != 0 ||
+                   kPunctuation.find(byte) != std::string_view::npos);
+         });
+}
+
+bool IsFieldValue(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), IsControl);
+}
+
+bool IsControl(char byte) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  const auto value = static_cast<unsigned char>(byte);
+  return (value < kFirstPrintable && byte != '\t') || value == kDelete;
+}
+
 std::string ToHex(std::string_view bytes) {
   std::string hex;
   hex.reserve(2 * bytes.size());
--- a/src/libnet/text.h
+++ b/src/libnet/text.h
@@ -17,6 +17,17 @@
 /// not contain.
 bool HasLineBreak(std::string_view text);
 
+/// @return whether the byte is a control character other than a tab.
+bool IsControl(char byte);
+
+/// @return whether the text is a valid name of a header field, a token (RFC
+/// 9110, section 5.6.2).
+bool IsFieldName(std::string_view text);
+
+/// @return whether the text can be the value of a header field: it contains no
+/// control character but tabs.
+bool IsFieldValue(std::string_view text);
+
 /// @return the bytes as lower-case hex digits.
 std::string ToHex(std::string_view bytes);
 
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -60,7 +60,7 @@
 constexpr Duration kRegistrationTolerance = std::chrono::milliseconds(600);
 /// Interval between checks of the settings file for changes.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(1);
-/// Memory of the HTTP library per connection, beyond the header limit.
+/// Memory of a connection with a request, beyond the header limit.
 constexpr Bytes kConnectionMemory{8 << 10};
 /// Limit of the HTTP server. The configuration's own limit is meant to be lower
 /// and is checked for each request.
@@ -121,7 +121,6 @@
   options.m_body_limit = kSmallBodyLimit;
   options.m_discard_limit = kBodyDiscardLimit;
   options.m_header_limit = kHeaderLimit;
-  options.m_connection_memory = kConnectionMemory;
   options.m_stream_high_water = kStreamHighWater;
   options.m_idle_timeout = kCallerIdleTimeout;
   return options;
@@ -402,6 +401,9 @@
   metrics.SetGauge("nutmeg_gateway_crash_suspects", "", [this] {
     return static_cast<double>(m_crash_detector.Suspects().size());
   });
+  metrics.SetGauge("nutmeg_gateway_malformed_requests", "", [this] {
+    return static_cast<double>(m_caller_server.MalformedRequests());
+  });
   SetUpBodyMemory(m_state.m_body_memory, &metrics, "nutmeg_gateway",
                   m_settings);
   m_fleet.RegisterGauges(&metrics);
--- a/src/nutmegd/peer_http_server.cpp
+++ b/src/nutmegd/peer_http_server.cpp
@@ -18,13 +18,10 @@
 /// As for callers, plus the field of a forwarded request.
 constexpr Bytes kHeaderLimit{22 << 10};
 constexpr Bytes kStreamHighWater{64 << 10};
-/// Memory of the HTTP library per connection, beyond the header limit.
-constexpr Bytes kConnectionMemory{2 << 10};
 
 net::HttpServerOptions ServerOptions(const GatewayState& state) {
   net::HttpServerOptions options;
   options.m_header_limit = kHeaderLimit;
-  options.m_connection_memory = kConnectionMemory;
   options.m_stream_high_water = kStreamHighWater;
   options = WithCallerBodies(std::move(options), state);
   // The sender may try another instance: the request was not taken.
