Refuse answers whose heads can be read in two ways

Fields that are not valid are not sent to servers either.

A single "identity" stays accepted, as AcceptedCloseDelimited asks for.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -312,6 +312,8 @@
     result.m_detail = "the head of the response is too large";
   } else if (call.m_invalid_status) {
     result.m_detail = "the status of the response is invalid";
+  } else if (call.m_invalid_field) {
+    result.m_detail = "a field of the response is invalid";
   } else if (call.m_invalid_length) {
     result.m_detail = "the length of the response is invalid";
   }
--- a/src/libnet/http_client_impl.h
+++ b/src/libnet/http_client_impl.h
@@ -52,7 +52,8 @@
     bool m_headers_done = false;  ///< The final response's head is complete.
     bool m_status_line_read = false;  ///< Of the current response head.
     bool m_invalid_status = false;
-    bool m_invalid_length = false;
+    bool m_invalid_field = false;
+    bool m_invalid_length = false;   ///< Or an unknown transfer coding.
     bool m_close_delimited = false;  ///< The body has no length or chunks.
     int m_descriptor = -1;  ///< Of the connection, from its first event.
     /// Bytes of the request that the server's system did not have at the last
--- a/src/libnet/http_transfer.cpp
+++ b/src/libnet/http_transfer.cpp
@@ -59,11 +59,38 @@
              : std::nullopt;
 }
 
-/// @return true when the body's last transfer coding is "chunked".
 bool IsChunked(const HeaderMap& headers) {
-  const auto [first, last] = headers.equal_range("transfer-encoding");
-  return first != last &&
-         LowerCase(std::prev(last)->second).ends_with("chunked");
+  return LowerCase(HeaderValue(headers, "transfer-encoding")) == "chunked";
+}
+
+/// @return true when no transfer coding is given, or a single one that is known
+/// and has no length beside it. Recipients differ in where they find the end of
+/// other bodies.
+bool HasKnownCoding(const HeaderMap& headers) {
+  const std::string coding =
+      LowerCase(HeaderValue(headers, "transfer-encoding"));
+  const auto count = headers.count("transfer-encoding");
+  return count == 0 || (count == 1 && !headers.contains("content-length") &&
+                        (coding == "chunked" || coding == "identity"));
+}
+
+/// @param line without its end.
+/// @return true for a name and a value that are valid and mean the same to each
+/// recipient: no folds, no blank before the colon, no control characters.
+bool IsValidField(std::string_view line) {
+  const auto colon = line.find(':');
+  return colon != std::string_view::npos &&
+         IsFieldName(line.substr(0, colon)) &&
+         IsFieldValue(line.substr(colon + 1));
+}
+
+std::string_view WithoutLineEnd(std::string_view line) {
+  for (const char end : {'\n', '\r'}) {
+    if (line.ends_with(end)) {
+      line.remove_suffix(1);
+    }
+  }
+  return line;
 }
 
 /// @return true when each Content-Length is the same number, or none is given.
@@ -161,8 +188,8 @@
   bool has_content_type = false;
   bool has_accept = false;
   for (const auto& [name, value] : call.m_call.m_headers) {
-    if (HasLineBreak(name) || HasLineBreak(value)) {
-      call.m_setup_error = "a header contains a line break";
+    if (!IsFieldName(name) || !IsFieldValue(value)) {
+      call.m_setup_error = "a header field is invalid";
       continue;
     }
     has_content_type |= LowerCase(name) == "content-type";
@@ -226,7 +253,8 @@
   if (!call.m_headers_done) {
     call.m_client->HandleHeaderLine(call, {data, length});
   }
-  const bool invalid = call.m_invalid_status || call.m_invalid_length;
+  const bool invalid =
+      call.m_invalid_status || call.m_invalid_field || call.m_invalid_length;
   return call.m_cancelled || invalid ? 0 : length;
 }
 
@@ -238,13 +266,12 @@
     call.m_response_headers.clear();
     return;
   }
-  const std::string_view text = Trim(line);
-  const auto colon = text.find(':');
+  const std::string_view text = WithoutLineEnd(line);
   if (!text.empty()) {
-    if (colon != std::string_view::npos) {
-      call.m_response_headers.emplace(LowerCase(Trim(text.substr(0, colon))),
-                                      Trim(text.substr(colon + 1)));
-    }
+    call.m_invalid_field |= !IsValidField(text);
+    const auto colon = std::min(text.find(':'), text.size() - 1);
+    call.m_response_headers.emplace(LowerCase(text.substr(0, colon)),
+                                    Trim(text.substr(colon + 1)));
     return;
   }
   if (call.m_status < 200) {
@@ -252,7 +279,7 @@
     return;  // An interim response; the final one follows.
   }
   const HeaderMap& headers = call.m_response_headers;
-  if (!HasValidLength(headers)) {
+  if (!HasValidLength(headers) || !HasKnownCoding(headers)) {
     call.m_invalid_length = true;
     return;
   }
@@ -260,10 +287,7 @@
   const bool has_body = call.m_call.m_method != "HEAD" &&
                         call.m_status != kStatusNoContent &&
                         call.m_status != kStatusNotModified;
-  // A transfer coding takes precedence over a length.
-  const bool has_end = headers.contains("transfer-encoding")
-                           ? IsChunked(headers)
-                           : headers.contains("content-length");
+  const bool has_end = IsChunked(headers) || headers.contains("content-length");
   call.m_close_delimited = has_body && !has_end;
   if (call.m_events.m_on_headers) {
     call.m_events.m_on_headers(call.m_status, call.m_response_headers);
