Wait for a reset after the end of an answer without a length

Cause: bytes that the server's system acknowledged counted as received by the server, and nobody looked for the reset that follows the end of the output, since libcurl closes the socket at that end.

Evidence: with the socket kept, the reset is there at the end or arrives after it, as the tests make it, after 0, 10 and 100 ms.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -215,24 +215,6 @@
   }
 }
 
-void HttpClient::Impl::NoteUnacknowledged(Call& call) {
-  // The end of a response with a length or chunks does not depend on it.
-  const bool matters = !call.m_headers_done || call.m_close_delimited;
-  if (matters && call.m_call.m_body && call.m_descriptor >= 0) {
-    call.m_unacknowledged_bytes = UnacknowledgedBytes(call.m_descriptor);
-  }
-}
-
-bool HttpClient::Impl::IsRequestReceived(const Call& call) {
-  if (!call.m_call.m_body) {
-    return true;
-  }
-  curl_off_t written = 0;
-  curl_easy_getinfo(call.m_easy, CURLINFO_SIZE_UPLOAD_T, &written);
-  return call.m_unacknowledged_bytes == 0 &&
-         static_cast<std::size_t>(written) >= call.m_call.m_body->size();
-}
-
 bool HttpClient::Impl::ReserveHead(Call& call, std::size_t bytes) {
   if (!m_head_memory_budget.MayReserve(call.m_head_memory, bytes)) {
     call.m_head_too_large = true;
@@ -284,42 +266,10 @@
     Call* call = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
     const CURLcode code = message->data.result;
-    End(call->m_id, MakeResult(*call, code));
+    EndUnlessReset(*call, MakeResult(*call, code));
   }
 }
 
-HttpCallResult HttpClient::Impl::MakeResult(const Call& call,
-                                            CURLcode code) const {
-  HttpCallResult result;
-  result.m_may_have_been_sent = call.m_sent;
-  result.m_detail = curl_easy_strerror(code);
-  result.m_close_delimited = call.m_close_delimited;
-  // A process that dies while it receives a request may close its connection
-  // normally, so the end of the connection is then not that of the response.
-  const bool end_known =
-      !call.m_close_delimited ||
-      (call.m_call.m_accept_close_delimited && IsRequestReceived(call));
-  if (code == CURLE_OK && call.m_headers_done && end_known) {
-    result.m_outcome = HttpCallOutcome::kComplete;
-    result.m_detail.clear();
-  } else if (code == CURLE_OK) {
-    result.m_detail = "the length of the response is unknown";
-  } else if (!call.m_sent) {
-    result.m_outcome = HttpCallOutcome::kConnectFailed;
-  } else if (call.m_resend_attempted) {
-    result.m_detail = "the reused connection was closed by the server";
-  } else if (call.m_head_too_large) {
-    result.m_detail = "the head of the response is too large";
-  } else if (call.m_invalid_status) {
-    result.m_detail = "the status of the response is invalid";
-  } else if (call.m_invalid_field) {
-    result.m_detail = "a field of the response is invalid";
-  } else if (call.m_invalid_length) {
-    result.m_detail = "the length of the response is invalid";
-  }
-  return result;
-}
-
 void HttpClient::Impl::Defer(std::function<void()> work) {
   m_deferred.push_back(std::move(work));
   m_deferred_timer.Start(Duration::zero());
@@ -391,6 +341,10 @@
   if (call == nullptr) {
     return;
   }
+  if (call->m_result_unless_reset) {
+    CheckReset(*call);
+    return;
+  }
   const TimePoint now = BootTime();
   const char* detail = nullptr;
   if (now - call->m_started >= call->m_call.m_total_timeout) {
@@ -445,6 +399,9 @@
     }
     call->m_easy = nullptr;
   }
+  if (call->m_ended_descriptor >= 0) {
+    close(call->m_ended_descriptor);
+  }
   curl_slist_free_all(call->m_headers);
   call->m_headers = nullptr;
   return call;
--- a/src/libnet/http_client_impl.h
+++ b/src/libnet/http_client_impl.h
@@ -21,7 +21,8 @@
 
 /// Calls in progress on one multi handle of libcurl. http_client.cpp manages
 /// the calls, sockets and timeouts; http_transfer.cpp sets the libcurl options
-/// of a call and implements its callbacks.
+/// of a call and implements its callbacks; http_client_endings.cpp decides
+/// whether a response is complete.
 class HttpClient::Impl {
  public:
   explicit Impl(struct ev_loop* loop);
@@ -56,6 +57,11 @@
     bool m_invalid_length = false;   ///< Or an unknown transfer coding.
     bool m_close_delimited = false;  ///< The body has no length or chunks.
     int m_descriptor = -1;  ///< Of the connection, from its first event.
+    /// Of a connection that libcurl has done with, and whose end is checked for
+    /// a reset. Closed with the call.
+    int m_ended_descriptor = -1;
+    /// Set while a reset of that connection may follow.
+    std::optional<HttpCallResult> m_result_unless_reset;
     /// Bytes of the request that the server's system did not have at the last
     /// read.
     std::size_t m_unacknowledged_bytes = 0;
@@ -91,6 +97,8 @@
                             void* socket);
   static int OnTimerChange(CURLM* multi, long timeout_ms, void* client);
   static void OnSocketReady(struct ev_loop* loop, ev_io* watcher, int events);
+  /// Keeps the socket of a call whose end is checked for a reset.
+  static int OnCloseSocket(void* client, curl_socket_t descriptor);
   static int OnBeforeSend(void* context,
                           char* primary_ip,
                           char* local_ip,
@@ -117,6 +125,13 @@
   static void NoteUnacknowledged(Call& call);
   /// @return true when the server's system has received the whole request.
   static bool IsRequestReceived(const Call& call);
+  /// @return true when a reset may follow the end of the connection because the
+  /// server has not read the request.
+  static bool MayBeReset(const Call& call);
+  /// Ends a call, after a wait if its connection may still be reset.
+  void EndUnlessReset(Call& call, const HttpCallResult& result);
+  /// Ends a call whose wait is over, or whose connection is reset.
+  void CheckReset(Call& call);
   /// Reserves memory for a part of a call's head.
   /// @return false when the limit is reached; the call must end then.
   bool ReserveHead(Call& call, std::size_t bytes);
--- a/src/libnet/http_client_truncation_test.cpp
+++ b/src/libnet/http_client_truncation_test.cpp
@@ -222,6 +222,62 @@
   }
 }
 
+struct LateResetCase {
+  const char* m_name;
+  std::size_t m_body;  ///< Bytes of the request, which the server leaves.
+  Duration m_delay;    ///< From the end of the output to the reset.
+};
+
+class ResetAfterEndOfOutput
+    : public HttpClientTruncation,
+      public ::testing::WithParamInterface<LateResetCase> {
+ protected:
+  HttpCall Call() const {
+    HttpCall call;
+    call.m_body = std::make_shared<const std::string>(GetParam().m_body, 'x');
+    call.m_accept_close_delimited = true;
+    return call;
+  }
+  static constexpr int kTries = 5;
+};
+
+// Guards against a part of a response that counts as complete because the
+// system of a server that breaks off has sent an end before the reset.
+TEST_P(ResetAfterEndOfOutput, IsNotComplete) {
+  m_server.ReplyBeforeBody(0);
+  m_reply = {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+             ConnectionAction::kEndOutputAndClose, GetParam().m_delay};
+  for (int count = 0; count < kTries; ++count) {
+    const HttpResponse response = FetchAndWait(Call());
+    EXPECT_EQ(response.m_call_result.m_outcome, HttpCallOutcome::kBroken);
+  }
+}
+
+TEST_P(ResetAfterEndOfOutput, IsNotExpectedOfAServerThatHasReadTheRequest) {
+  m_reply = {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole",
+             ConnectionAction::kEndOutputAndClose, GetParam().m_delay};
+  for (int count = 0; count < kTries; ++count) {
+    const HttpResponse response = FetchAndWait(Call());
+    EXPECT_EQ(response.m_call_result.m_outcome, HttpCallOutcome::kComplete)
+        << response.m_call_result.m_detail;
+    EXPECT_EQ(response.m_body, "whole");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ResetAfterEndOfOutput,
+    ::testing::Values(LateResetCase{"SmallAtOnce", 600, Duration(0)},
+                      LateResetCase{"SmallSoon", 600, milliseconds(10)},
+                      LateResetCase{"SmallLater", 600, milliseconds(100)},
+                      LateResetCase{"MediumAtOnce", 12'000, Duration(0)},
+                      LateResetCase{"MediumSoon", 12'000, milliseconds(10)},
+                      LateResetCase{"MediumLater", 12'000, milliseconds(100)},
+                      LateResetCase{"LargeAtOnce", 60'000, Duration(0)},
+                      LateResetCase{"LargeSoon", 60'000, milliseconds(10)},
+                      LateResetCase{"LargeLater", 60'000, milliseconds(100)}),
+    [](const auto& info) { return info.param.m_name; });
+
 struct StatusCase {
   const char* m_name;
   const char* m_status;
--- a/src/libnet/http_transfer.cpp
+++ b/src/libnet/http_transfer.cpp
@@ -145,6 +145,8 @@
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, call.m_client);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
                    static_cast<long>(request.m_reuse_max_idle.count()));
   curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
--- a/src/libnet/scripted_server.h
+++ b/src/libnet/scripted_server.h
@@ -27,6 +27,8 @@
     kClose,
     kReset,
     kEndOutput,  ///< Nothing more is sent; the connection stays open.
+    /// The output ends with the bytes; the connection closes after the delay.
+    kEndOutputAndClose,
   };
   std::string m_bytes;  ///< Empty to send nothing.
   ConnectionAction m_connection_action = ConnectionAction::kKeep;
@@ -70,11 +72,15 @@
   void CloseAll() { m_connections.clear(); }
 
   /// Replies as soon as the head of a request is complete and reads nothing
-  /// more, so that a long upload stays unfinished.
-  void ReplyBeforeBody() {
+  /// more.
+  /// @param receive_buffer bytes that the system accepts nevertheless, so that
+  /// a longer upload stays unfinished; 0 for its default.
+  void ReplyBeforeBody(int receive_buffer = 4096) {
     m_reply_before_body = true;
-    const int size = 4096;  // Connections inherit the size of the buffer.
-    setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    if (receive_buffer > 0) {  // Connections inherit it.
+      setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
   }
 
   /// Raw text of the requests received so far.
@@ -110,8 +116,8 @@
   void Read(int id) {
     Connection& connection = *m_connections.at(id);
     char buffer[16384];
-    const ssize_t count =
-        recv(connection.m_descriptor, buffer, sizeof(buffer), 0);
+    const int size_limit = m_reply_before_body ? 1 : sizeof(buffer);
+    const ssize_t count = recv(connection.m_descriptor, buffer, size_limit, 0);
     if (count < 0 && errno == EAGAIN) {
       return;
     }
@@ -138,14 +144,22 @@
   void SendReply(int id, const ScriptedReply& reply) {
     Connection& connection = *m_connections.at(id);
     std::string_view remaining = reply.m_bytes;
+    const bool ends_output =
+        reply.m_connection_action ==
+        ScriptedReply::ConnectionAction::kEndOutputAndClose;
+    // The end is sent in one segment with the last bytes.
+    const int flags = MSG_NOSIGNAL | (ends_output ? MSG_MORE : 0);
     while (!remaining.empty()) {
       const ssize_t sent = send(connection.m_descriptor, remaining.data(),
-                                remaining.size(), MSG_NOSIGNAL);
+                                remaining.size(), flags);
       if (sent <= 0) {
         break;  // The socket's buffer is full; the rest is dropped.
       }
       remaining.remove_prefix(static_cast<std::size_t>(sent));
     }
+    if (ends_output) {
+      shutdown(connection.m_descriptor, SHUT_WR);
+    }
     if (reply.m_action_delay == Duration::zero()) {
       Act(id, reply.m_connection_action);
       return;
