--- a/src/libnet/http_request_reader.cpp
+++ b/src/libnet/http_request_reader.cpp
@@ -200,6 +200,7 @@
     return {Step::kInvalid, 0};
   }
   m_head_done = true;
+  m_parser->m_request.m_head_bytes = size;
   return {Step::kHead, skipped + size};
 }
 
--- a/src/libnet/http_server.h
+++ b/src/libnet/http_server.h
@@ -35,6 +35,9 @@
   std::string m_target;  ///< Path and query, byte for byte as received.
   std::map<std::string, std::string> m_query;
   HeaderMap m_headers;
+  /// Size of the head as received, with line ends; 0 if it was checked by
+  /// another instance.
+  std::size_t m_head_bytes = 0;
   std::string m_body;
 };
 
--- a/src/nutmegd/peer_http_server.cpp
+++ b/src/nutmegd/peer_http_server.cpp
@@ -45,6 +45,7 @@
         m_mac(std::move(mac)),
         m_on_end(std::make_shared<std::function<void(bool)>>()) {
     m_request.m_headers.erase(net::kForwardedField);
+    m_request.m_head_bytes = 0;  // The sender has checked the caller's head.
     ++*open;
     m_exchange->OnEnd([open, on_end = m_on_end](bool complete) {
       --*open;
--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -39,14 +39,6 @@
 /// Part of a host or path that is logged.
 constexpr std::size_t kMaxLoggedText = 80;
 
-std::size_t HeaderSize(const net::HttpRequest& request) {
-  std::size_t size = request.m_method.size() + request.m_target.size();
-  for (const auto& [name, value] : request.m_headers) {
-    size += name.size() + value.size() + 4;
-  }
-  return size;
-}
-
 /// @return true when the request's target or a header field could be
 /// misinterpreted by an upstream, so that it must not be forwarded.
 bool IsMalformed(const net::HttpRequest& request) {
@@ -110,7 +102,8 @@
     return {kStatusBadRequest, "malformed target or field"};
   }
   const CallerLimits& limits = m_configuration->m_limits;
-  if (HeaderSize(request) > static_cast<std::size_t>(limits.m_header.value())) {
+  if (request.m_head_bytes >
+      static_cast<std::size_t>(limits.m_header.value())) {
     return {kStatusHeaderTooLarge, "header too large"};
   }
   // The server's limit is that of the time at which the request began.
