Refuse unknown keys also where no key is needed

A key that is presented is looked up on every route: 401 for an unknown one, and the same proof of the configuration as elsewhere for a known one.

--- a/src/nutmegd/route_relay_checks.cpp
+++ b/src/nutmegd/route_relay_checks.cpp
@@ -156,23 +156,21 @@
     return {kStatusUnavailable, "tables not proven current",
             kRetryElsewhereDelay};
   }
-  if (!m_configuration->RequiresKeys()) {
+  const bool needs_key = m_configuration->RequiresKeys() && !route.m_anonymous;
+  if (m_request.m_key.empty() && !needs_key) {
     return {};
   }
+  // A key that is presented must be valid also where none is needed.
   const CustomerKeys* customer = m_configuration->FindCustomer(m_request.m_key);
-  if (customer != nullptr && use == CopyUse::kAll &&
-      m_state->MayServeKeyedRequests(now)) {
+  if (customer == nullptr) {
+    return Deny(kStatusUnauthorized, "unknown key", kNotProven, now);
+  }
+  if (use == CopyUse::kAll && m_state->MayServeKeyedRequests(now)) {
     m_customer = customer->m_id;
     m_homes = Intersect(route.m_homes, customer->m_homes);
     m_priority = customer->m_priority.value_or(route.m_priority);
     return {};
   }
-  if (route.m_anonymous) {
-    return {};
-  }
-  if (customer == nullptr) {
-    return Deny(kStatusUnauthorized, "unknown key", kNotProven, now);
-  }
   return {kStatusUnavailable, kNotProven};
 }
 
