--- a/src/libnet/http_connection.h
+++ b/src/libnet/http_connection.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <list>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/src/libnet/http_response_head.cpp
+++ b/src/libnet/http_response_head.cpp
@@ -23,9 +23,14 @@
          name == "connection";
 }
 
+/// @return the reason phrase; empty for a status without one.
 std::string_view ReasonOf(int status) {
-  const auto reason = boost::beast::http::obsolete_reason(
-      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  namespace http = boost::beast::http;
+  const http::status known = http::int_to_status(static_cast<unsigned>(status));
+  if (known == http::status::unknown) {
+    return {};
+  }
+  const auto reason = http::obsolete_reason(known);
   return {reason.data(), reason.size()};
 }
 
