Do not use responses of the store that are older than what was known

Instances took newer rows from another one and dropped them again with each response of the store.

Cause: a response was taken for the newest because it was asked last. It was compared with the version held for the same table only; a lower one led to a read of the whole table, which replaced everything. Versions that a store uses again after its return from an older copy counted as older than those from before.

The property test of TableFollower found two more ways back, which are mended: positions that were merged, and older changes of a row before its newest one in one response.

Why it works: a position is an era and a version, and is compared as one number everywhere. Each response is checked against the newest position that any instance had told of when the call was sent. A transaction that writes nothing is never behind: it is sent once after a loss of history, a missing or an outdated response, and ends a wrong position. While reads are behind, the rows held are compared by transactions.

--- a/src/include/nutmeghollow/fleet_digest.h
+++ b/src/include/nutmeghollow/fleet_digest.h
@@ -65,6 +65,9 @@
   /// Version of the newest change in the sender's copy of the registrations;
   /// zero when it has none or does not state it.
   RowVersion m_registrations_version;
+  /// Newest position in the history of the platform's tables that the sender
+  /// knows of; zero when it does not state it.
+  RowVersion m_store_position;
 };
 
 /// Maximum entries of each list, so that a digest fits into one datagram.
--- a/src/libnutmeg/digest.capnp
+++ b/src/libnutmeg/digest.capnp
@@ -145,4 +145,7 @@
   # Version of the newest change in the sender's copy of the registrations; 0:
   # not stated.
   registrationsVersion @22 :UInt64;
+  # Newest position in the history of the platform's tables that the sender knows
+  # of; 0: not stated.
+  storePosition @23 :UInt64;
 }
--- a/src/libnutmeg/digest.capnp.h
+++ b/src/libnutmeg/digest.capnp.h
@@ -256,7 +256,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 5, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(93f571f6ff529ced, 6, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1612,6 +1612,8 @@
 
   inline  ::uint64_t getRegistrationsVersion() const;
 
+  inline  ::uint64_t getStorePosition() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1761,6 +1763,9 @@
   inline  ::uint64_t getRegistrationsVersion();
   inline void setRegistrationsVersion( ::uint64_t value);
 
+  inline  ::uint64_t getStorePosition();
+  inline void setStorePosition( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3221,6 +3226,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Digest::Reader::getStorePosition() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getStorePosition() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStorePosition( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/libnutmeg/fleet_digest.cpp
+++ b/src/libnutmeg/fleet_digest.cpp
@@ -358,6 +358,7 @@
   root.setRegistrationsAgeMs(EncodeAge(digest.m_registrations_age));
   root.setStoreFails(digest.m_store_fails);
   root.setRegistrationsVersion(digest.m_registrations_version.value());
+  root.setStorePosition(digest.m_store_position.value());
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
   const auto bytes = stream.getArray();
@@ -400,6 +401,7 @@
     digest.m_registrations_age = DecodeAge(root.getRegistrationsAgeMs());
     digest.m_store_fails = root.getStoreFails();
     digest.m_registrations_version = RowVersion(root.getRegistrationsVersion());
+    digest.m_store_position = RowVersion(root.getStorePosition());
     if (root.hasLoad()) {
       digest.m_load = ReadLoad(root.getLoad());
     }
--- a/src/nutmegd/fleet_link.cpp
+++ b/src/nutmegd/fleet_link.cpp
@@ -133,13 +133,23 @@
 }
 
 void FleetLink::ProposeKey() {
+  if (!m_keys) {
+    WriteKey(net::ToHex(net::RandomBytes(kKeyBytes)));
+  }
+}
+
+void FleetLink::RestoreKey() {
   if (m_keys) {
-    return;
+    Log(LogLevel::kWarning, "fleet_key_restored", {});
+    WriteKey(m_key_text);
   }
+}
+
+void FleetLink::WriteKey(const std::string& key_text) {
   net::FeedWrite write;
   write.m_table = m_table;
   write.m_key = kFleetKeyRow;
-  write.m_value = net::ToHex(net::RandomBytes(kKeyBytes));
+  write.m_value = key_text;
   write.m_expected_version = net::FeedVersion(0);
   // The result is ignored: whichever proposal was written first, the row holds
   // the valid key, and it is read with the rows of the instances.
@@ -155,6 +165,7 @@
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(keys, net::ParseFleetKeys(key_text));
         m_keys = keys;
+        m_key_text = key_text;
         const Incarnation session(
             static_cast<std::uint64_t>(net::WallClockTime().value()));
         m_transport = std::make_unique<net::PeerTransport>(
@@ -214,6 +225,7 @@
   digest.m_registrations_age = m_hooks.m_registrations_age();
   digest.m_store_fails = m_hooks.m_store_fails();
   digest.m_registrations_version = m_hooks.m_registrations_version();
+  digest.m_store_position = m_hooks.m_store_position();
   return digest;
 }
 
@@ -377,6 +389,9 @@
         {{"instance", datagram.m_from.str()},
          {"reason", std::string("its upstreams are not in order")}});
   }
+  if (digest->m_store_position > RowVersion()) {
+    m_hooks.m_on_store_position(digest->m_store_position);
+  }
   if (digest->m_events_only) {
     return;
   }
--- a/src/nutmegd/fleet_link.h
+++ b/src/nutmegd/fleet_link.h
@@ -53,6 +53,11 @@
   /// As m_on_revision, about the registrations.
   std::function<void(RowVersion, std::optional<TimePoint> confirmed_at)>
       m_on_registrations_version;
+  /// @return the newest position in the history of the platform's tables that
+  /// this instance knows of.
+  std::function<RowVersion()> m_store_position;
+  /// Called with the newest position that another instance knows of.
+  std::function<void(RowVersion)> m_on_store_position;
   /// Called with streams to record for another instance.
   std::function<void(const InstanceId& from, const StreamReport& report)>
       m_on_stream_report;
@@ -82,6 +87,8 @@
   /// Sets the fleet key, unless one is set.
   /// @param key_text key as stored in the platform's table of instances.
   void PutKey(const std::string& key_text);
+  /// Writes the key again after the platform has lost its row.
+  void RestoreKey();
   /// Proposes a key after a short random delay, unless a key is known by then,
   /// for example from another instance's proposal. Called when the table of
   /// instances has been read; does nothing when a key is known.
@@ -134,6 +141,7 @@
   };
 
   void ProposeKey();
+  void WriteKey(const std::string& key_text);
   void SendDigest();
   void SendToPeers(const FleetDigest& digest);
   void SendLoad(const InstanceId& to, const LoadMessage& message);
@@ -181,6 +189,7 @@
   net::Timer m_permit_timer;
   std::map<InstanceId, Peer> m_peers;
   std::optional<net::FleetKeys> m_keys;
+  std::string m_key_text;  ///< Of m_keys, as in its row.
   std::unique_ptr<net::PeerTransport> m_transport;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/nutmegd/gateway.cpp
+++ b/src/nutmegd/gateway.cpp
@@ -16,6 +16,7 @@
 #include "libnet/event_loop.h"
 #include "libnet/http_server.h"
 #include "libnet/log.h"
+#include "nutmegd/checked_feed.h"
 #include "nutmegd/evacuation_rows.h"
 #include "nutmegd/fleet_link.h"
 #include "nutmegd/forwarding_setup.h"
@@ -159,9 +160,14 @@
       m_settings_text(ReadFile(m_settings_file)),
       m_client(loop),
       m_store_reads(&m_state.m_metrics, [this] { m_fleet.SendDigestNow(); }),
-      m_feed(m_store_reads.Counted(
-          make_feed(m_client,
-                    [this] { return m_settings.m_platform.m_address; }))),
+      m_feed(MakeCheckedFeed(
+          m_store_reads.Counted(
+              make_feed(m_client,
+                        [this] { return m_settings.m_platform.m_address; })),
+          {.m_probe_table = kInstanceTable,
+           .m_probe_key = settings.m_instance.m_id.str(),
+           .m_floor = &m_store_floor,
+           .m_metrics = &m_state.m_metrics})),
       m_peer_feed(MakePeerFeed(loop, m_client, m_feed, FeedHooks())),
       m_registrations(loop, &m_state.m_pool, protocol.m_read_registration),
       m_registration_reader(m_feed,
@@ -229,6 +235,12 @@
                    },
                .m_on_registrations_version =
                    std::bind_front(&Impl::HandleRegistrationsElsewhere, this),
+               .m_store_position =
+                   [this] { return RowVersion(m_store_floor.Newest()); },
+               .m_on_store_position =
+                   [this](RowVersion position) {
+                     m_store_floor.NoteElsewhere(position.value(), BootTime());
+                   },
                .m_on_stream_report =
                    [this](const InstanceId& from, const StreamReport& report) {
                      m_streams.HandleReport(from, report);
@@ -245,6 +257,7 @@
                       [this](int instances) {
                         m_state.m_allowance.SetInstances(instances);
                         m_store_reads.SetInstances(instances);
+                        SetOutdatedDelays(instances);
                       }),
       m_peer_feed_server(loop, [this] { return m_fleet.Keys(); }),
       m_peer_http_server(loop,
@@ -388,6 +401,10 @@
   metrics.SetGauge("nutmeg_gateway_registrations_outdated_seconds", "", [this] {
     return SecondsKnown(UpdateRegistrationsLag().OldestMissing(BootTime()));
   });
+  metrics.SetGauge("nutmeg_gateway_store_era", "", [this] {
+    return static_cast<double>(
+        net::EraOf(net::FeedVersion(m_store_floor.Newest())).value());
+  });
   metrics.SetGauge("nutmeg_gateway_upstreams", "", [this] {
     return static_cast<double>(m_state.m_pool.Ids().size());
   });
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -26,6 +26,7 @@
 #include "nutmegd/table_follower.h"
 #include "nutmeghollow/copy_lag.h"
 #include "nutmeghollow/entry_directory.h"
+#include "nutmeghollow/position_floor.h"
 
 namespace nutmeghollow {
 
@@ -81,6 +82,8 @@
   std::vector<Endpoint> SourcesOfNewerRows(const std::string& table) const;
   /// @return the hooks of the feed through other instances.
   PeerFeedHooks FeedHooks();
+  /// Sets how often the tables are read while responses are outdated.
+  void SetOutdatedDelays(int instances);
   TableFollowerEvents ConfigurationEvents();
   TableFollowerEvents RegistrationEvents();
   TableFollowerEvents InstanceEvents();
@@ -97,6 +100,7 @@
   std::string m_settings_text;
   net::HttpClient m_client;
   GatewayState m_state;
+  PositionFloor m_store_floor;
   StoreReads m_store_reads;
   net::RowFeed m_feed;
   net::RowFeed m_peer_feed;
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -1,4 +1,5 @@
 // What the gateway does with the rows of the platform's tables.
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
@@ -20,6 +21,10 @@
 /// Time from a change of the configuration to the return of free memory: by
 /// then its document and the responses to the followers have been freed.
 constexpr Duration kTrimDelay = std::chrono::seconds(2);
+/// Delay of the next read after an outdated response, and its share for each
+/// instance: all together make at most 40 reads of a table a second.
+constexpr Duration kMinOutdatedDelay = std::chrono::milliseconds(400);
+constexpr Duration kOutdatedDelayPerInstance = std::chrono::milliseconds(25);
 
 }  // namespace
 
@@ -46,8 +51,9 @@
 }
 
 CopyLag& Gateway::Impl::UpdateRegistrationsLag() {
+  // Rows that were added are of no concern: they are only not used yet.
   m_registrations_lag.NoteOwn(
-      m_registration_follower.IncludedVersion().value());
+      m_registration_follower.ComparedVersion().value());
   return m_registrations_lag;
 }
 
@@ -65,10 +71,14 @@
   hooks.m_after = [this] { return m_registration_follower.IncludedVersion(); };
   hooks.m_log = [this] {
     Log(LogLevel::kWarning, "registrations_outdated",
-        {{"version", static_cast<std::int64_t>(
-                         m_registration_follower.IncludedVersion().value())},
+        {{"version", static_cast<std::int64_t>(net::VersionInEra(
+                         m_registration_follower.IncludedVersion()))},
          {"newest_version",
-          static_cast<std::int64_t>(m_registrations_lag.Newest())}});
+          static_cast<std::int64_t>(net::VersionInEra(
+              net::FeedVersion(m_registrations_lag.Newest())))},
+         {"era", static_cast<std::int64_t>(
+                     net::EraOf(net::FeedVersion(m_registrations_lag.Newest()))
+                         .value())}});
   };
   return hooks;
 }
@@ -92,7 +102,7 @@
                          settings.m_registration_limit};
   const CopyVersions versions{
       m_state.RevisionInForce(),
-      RowVersion(m_registration_follower.IncludedVersion().value()),
+      RowVersion(m_registration_follower.ComparedVersion().value()),
       m_state.m_freshness.OldestMissing(now),
       UpdateRegistrationsLag().OldestMissing(now)};
   const InstanceId& self = m_settings.m_instance.m_id;
@@ -135,6 +145,16 @@
   }
 }
 
+void Gateway::Impl::SetOutdatedDelays(int instances) {
+  const Duration delay =
+      std::max(kMinOutdatedDelay, kOutdatedDelayPerInstance * instances);
+  for (TableFollower* follower :
+       {&m_configuration_follower, &m_registration_follower,
+        &m_instance_follower}) {
+    follower->SetOutdatedDelay(delay);
+  }
+}
+
 PeerFeedHooks Gateway::Impl::FeedHooks() {
   PeerFeedHooks hooks;
   hooks.m_keys = [this] { return m_fleet.Keys(); };
@@ -142,6 +162,13 @@
   hooks.m_newer = [this](const std::string& table) {
     return SourcesOfNewerRows(table);
   };
+  hooks.m_is_outdated = [this](net::FeedVersion version,
+                               TimePoint confirmed_at) {
+    return m_store_floor.IsOutdated(version.value(), confirmed_at);
+  };
+  hooks.m_on_version = [this](net::FeedVersion version) {
+    m_store_floor.NoteElsewhere(version.value(), BootTime());
+  };
   m_store_reads.Connect(&hooks);
   return hooks;
 }
--- a/src/nutmegd/instance_rows.cpp
+++ b/src/nutmegd/instance_rows.cpp
@@ -56,10 +56,18 @@
   if (row.m_key == kFleetKeyRow) {
     if (!row.m_removed) {
       m_fleet->PutKey(row.m_value);
+    } else if (row.m_may_return) {
+      m_fleet->RestoreKey();
     }
     return;
   }
   const InstanceId id(row.m_key);
+  const EntryInstance* instance = m_directory->Find(id);
+  const bool is_self = id == m_settings->m_instance.m_id;
+  if (row.m_removed && row.m_may_return && !is_self && instance != nullptr &&
+      instance->m_alive) {
+    return;  // It writes its row again.
+  }
   if (row.m_removed) {
     HandleRemoved(id);
   } else {
--- a/src/nutmegd/peer_feed.h
+++ b/src/nutmegd/peer_feed.h
@@ -92,8 +92,15 @@
   /// as sent. May be empty: then reads may be sent at any time.
   std::function<bool()> m_may_call_store;
   /// Called with each result of a read from the platform. May be empty.
-  /// @param answered false when the read was refused or not answered.
+  /// @param answered false when the read was refused or not answered; true also
+  /// when the response was outdated.
   std::function<void(bool answered)> m_on_store_result;
+  /// @return true when a copy that is confirmed up to a version must be older
+  /// than its confirmation. May be empty.
+  std::function<bool(net::FeedVersion version, TimePoint confirmed_at)>
+      m_is_outdated = {};
+  /// Called with the version of each copy of another instance. May be empty.
+  std::function<void(net::FeedVersion version)> m_on_version = {};
 };
 
 /// Makes a feed whose requests for changes are sent to the first reader that
--- a/src/nutmegd/peer_feed_client.cpp
+++ b/src/nutmegd/peer_feed_client.cpp
@@ -54,7 +54,8 @@
   }
   return [on_result = hooks.m_on_store_result, callback](FeedResult result) {
     on_result(result.m_status == FeedStatus::kDone ||
-              result.m_status == FeedStatus::kHistoryNotRetained);
+              result.m_status == FeedStatus::kHistoryNotRetained ||
+              result.m_status == FeedStatus::kOutdated);
     callback(std::move(result));
   };
 }
@@ -129,6 +130,8 @@
             request->m_callback(std::move(result));
             return;
           }
+          request->m_store_is_outdated =
+              result.m_status == FeedStatus::kOutdated;
           self->TryNext(request, std::move(result));
         });
   }
@@ -163,6 +166,7 @@
     int m_failed_sources = 0;
     std::vector<Endpoint> m_tried;
     bool m_store_tried = false;
+    bool m_store_is_outdated = false;  ///< It answered with an earlier state.
     /// The sources are the instances with newer rows.
     bool m_from_newer = false;
     bool m_reads_all = false;  ///< The whole table is wanted.
@@ -207,6 +211,9 @@
     if (reader) {
       AskReader(request, *reader, *keys);
     } else if (request->m_store_tried) {
+      if (request->m_store_is_outdated) {
+        failure.m_status = FeedStatus::kOutdated;
+      }
       request->m_callback(std::move(failure));
     } else {
       AskStore(request);
@@ -282,6 +289,8 @@
                                 request->m_callback(std::move(result));
                                 return;
                               }
+                              request->m_store_is_outdated =
+                                  result.m_status == FeedStatus::kOutdated;
                               self->TryNext(request, std::move(result));
                             });
   }
@@ -313,7 +322,11 @@
           m_waits.erase(number);
           FeedResult result =
               ReadResponse(response, m_hooks.m_keys(), nonce, requested_at);
-          if (IsOlderCopy(*done.m_request, result)) {
+          if (result.m_status == FeedStatus::kDone && m_hooks.m_on_version) {
+            m_hooks.m_on_version(result.m_version);
+          }
+          if (IsOlderCopy(*done.m_request, result) ||
+              IsOutdated(*done.m_request, result)) {
             // The reader is sound, and another one may have a newer copy.
             TryNext(request, {FeedStatus::kUnknown,
                               {},
@@ -404,6 +417,14 @@
            result.m_version < m_versions[request.m_table];
   }
 
+  /// @return true for rows that another instance took from an outdated response
+  /// of the platform.
+  bool IsOutdated(const Request& request, const FeedResult& result) const {
+    return result.m_status == FeedStatus::kDone && !request.m_from_newer &&
+           m_hooks.m_is_outdated && result.m_confirmed_at &&
+           m_hooks.m_is_outdated(result.m_version, *result.m_confirmed_at);
+  }
+
   void NoteConfirmed(const std::string& table, const FeedResult& result) {
     FeedVersion& version = m_versions[table];
     version = std::max(version, result.m_version);
--- a/src/nutmegd/registrations.h
+++ b/src/nutmegd/registrations.h
@@ -21,6 +21,11 @@
 namespace nutmeghollow {
 
 /// Applies rows of the registrations' table to a pool.
+///
+/// When the platform comes back from an older copy, rows that it has lost are
+/// missing and rows that were removed are back. Both are written, or removed,
+/// again. Until then, and for a limited time, an upstream whose row is missing
+/// stays, and one whose row was removed is not used.
 class Registrations {
  public:
   /// Parses a row of the table.
@@ -38,8 +43,29 @@
   bool AwaitsRegistrations(TimePoint now) const { return now < m_retain_until; }
 
  private:
+  /// A registration that was removed.
+  struct Removal {
+    std::int64_t m_start_time_ms = 0;  ///< Of its process.
+    net::FeedVersion m_version;
+    TimePoint m_at{};
+  };
+  /// A removed registration that came back with a later era.
+  struct Restored {
+    RegisteredUpstream m_upstream;
+    net::FeedVersion m_version;
+    TimePoint m_until{};  ///< It is used then, unless it is removed again.
+  };
+
+  void Put(const RegisteredUpstream& upstream);
+  /// @return true when the row is one that the platform removed and may have
+  /// restored from an older copy.
+  bool IsRestored(const net::FeedRow& row,
+                  const RegisteredUpstream& upstream,
+                  TimePoint now);
   void Remove(const UpstreamId& id, const char* reason);
   void RemoveDue();
+  /// Sets the timer to the next time at which something is due.
+  void Schedule();
 
   UpstreamPool* m_pool;
   Parser m_parse;
@@ -48,6 +74,8 @@
   /// Upstreams whose registration was removed, with the time when they are
   /// removed from the pool unless they register again.
   std::map<UpstreamId, TimePoint> m_retained;
+  std::map<UpstreamId, Removal> m_removals;  ///< Recent ones.
+  std::map<UpstreamId, Restored> m_restored;
 };
 
 }  // namespace nutmeghollow
--- a/src/nutmegd/route_configuration.cpp
+++ b/src/nutmegd/route_configuration.cpp
@@ -47,7 +47,8 @@
         Log(LogLevel::kInfo, "configuration_adopted",
             {{"revision", ForLog(configuration.m_revision)},
              {"routes", static_cast<std::int64_t>(configuration.RouteCount())},
-             {"row_version", static_cast<std::int64_t>(row.m_version.value())},
+             {"row_version",
+              static_cast<std::int64_t>(net::VersionInEra(row.m_version))},
              {"source", NameOf(source)}});
         state.m_configuration = std::make_shared<const RoutingConfiguration>(
             std::move(configuration));
--- a/src/nutmegd/store_reads.cpp
+++ b/src/nutmegd/store_reads.cpp
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "libnet/event_loop.h"
 #include "libnet/log.h"
@@ -32,6 +33,8 @@
       return "conflict";
     case FeedStatus::kUnknown:
       return "unknown";
+    case FeedStatus::kOutdated:
+      return "outdated";
   }
   return "unknown";
 }
@@ -74,6 +77,14 @@
     feed.m_write(write, timeout,
                  CountResult(metrics, "write", std::move(callback)));
   };
+  if (feed.m_compare) {
+    counted.m_compare = [=](const std::string& table,
+                            const std::vector<net::FeedRow>& rows,
+                            Duration timeout, net::FeedCallback callback) {
+      feed.m_compare(table, rows, timeout,
+                     CountResult(metrics, "compare", std::move(callback)));
+    };
+  }
   return counted;
 }
 
--- a/src/nutmegd/table_follower.cpp
+++ b/src/nutmegd/table_follower.cpp
@@ -60,6 +60,46 @@
       });
 }
 
+void TableFollower::HandleOutdated(const std::string& reason) {
+  // Rows that were added meanwhile are only found by a read.
+  m_loaded = false;
+  if (!m_feed.m_compare || m_rows.empty()) {
+    HandleFailure(reason);
+    return;
+  }
+  m_feed.m_compare(
+      m_options.m_table, AllRows().m_rows, m_options.m_timeout_margin,
+      [this, alive = std::weak_ptr<bool>(m_alive),
+       requested_at = net::BootTime()](const net::FeedResult& result) {
+        if (!alive.expired()) {
+          HandleComparison(result, requested_at);
+        }
+      });
+}
+
+void TableFollower::HandleComparison(const net::FeedResult& result,
+                                     TimePoint requested_at) {
+  if (result.m_status != net::FeedStatus::kDone) {
+    HandleFailure(result.m_detail);
+    return;
+  }
+  HandleSuccess();
+  m_source = {};
+  Log(LogLevel::kInfo, "table_compared",
+      {{"table", m_options.m_table},
+       {"era", static_cast<std::int64_t>(net::EraOf(result.m_version).value())},
+       {"version",
+        static_cast<std::int64_t>(net::VersionInEra(result.m_version))},
+       {"changed_rows", static_cast<std::int64_t>(result.m_rows.size())}});
+  for (const net::FeedRow& row : result.m_rows) {
+    Retain(row);
+    HandleRow(row);
+  }
+  m_compared_version = std::max(m_compared_version, result.m_version);
+  NoteConfirmed(requested_at);
+  m_timer.Start(m_options.m_outdated_delay);
+}
+
 void TableFollower::RetryIfLost() {
   if (m_failures > 0) {
     m_alive = std::make_shared<bool>(true);
@@ -110,7 +150,9 @@
   if (result.m_is_whole && result.m_version > IncludedVersion()) {
     for (const auto& [key, row] : m_rows) {
       if (!keys.contains(key) && row.m_version <= result.m_version) {
-        newer.push_back({key, "", result.m_version, true});
+        newer.push_back(
+            {key, "", result.m_version, true,
+             net::EraOf(result.m_version) > net::EraOf(row.m_version)});
       }
     }
   }
@@ -118,7 +160,8 @@
       {{"table", m_options.m_table},
        {"source", m_source.str()},
        {"newer_rows", static_cast<std::int64_t>(newer.size())},
-       {"version", static_cast<std::int64_t>(version.value())}});
+       {"version", static_cast<std::int64_t>(net::VersionInEra(version))},
+       {"era", static_cast<std::int64_t>(net::EraOf(version).value())}});
   for (const net::FeedRow& row : newer) {
     Retain(row);
     HandleRow(row);
@@ -162,6 +205,10 @@
 
 void TableFollower::HandleAllRows(const net::FeedResult& result,
                                   TimePoint requested_at) {
+  if (result.m_status == net::FeedStatus::kOutdated) {
+    HandleOutdated(result.m_detail);
+    return;
+  }
   if (result.m_status != net::FeedStatus::kDone) {
     HandleFailure(result.m_detail);
     return;
@@ -188,11 +235,23 @@
       HandleRow(row);
     }
   }
+  const bool is_later_era =
+      net::EraOf(result.m_version) > net::EraOf(m_version);
+  std::int64_t removed = 0;
   for (const auto& [key, row] : missing) {
     if (!may_be_older || row.m_version <= result.m_version) {
-      HandleRow({key, "", result.m_version, true});
+      HandleRow({key, "", result.m_version, true, is_later_era});
+      ++removed;
     }
   }
+  Log(LogLevel::kInfo, "table_read",
+      {{"table", m_options.m_table},
+       {"source", m_source.empty() ? std::string("platform") : m_source.str()},
+       {"era", static_cast<std::int64_t>(net::EraOf(result.m_version).value())},
+       {"version",
+        static_cast<std::int64_t>(net::VersionInEra(result.m_version))},
+       {"rows", static_cast<std::int64_t>(result.m_rows.size())},
+       {"removed_rows", removed}});
   m_loaded = true;
   m_version = result.m_version;
   // Those of copies of other instances may be newer. What is above the version
@@ -211,6 +270,10 @@
     SendRequest();
     return;
   }
+  if (result.m_status == net::FeedStatus::kOutdated) {
+    HandleOutdated(result.m_detail);
+    return;
+  }
   if (result.m_status != net::FeedStatus::kDone) {
     HandleFailure(result.m_detail);
     return;
@@ -225,8 +288,12 @@
     // The platform's version went back, or the response is an old one.
     Log(LogLevel::kWarning, "table_version_went_back",
         {{"table", m_options.m_table},
-         {"version", static_cast<std::int64_t>(result.m_version.value())},
-         {"before", static_cast<std::int64_t>(before.value())}});
+         {"version",
+          static_cast<std::int64_t>(net::VersionInEra(result.m_version))},
+         {"era",
+          static_cast<std::int64_t>(net::EraOf(result.m_version).value())},
+         {"before", static_cast<std::int64_t>(net::VersionInEra(before))},
+         {"before_from_copy", m_copied_version > m_version}});
     m_loaded = false;
     SendRequest();
     return;
@@ -234,7 +301,7 @@
   HandleSuccess();
   m_source = result.m_source;
   for (const net::FeedRow& row : result.m_rows) {
-    if (!may_be_older || row.m_version >= VersionOf(row.m_key)) {
+    if (row.m_version >= VersionOf(row.m_key)) {
       Retain(row);
       HandleRow(row);
     }
@@ -272,6 +339,10 @@
     m_rows.erase(row.m_key);
   } else if (is_used || !m_rows.contains(row.m_key)) {
     m_rows[row.m_key] = row;
+  } else if (net::FeedRow& own = m_rows[row.m_key];
+             net::EraOf(row.m_version) > net::EraOf(own.m_version)) {
+    // The value from before replaces the restored one for others too.
+    own.m_version = row.m_version;
   }
   m_newest_change = std::max(m_newest_change, row.m_version);
   ++m_updates;
@@ -315,16 +386,19 @@
 
 void TableFollower::Confirm(const net::FeedResult& result,
                             TimePoint requested_at) {
-  m_confirmed_at =
-      std::max(m_confirmed_at, result.m_confirmed_at.value_or(requested_at));
-  if (m_events.m_on_confirmed) {
-    m_events.m_on_confirmed(m_confirmed_at);
-  }
+  NoteConfirmed(result.m_confirmed_at.value_or(requested_at));
   const Duration delay =
       requested_at + m_options.m_min_period - net::BootTime();
   m_timer.Start(std::max(delay, Duration::zero()));
 }
 
+void TableFollower::NoteConfirmed(TimePoint confirmed_at) {
+  m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+  if (m_events.m_on_confirmed) {
+    m_events.m_on_confirmed(m_confirmed_at);
+  }
+}
+
 void TableFollower::HandleFailure(const std::string& reason) {
   if (m_failures == 0 && m_events.m_on_lost) {
     m_events.m_on_lost(reason);
--- a/src/nutmegd/table_follower.h
+++ b/src/nutmegd/table_follower.h
@@ -4,8 +4,10 @@
 /// A follower reads the table once and then requests its changes by long
 /// polling. It retries failed requests after a backoff. When the platform no
 /// longer retains the changes it needs, it reads the whole table again and
-/// reports missing rows as removed. It keeps the rows and the newest changes,
-/// so that other instances can follow the table through this one.
+/// reports missing rows as removed. While the platform's responses are
+/// outdated, the rows are compared with the platform's in transactions instead.
+/// It keeps the rows and the newest changes, so that other instances can follow
+/// the table through this one.
 #pragma once
 
 #include <ev.h>
@@ -37,6 +39,8 @@
   Duration m_min_backoff = std::chrono::milliseconds(200);
   /// Maximum of the backoff, which doubles with each consecutive failure.
   Duration m_max_backoff = std::chrono::milliseconds(800);
+  /// Delay before the next read after an outdated response.
+  Duration m_outdated_delay = std::chrono::milliseconds(400);
   /// Minimum time between two requests; changes within it arrive together.
   Duration m_min_period = std::chrono::milliseconds(50);
 };
@@ -85,6 +89,11 @@
   net::FeedVersion IncludedVersion() const {
     return std::max(m_version, m_copied_version);
   }
+  /// @return the version up to which changes and removals of the rows held were
+  /// received; rows that were added may be missing.
+  net::FeedVersion ComparedVersion() const {
+    return std::max(IncludedVersion(), m_compared_version);
+  }
   /// @return the version of the newest change of a row of the copy.
   net::FeedVersion NewestChange() const { return m_newest_change; }
   /// @return number of rows that were read, changed or removed; rows from
@@ -114,9 +123,14 @@
   void SetMaxBackoff(Duration max_backoff) {
     m_options.m_max_backoff = max_backoff;
   }
+  /// Sets the delay before the next read after an outdated response.
+  void SetOutdatedDelay(Duration delay) { m_options.m_outdated_delay = delay; }
 
  private:
   void SendRequest();
+  /// Handles a response that is older than what was known before.
+  void HandleOutdated(const std::string& reason);
+  void HandleComparison(const net::FeedResult& result, TimePoint requested_at);
   void HandleAllRows(const net::FeedResult& result, TimePoint requested_at);
   void HandleChanges(const net::FeedResult& result, TimePoint requested_at);
   void HandleCopy(const net::FeedResult& result);
@@ -130,6 +144,8 @@
   void HandleRow(const net::FeedRow& row);
   void HandleSuccess();
   void Confirm(const net::FeedResult& result, TimePoint requested_at);
+  /// Records that the copy was confirmed to be current.
+  void NoteConfirmed(TimePoint confirmed_at);
   void HandleFailure(const std::string& reason);
 
   /// A change retained for other followers.
@@ -156,6 +172,8 @@
   TimePoint m_confirmed_at{};
   /// Version of the copies of other instances that were taken over.
   net::FeedVersion m_copied_version;
+  /// Version of the last comparison with the platform's rows.
+  net::FeedVersion m_compared_version;
   TimePoint m_copied_at{};
   Endpoint m_source;
   int m_failures = 0;  ///< Consecutive.
