Look for outdated reads for a while after a fault of the store, at all instances

Cause: one transaction after a fault showed that the reads were current. They fell behind by changes that were made later, or at a reader that replaced the one which had seen the fault; nothing told either of these.

Transactions precede the reads for 15 s after a fault, and while the store fails for another instance.

--- a/src/nutmegd/checked_feed.cpp
+++ b/src/nutmegd/checked_feed.cpp
@@ -22,6 +22,11 @@
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 /// No further transaction is sent for this long after one has failed.
 constexpr Duration kProbeBackoff = std::chrono::seconds(2);
+/// Reads of several tables share a transaction.
+constexpr Duration kMinProbeInterval = std::chrono::milliseconds(200);
+/// After a fault of the store, reads may be behind for this long. Changes that
+/// are made meanwhile are only known by a transaction.
+constexpr Duration kDoubtfulTime = std::chrono::seconds(15);
 
 std::int64_t VersionForLog(FeedVersion position) {
   return static_cast<std::int64_t>(net::VersionInEra(position));
@@ -87,8 +92,12 @@
  private:
   /// Runs the function, after a transaction if one is due.
   void RunAfterProbe(std::function<void()> function) {
+    const TimePoint now = BootTime();
+    if (m_options.m_fails_elsewhere && m_options.m_fails_elsewhere()) {
+      m_doubtful_until = now + kDoubtfulTime;
+    }
     const bool is_due =
-        m_must_probe && m_feed.m_compare && BootTime() >= m_next_probe_at;
+        now < m_doubtful_until && m_feed.m_compare && now >= m_next_probe_at;
     if (!is_due && m_after_probe.empty()) {
       function();
       return;
@@ -114,11 +123,10 @@
                {"newest_version", VersionForLog(newest)},
                {"newest_era", EraForLog(newest)}});
           if (is_done) {
-            self->m_must_probe = false;
             self->NoteTransaction(result.m_version, sent_at);
-          } else {
-            self->m_next_probe_at = BootTime() + kProbeBackoff;
           }
+          self->m_next_probe_at =
+              BootTime() + (is_done ? kMinProbeInterval : kProbeBackoff);
           for (const auto& function : std::exchange(self->m_after_probe, {})) {
             function();
           }
@@ -146,14 +154,14 @@
                    FeedResult result) {
     if (result.m_status == FeedStatus::kUnknown ||
         result.m_status == FeedStatus::kHistoryNotRetained) {
-      m_must_probe = true;
+      m_doubtful_until = BootTime() + kDoubtfulTime;
     }
     if (result.m_status != FeedStatus::kDone) {
       return result;
     }
     const FeedVersion floor(m_options.m_floor->At(sent_at));
     if (result.m_version < floor) {
-      m_must_probe = true;
+      m_doubtful_until = BootTime() + kDoubtfulTime;
       m_options.m_metrics->Count("nutmeg_gateway_outdated_store_responses", "");
       Log(LogLevel::kWarning, "store_response_outdated",
           {{"table", table},
@@ -220,7 +228,7 @@
 
   net::RowFeed m_feed;
   CheckedFeedOptions m_options;
-  bool m_must_probe = false;
+  TimePoint m_doubtful_until{};  ///< Transactions precede reads until then.
   TimePoint m_next_probe_at{};
   /// Reads that wait for a transaction in progress.
   std::vector<std::function<void()>> m_after_probe;
--- a/src/nutmegd/checked_feed.h
+++ b/src/nutmegd/checked_feed.h
@@ -5,9 +5,9 @@
 /// The store promises that they are not. After it has lost its history, or has
 /// come back from an older copy, its reads may nevertheless show an earlier
 /// state. A response below the newest known position is reported as kOutdated,
-/// and its rows are not used. A transaction is never behind: one that writes
-/// nothing is sent before the next read once a response was outdated or
-/// missing, or the history was lost.
+/// and its rows are not used. A transaction is never behind: for some time
+/// after a fault of the store, here or at another instance, one that writes
+/// nothing is sent before each read.
 #pragma once
 
 #include <functional>
@@ -24,7 +24,9 @@
   /// Row that the transactions which write nothing refer to.
   std::string m_probe_table;
   std::string m_probe_key;
-  PositionFloor* m_floor = nullptr;      ///< Must outlive the feed.
+  PositionFloor* m_floor = nullptr;  ///< Must outlive the feed.
+  /// @return true while the store fails for another instance. May be empty.
+  std::function<bool()> m_fails_elsewhere = {};
   MetricsRegistry* m_metrics = nullptr;  ///< Must outlive the feed.
 };
 
--- a/src/nutmegd/checked_feed_test.cpp
+++ b/src/nutmegd/checked_feed_test.cpp
@@ -44,8 +44,13 @@
       m_calls += "compare ";
       callback(m_compare);
     };
-    m_feed = MakeCheckedFeed(std::move(feed),
-                             {"instances", "self", &m_floor, &m_metrics});
+    m_feed = MakeCheckedFeed(
+        std::move(feed),
+        {.m_probe_table = "instances",
+         .m_probe_key = "self",
+         .m_floor = &m_floor,
+         .m_fails_elsewhere = [this] { return m_fails_elsewhere; },
+         .m_metrics = &m_metrics});
   }
 
   static FeedResult Done(FeedVersion version) {
@@ -73,6 +78,7 @@
   FeedResult m_read;
   FeedResult m_write;
   FeedResult m_compare;
+  bool m_fails_elsewhere = false;
   std::string m_calls;
   net::RowFeed m_feed;
 };
@@ -124,6 +130,16 @@
   EXPECT_EQ(Read().m_status, FeedStatus::kDone);
 }
 
+// Failure: the reader that replaced one whose waits were cut had seen no fault.
+TEST_F(CheckedFeedTest, SendsTransactionsWhileTheStoreFailsElsewhere) {
+  m_read = Done(Version(135));
+  Read();
+  m_fails_elsewhere = true;
+  m_compare = Done(Version(169));
+  EXPECT_EQ(Read().m_status, FeedStatus::kOutdated);
+  EXPECT_EQ(m_calls, "read compare read ");
+}
+
 // Failure: changes of a later era were missed, since its versions had passed
 // the one after which they were requested.
 TEST_F(CheckedFeedTest, ReportsTheHistoryAsLostInALaterEra) {
--- a/src/nutmegd/gateway_impl.h
+++ b/src/nutmegd/gateway_impl.h
@@ -82,6 +82,8 @@
   std::vector<Endpoint> SourcesOfNewerRows(const std::string& table) const;
   /// @return the hooks of the feed through other instances.
   PeerFeedHooks FeedHooks();
+  /// @return true when a live instance says that the store fails for it.
+  bool StoreFailsElsewhere() const;
   /// Sets how often the tables are read while responses are outdated.
   void SetOutdatedDelays(int instances);
   TableFollowerEvents ConfigurationEvents();
--- a/src/nutmegd/gateway_tables.cpp
+++ b/src/nutmegd/gateway_tables.cpp
@@ -145,6 +145,13 @@
   }
 }
 
+bool Gateway::Impl::StoreFailsElsewhere() const {
+  const auto& instances = m_directory.Instances();
+  return std::any_of(instances.begin(), instances.end(), [](const auto& one) {
+    return one.second.m_alive && one.second.m_store_fails;
+  });
+}
+
 void Gateway::Impl::SetOutdatedDelays(int instances) {
   const Duration delay =
       std::max(kMinOutdatedDelay, kOutdatedDelayPerInstance * instances);
--- a/src/nutmegd/table_follower_history_test.cpp
+++ b/src/nutmegd/table_follower_history_test.cpp
@@ -54,8 +54,10 @@
     };
     m_follower = std::make_unique<TableFollower>(
         m_loop,
-        WithCopies(
-            MakeCheckedFeed(Feed(), {"table", "a", &m_floor, &m_metrics})),
+        WithCopies(MakeCheckedFeed(Feed(), {.m_probe_table = "table",
+                                            .m_probe_key = "a",
+                                            .m_floor = &m_floor,
+                                            .m_metrics = &m_metrics})),
         options, events);
   }
 
